--- /dev/null
+++ b/entry/gate.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"sync"
+	"time"
+)
+
+// Gate knows the requests under way and whether the node is leaving.
+type Gate struct {
+	mu      sync.Mutex
+	inside  int
+	leaving bool
+	stopsAt time.Time
+}
+
+// NewGate returns an open gate.
+func NewGate() *Gate {
+	g := &Gate{}
+	return g
+}
+
+// Enter counts a request; the returned function ends it.
+func (g *Gate) Enter() func() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inside++
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.inside--
+	}
+}
+
+// Inside returns the number of requests under way.
+func (g *Gate) Inside() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inside
+}
+
+// Leave marks the node as leaving; it will stop at the given time.
+func (g *Gate) Leave(stopsAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+	g.stopsAt = stopsAt
+}
+
+// Leaving tells whether the node is about to stop.
+func (g *Gate) Leaving() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaving
+}
+
+// Remaining is the time until a leaving node stops.
+func (g *Gate) Remaining() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Until(g.stopsAt)
+}
--- /dev/null
+++ b/fleet/endpoint.go
@@ -0,0 +1,161 @@
+// Package fleet knows the endpoints of the services, what runs on them, and decides
+// where work goes and which work waits. It does no I/O; its clock is given.
+package fleet
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+// Instance is one start of an endpoint, as it registered itself.
+type Instance struct {
+	// ID is new with each start.
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	// Slots is the number of requests that run at the same time.
+	Slots int
+	// Leaving tells that the endpoint is about to stop.
+	Leaving bool
+	// Warming is how much longer the endpoint is slow after its start.
+	Warming time.Duration
+}
+
+// EndpointKey identifies an instance in messages between nodes.
+type EndpointKey uint32
+
+// KeyOf returns the key of an instance ID. Two live instances share a key with a
+// chance of one in millions; their loads are then counted together.
+func KeyOf(id string) EndpointKey {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return EndpointKey(h.Sum32())
+}
+
+// Load is what one node runs on one endpoint.
+type Load struct {
+	Key   EndpointKey
+	Count int
+	// Tokens is the memory that the runs are expected to need.
+	Tokens int
+	// Unread is the number of prompt tokens that wait to be read.
+	Unread int
+}
+
+// Endpoint is an instance with its load and health. Its fields belong to the Fleet's
+// lock.
+type Endpoint struct {
+	Instance
+	key       EndpointKey
+	warmUntil time.Duration
+	// leaving is closed once the instance is about to stop or was removed.
+	leaving   chan struct{}
+	isLeaving bool
+	// missingAt is when the entry vanished although the instance may be alive; 0 if
+	// it is there.
+	missingAt time.Duration
+	runs      map[*Placement]struct{}
+	own       Load
+	remote    map[string]Load
+	health    health
+}
+
+func newEndpoint(in Instance) *Endpoint {
+	return &Endpoint{
+		Instance: in,
+		key:      KeyOf(in.ID),
+		leaving:  make(chan struct{}),
+		runs:     make(map[*Placement]struct{}),
+		remote:   make(map[string]Load),
+	}
+}
+
+func (e *Endpoint) total() Load {
+	sum := e.own
+	for _, l := range e.remote {
+		sum.Count += l.Count
+		sum.Tokens += l.Tokens
+		sum.Unread += l.Unread
+	}
+	return sum
+}
+
+func (e *Endpoint) markLeaving() {
+	if e.isLeaving {
+		return
+	}
+	e.isLeaving = true
+	close(e.leaving)
+}
+
+// health remembers failures of an endpoint whose health check may be good.
+type health struct {
+	// failures and successes decay with healthMemory.
+	failures, successes float64
+	updated             time.Duration
+	// ejectedUntil keeps new work away.
+	ejectedUntil time.Duration
+	ejections    int
+}
+
+const (
+	// healthMemory is the time constant at which past results are forgotten: a few
+	// seconds, the length of a usual impairment of one endpoint.
+	healthMemory = 4 * time.Second
+	// ejectAfter is the number of recent failures, and ejectShare their share among
+	// recent results, from which an endpoint is ejected. Single failures are usual:
+	// applications answer some requests with a failure of their own.
+	ejectAfter = 2.5
+	ejectShare = 0.3
+	// ejectFirst is the first time of ejection; each further one doubles it up to
+	// ejectLongest, so that an endpoint that has recovered is soon tried again.
+	ejectFirst   = 1500 * time.Millisecond
+	ejectLongest = 6 * time.Second
+	// unreachableFor keeps work away from an endpoint that refused a connection.
+	unreachableFor = 500 * time.Millisecond
+)
+
+func (h *health) decay(now time.Duration) {
+	elapsed := now - h.updated
+	h.updated = now
+	if elapsed <= 0 {
+		return
+	}
+	keep := 1 - float64(elapsed)/float64(healthMemory)
+	h.failures *= max(keep, 0)
+	h.successes *= max(keep, 0)
+}
+
+func (h *health) succeeded(now time.Duration) {
+	h.decay(now)
+	h.successes++
+	if h.failures < 1 {
+		h.ejections = 0
+	}
+}
+
+// failed records a failure of the given weight and tells whether it ejects.
+func (h *health) failed(now time.Duration, weight float64) bool {
+	h.decay(now)
+	h.failures += weight
+	if h.failures < ejectAfter || h.failures < ejectShare*(h.failures+h.successes) {
+		return false
+	}
+	h.eject(now)
+	return true
+}
+
+func (h *health) eject(now time.Duration) {
+	wait := min(ejectFirst<<min(h.ejections, 4), ejectLongest)
+	h.ejections++
+	h.ejectedUntil = max(h.ejectedUntil, now+wait)
+	h.failures = 0
+}
+
+// penalty is the share of recent failures, 0 to 1, smoothed by two good results.
+func (h *health) penalty(now time.Duration) float64 {
+	h.decay(now)
+	const goodPrior = 2
+	return h.failures / (h.failures + h.successes + goodPrior)
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,180 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Fleet is the set of all endpoints. Its methods may be called from any goroutine.
+type Fleet struct {
+	dataCentre string
+	now        func() time.Duration
+
+	mu       sync.Mutex
+	byID     map[string]*Endpoint
+	services map[string][]*Endpoint
+	queues   map[string]*queue
+	random   *rand.Rand
+}
+
+// New returns a fleet without endpoints, as seen from a data centre. Now reads a
+// monotonic clock.
+func New(dataCentre string, now func() time.Duration) *Fleet {
+	return &Fleet{
+		dataCentre: dataCentre,
+		now:        now,
+		byID:       make(map[string]*Endpoint),
+		services:   make(map[string][]*Endpoint),
+		queues:     make(map[string]*queue),
+		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// Replace takes a whole listing. Endpoints that it lacks are removed as Remove does.
+// It returns the IDs that are new, and those that are gone or missing.
+func (f *Fleet) Replace(listing []Instance, tentative bool) (added, removed []string) {
+	present := make(map[string]bool, len(listing))
+	for _, in := range listing {
+		present[in.ID] = true
+		if f.Update(in) {
+			added = append(added, in.ID)
+		}
+	}
+	f.mu.Lock()
+	var lacking []string
+	for id, e := range f.byID {
+		if !present[id] && e.missingAt == 0 {
+			lacking = append(lacking, id)
+		}
+	}
+	f.mu.Unlock()
+	for _, id := range lacking {
+		f.Remove(id, tentative)
+		removed = append(removed, id)
+	}
+	return added, removed
+}
+
+// Update takes an entry; it tells whether the instance is new.
+func (f *Fleet) Update(in Instance) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, known := f.byID[in.ID]
+	if !known {
+		e = newEndpoint(in)
+		f.byID[in.ID] = e
+		f.services[in.Service] = append(f.services[in.Service], e)
+	}
+	e.Slots = in.Slots
+	e.missingAt = 0
+	e.warmUntil = f.now() + in.Warming
+	if in.Leaving {
+		e.markLeaving()
+	}
+	f.dispatchLocked(in.Service)
+	return !known
+}
+
+// Remove takes the removal of an entry. A tentative removal, as after an outage of
+// the store in which entries expire although their endpoints live, keeps the endpoint
+// in use until Expire.
+func (f *Fleet) Remove(id string, tentative bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.byID[id]
+	if !ok {
+		return
+	}
+	if tentative {
+		e.missingAt = f.now()
+		return
+	}
+	f.dropLocked(e)
+}
+
+// Expire drops endpoints that have been missing for longer than the given time and
+// returns their IDs.
+func (f *Fleet) Expire(after time.Duration) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var gone []string
+	now := f.now()
+	for id, e := range f.byID {
+		if e.missingAt != 0 && now-e.missingAt >= after {
+			gone = append(gone, id)
+			f.dropLocked(e)
+		}
+	}
+	return gone
+}
+
+// dropLocked forgets an endpoint. Runs on it go on; they learn that it is leaving.
+func (f *Fleet) dropLocked(e *Endpoint) {
+	e.markLeaving()
+	delete(f.byID, e.ID)
+	all := f.services[e.Service]
+	for i, other := range all {
+		if other == e {
+			f.services[e.Service] = append(all[:i:i], all[i+1:]...)
+			return
+		}
+	}
+}
+
+// SetRemote replaces what another node runs.
+func (f *Fleet) SetRemote(node string, loads []Load) {
+	byKey := make(map[EndpointKey]Load, len(loads))
+	for _, l := range loads {
+		byKey[l.Key] = l
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.byID {
+		if l, ok := byKey[e.key]; ok {
+			e.remote[node] = l
+		} else {
+			delete(e.remote, node)
+		}
+	}
+	for service := range f.queues {
+		f.dispatchLocked(service)
+	}
+}
+
+// OwnLoads returns what this node runs, for the other nodes.
+func (f *Fleet) OwnLoads() []Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var loads []Load
+	for _, e := range f.byID {
+		if e.own.Count > 0 {
+			l := e.own
+			l.Key = e.key
+			loads = append(loads, l)
+		}
+	}
+	return loads
+}
+
+// Count returns the number of endpoints that take new work of a service.
+func (f *Fleet) Count(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.services[service] {
+		if !e.isLeaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Tick dispatches waiting work, for capacity that comes back with time alone.
+func (f *Fleet) Tick() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for service := range f.queues {
+		f.dispatchLocked(service)
+	}
+}
--- /dev/null
+++ b/fleet/pick.go
@@ -0,0 +1,124 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocusreel/crocusreel/routing"
+)
+
+// Demand is what a piece of work is expected to need.
+type Demand struct {
+	// Prompt and Output are tokens; both are 0 for work at a plain service.
+	Prompt int
+	Output int
+}
+
+// Tokens is the memory at the end of the run.
+func (d Demand) Tokens() int { return d.Prompt + d.Output }
+
+// Weights of the choice among endpoints. The unit is the share of an engine's memory
+// in use; for plain services the share of slots.
+const (
+	// otherDataCentreCost keeps work in its data centre while loads are about equal:
+	// bytes between data centres cost money and each event takes a millisecond more.
+	otherDataCentreCost = 0.08
+	// unreadCost is for each second of prompts that wait to be read before this one.
+	unreadCost = 0.6
+	// readRate is the number of prompt tokens that an engine reads in a second, for
+	// unreadCost; engines differ by a third.
+	readRate = 14000.0
+	// failureCost is for an endpoint all of whose recent results are failures.
+	failureCost = 2.0
+	// warmingCost keeps work from an endpoint that has just started.
+	warmingCost = 0.25
+	// missingCost keeps work from an endpoint whose entry is missing.
+	missingCost = 0.5
+	// spread is the range of a random addition that keeps nodes, which choose from
+	// the same reports, from all choosing the same endpoint.
+	spread = 0.04
+	// memoryShare is the part of an engine's memory that may be promised. The rest
+	// covers answers that grow longer than expected: an engine that runs out of
+	// memory preempts a running answer, whose caller sees a stall.
+	memoryShare = 0.92
+	// plainOvercommit is how many requests, in multiples of its slots, a plain
+	// service's endpoint is given. Those beyond its slots wait in its own queue, which
+	// is shorter than the way back here.
+	plainOvercommit = 2.0
+)
+
+// Want describes work to be placed.
+type Want struct {
+	Service *routing.Service
+	Demand  Demand
+	// Rank orders waiting work, lowest first.
+	Rank int
+	// Exclude are IDs of endpoints that were tried.
+	Exclude []string
+	// Near prefers this data centre instead of the fleet's own.
+	Near string
+}
+
+// pickLocked returns the best endpoint with room, nil if there is none.
+func (f *Fleet) pickLocked(w *Want) *Endpoint {
+	var best *Endpoint
+	bestCost := 0.0
+	now := f.now()
+	for _, ejectedToo := range []bool{false, true} {
+		for _, e := range f.services[w.Service.Name] {
+			if e.isLeaving || slices.Contains(w.Exclude, e.ID) {
+				continue
+			}
+			if !ejectedToo && now < e.health.ejectedUntil {
+				continue
+			}
+			cost, fits := f.costLocked(e, w, now)
+			if fits && (best == nil || cost < bestCost) {
+				best, bestCost = e, cost
+			}
+		}
+		if best != nil || f.anyInServiceLocked(w, now) {
+			return best
+		}
+	}
+	return best
+}
+
+// anyInServiceLocked tells whether some endpoint is neither leaving nor ejected. If
+// none is, ejection is no longer a choice among endpoints and is ignored.
+func (f *Fleet) anyInServiceLocked(w *Want, now time.Duration) bool {
+	for _, e := range f.services[w.Service.Name] {
+		if !e.isLeaving && now >= e.health.ejectedUntil && !slices.Contains(w.Exclude, e.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// costLocked returns the cost of one more run and whether it fits.
+func (f *Fleet) costLocked(e *Endpoint, w *Want, now time.Duration) (float64, bool) {
+	load := e.total()
+	cost := f.random.Float64() * spread
+	near := w.Near
+	if near == "" {
+		near = f.dataCentre
+	}
+	if e.DataCentre != near {
+		cost += otherDataCentreCost
+	}
+	cost += failureCost * e.health.penalty(now)
+	if now < e.warmUntil {
+		cost += warmingCost
+	}
+	if e.missingAt != 0 {
+		cost += missingCost
+	}
+	if spec := w.Service.Engine; spec != nil {
+		share := float64(load.Tokens) / float64(max(spec.Memory, 1))
+		need := float64(load.Tokens + w.Demand.Tokens())
+		fits := load.Count < e.Slots && (need <= memoryShare*float64(spec.Memory) || load.Count == 0)
+		return cost + share + unreadCost*float64(load.Unread)/readRate, fits
+	}
+	slots := float64(max(e.Slots, 1))
+	return cost + float64(load.Count)/slots, float64(load.Count) < plainOvercommit*slots
+}
--- /dev/null
+++ b/fleet/placement.go
@@ -0,0 +1,133 @@
+package fleet
+
+import "time"
+
+// Placement is the right to run one piece of work on one endpoint. It must be
+// released exactly once.
+type Placement struct {
+	fleet    *Fleet
+	endpoint *Endpoint
+	demand   Demand
+	produced int
+	// reading is set until the first event.
+	reading  bool
+	released bool
+	// Waited is the time that the work waited for its place.
+	Waited time.Duration
+}
+
+// Result is how the work on an endpoint ended, as far as it tells of its health.
+type Result int
+
+const (
+	// Neutral says nothing about the endpoint.
+	Neutral Result = iota
+	// Good is a whole answer.
+	Good
+	// Failed is a failure that the endpoint is at fault for.
+	Failed
+	// Busy is a refusal by an endpoint that is full.
+	Busy
+	// Unreachable is a connection that could not be made.
+	Unreachable
+	// Silent is an endpoint that took work and answered nothing in time.
+	Silent
+)
+
+// Weights of results in health, in failures.
+const (
+	busyWeight   = 0.3
+	silentWeight = 1.5
+)
+
+func (f *Fleet) placeLocked(e *Endpoint, d Demand) *Placement {
+	p := &Placement{fleet: f, endpoint: e, demand: d, reading: d.Prompt > 0}
+	e.runs[p] = struct{}{}
+	e.own.Count++
+	e.own.Tokens += p.tokens()
+	e.own.Unread += p.unread()
+	return p
+}
+
+// Instance returns the endpoint as it registered itself.
+func (p *Placement) Instance() Instance { return p.endpoint.Instance }
+
+// Leaving is closed once the endpoint is about to stop.
+func (p *Placement) Leaving() <-chan struct{} { return p.endpoint.leaving }
+
+// tokens is the memory that the run is expected to need. An answer that has outgrown
+// its expectation is expected to go on for a while.
+func (p *Placement) tokens() int {
+	if p.demand.Prompt == 0 {
+		return 0
+	}
+	const outgrown = 1.25
+	output := max(float64(p.demand.Output), float64(p.produced)*outgrown)
+	return p.demand.Prompt + int(output)
+}
+
+func (p *Placement) unread() int {
+	if p.reading {
+		return p.demand.Prompt
+	}
+	return 0
+}
+
+// Produced records the number of tokens that the run has made.
+func (p *Placement) Produced(tokens int) {
+	f := p.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p.released {
+		return
+	}
+	own := &p.endpoint.own
+	own.Tokens -= p.tokens()
+	own.Unread -= p.unread()
+	p.produced = tokens
+	p.reading = false
+	own.Tokens += p.tokens()
+}
+
+// Release ends the placement with its result.
+func (p *Placement) Release(r Result) {
+	f := p.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p.released {
+		return
+	}
+	p.released = true
+	e := p.endpoint
+	delete(e.runs, p)
+	e.own.Count--
+	e.own.Tokens -= p.tokens()
+	e.own.Unread -= p.unread()
+	f.recordLocked(e, r)
+	f.dispatchLocked(e.Service)
+}
+
+// Report records a result without an end of the placement.
+func (p *Placement) Report(r Result) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	p.fleet.recordLocked(p.endpoint, r)
+}
+
+func (f *Fleet) recordLocked(e *Endpoint, r Result) {
+	now := f.now()
+	switch r {
+	case Good:
+		e.health.succeeded(now)
+	case Failed:
+		e.health.failed(now, 1)
+	case Busy:
+		e.health.failed(now, busyWeight)
+	case Silent:
+		e.health.failed(now, silentWeight)
+	case Unreachable:
+		e.health.failed(now, 1)
+		e.health.ejectedUntil = max(e.health.ejectedUntil, now+unreachableFor)
+	case Neutral:
+	}
+}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -60,6 +60,7 @@
 }
 
 func (p Program[S]) serve(s S, log *zap.Logger) int {
+	defer func() { _ = log.Sync() }()
 	process, err := p.Build(s, log)
 	if err != nil {
 		log.Error("not started", zap.Error(err))
--- /dev/null
+++ b/internal/logging/async.go
@@ -0,0 +1,63 @@
+package logging
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/crocusreel/crocusreel/internal/metrics"
+)
+
+const (
+	// queuedLines bounds the lines that wait to be written: about a second's worth at
+	// the highest rate of a node.
+	queuedLines = 2048
+	// syncTimeout bounds the wait for queued lines at the end of the process.
+	syncTimeout = 500 * time.Millisecond
+)
+
+// asyncWriter writes lines from a goroutine of its own. A reader of the log that
+// stalls would otherwise stall every request that logs. Lines that do not fit into the
+// queue are dropped and counted.
+type asyncWriter struct {
+	out     io.Writer
+	lines   chan []byte
+	pending atomic.Int64
+	start   sync.Once
+}
+
+func newAsyncWriter(out io.Writer) *asyncWriter {
+	return &asyncWriter{out: out, lines: make(chan []byte, queuedLines)}
+}
+
+// Write implements zapcore.WriteSyncer. It never blocks.
+func (w *asyncWriter) Write(p []byte) (int, error) {
+	w.start.Do(func() { go w.run() })
+	line := append([]byte(nil), p...)
+	w.pending.Add(1)
+	select {
+	case w.lines <- line:
+	default:
+		w.pending.Add(-1)
+		metrics.Count("log_lines_dropped")
+	}
+	return len(p), nil
+}
+
+func (w *asyncWriter) run() {
+	for line := range w.lines {
+		if _, err := w.out.Write(line); err != nil {
+			metrics.Count("log_write_failed")
+		}
+		w.pending.Add(-1)
+	}
+}
+
+// Sync implements zapcore.WriteSyncer. It waits a bounded time for queued lines.
+func (w *asyncWriter) Sync() error {
+	for until := time.Now().Add(syncTimeout); w.pending.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/logging/async_test.go
@@ -0,0 +1,41 @@
+package logging
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// stuckWriter blocks until it is released, as a pipe does whose reader has stopped.
+type stuckWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	bytes.Buffer
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.Buffer.Write(p)
+}
+
+// The reader of the log stops reading. If writing a line waited for it, every request
+// that logs would hang, and callers would see a node that accepts and never answers.
+func TestStuckReaderBlocksNobody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	stuck := &stuckWriter{release: make(chan struct{})}
+	w := newAsyncWriter(stuck)
+	for range queuedLines + 100 {
+		n, err := w.Write([]byte("line\n"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(n).To(gomega.Equal(5))
+	}
+	close(stuck.release)
+	g.Expect(w.Sync()).To(gomega.Succeed())
+	stuck.mu.Lock()
+	defer stuck.mu.Unlock()
+	g.Expect(bytes.Count(stuck.Bytes(), []byte("line\n"))).To(gomega.BeNumerically(">=", queuedLines))
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -10,13 +10,14 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// New returns a logger that writes to standard error. Level is debug, info, warn
+// New returns a logger that writes to standard output without ever waiting for the
+// reader of the log; Sync waits for queued lines. Level is debug, info, warn
 // or error; anything else is an error.
 func New(level, program, vm string) (*zap.Logger, error) {
 	var l zapcore.Level
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		return nil, eris.Wrapf(err, "log level %q", level)
 	}
-	core := zapcore.NewCore(newEncoder(), zapcore.Lock(os.Stderr), l)
+	core := zapcore.NewCore(newEncoder(), newAsyncWriter(os.Stdout), l)
 	return zap.New(core).With(zap.String("program", program), zap.String("vm", vm)), nil
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -3,7 +3,9 @@
 
 import (
 	"expvar"
+	"strconv"
 	"sync"
+	"time"
 
 	"github.com/crocusreel/crocusreel"
 )
@@ -50,3 +52,23 @@
 
 // GaugeFunc publishes a gauge that is computed when it is read.
 func GaugeFunc(name string, f func() any) { gauges.Set(name, expvar.Func(f)) }
+
+// histogramBounds are the upper bounds of latency buckets, in milliseconds: a factor of
+// two apart, from a call within a data centre to the longest generation.
+var histogramBounds = []int64{5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 20000, 40000}
+
+var latencies = newMap("latencies")
+
+// Observe adds a duration to the named latency histogram. Each bucket counts the
+// durations up to its bound.
+func Observe(name string, d time.Duration) {
+	ms := d.Milliseconds()
+	label := "inf"
+	for _, bound := range histogramBounds {
+		if ms <= bound {
+			label = strconv.FormatInt(bound, 10)
+			break
+		}
+	}
+	latencies.Add(name+"_le_"+label, 1)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,185 @@
+// Package node is one process of the system on a VM of the platform: it serves callers,
+// tells them where to connect, and knows the configuration, the endpoints and the other
+// nodes.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel/endpoint/h1"
+	"github.com/crocusreel/crocusreel/entry"
+	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/gossip"
+	"github.com/crocusreel/crocusreel/internal/boottime"
+	"github.com/crocusreel/crocusreel/internal/daemon"
+	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/knowledge"
+	"github.com/crocusreel/crocusreel/peer"
+	"github.com/crocusreel/crocusreel/platform"
+	"github.com/crocusreel/crocusreel/relay"
+	"github.com/crocusreel/crocusreel/retry"
+)
+
+var errNoConfiguration = eris.New("no configuration yet")
+
+const (
+	// memoryShare is the part of the VM's memory at which the garbage collector works
+	// harder: what is received and not yet read counts as well, outside the heap.
+	memoryShare = 0.55
+	// freshnessShare is the part of the revocation limit up to which keys are served:
+	// the rest covers the way to the endpoint.
+	freshnessShare = 0.92
+	// denialAge is the age of the configuration from which an unknown key or route is
+	// not denied: it may have been added since.
+	denialAge = changesWait + 300*time.Millisecond
+)
+
+// Node is one process.
+type Node struct {
+	settings    *platform.NodeSettings
+	log         *zap.Logger
+	incarnation uint64
+	started     time.Duration
+
+	store        *platform.Store
+	config       *knowledge.Configuration
+	fleet        *fleet.Fleet
+	gossip       *gossip.Gossip
+	relay        *relay.Relay
+	client       *h1.Client
+	gate         *entry.Gate
+	entries      entries
+	endpointFeed *feed
+	configFeed   *feed
+	peerClient   *http.Client
+	limits       *limits
+}
+
+// New builds the process from its settings.
+func New(s *platform.NodeSettings, log *zap.Logger) *Node {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	n := &Node{
+		settings:    s,
+		log:         log,
+		incarnation: uint64(time.Now().UnixNano()),
+		started:     boottime.Now(),
+		store:       platform.NewStore(s.StoreAddress),
+		config:      knowledge.NewConfiguration(boottime.Now),
+		fleet:       fleet.New(s.DataCentre, boottime.Now),
+		client:      h1.NewClient(),
+		gate:        entry.NewGate(),
+		peerClient:  peer.NewHTTPClient(nil),
+	}
+	n.client.Opened = func() { metrics.Count("endpoint_connections") }
+	n.gossip = gossip.New(gossip.Options{
+		IP:    s.IP,
+		Port:  s.GossipPort,
+		Now:   boottime.Now,
+		State: n.state,
+		Heard: n.heard,
+		Lost:  n.lost,
+		Log:   log,
+	})
+	n.relay = &relay.Relay{
+		Fleet:    n.fleet,
+		Client:   n.client,
+		Protocol: platform.Wire{},
+		Mover:    platform.NewEngines(n.client),
+		Budgets: &retry.Windows{
+			Ratio:  s.RetryRatio,
+			Slack:  s.RetrySlack,
+			Length: s.RetryWindow,
+			Now:    boottime.Now,
+			Nodes:  func() int { return len(n.gossip.Live()) + 1 },
+		},
+		Strikes: relay.NewStrikes(boottime.Now),
+		Log:     log,
+	}
+	n.configFeed = &feed{
+		store: n.store, table: platform.TableOperator, wait: changesWait, log: log,
+		listed: n.configurationListed, changed: n.configurationChanged,
+	}
+	n.endpointFeed = &feed{
+		store: n.store, table: platform.TableEndpoints, wait: endpointsWait, log: log,
+		listed: n.endpointsListed, changed: n.endpointsChanged,
+	}
+	return n
+}
+
+func (n *Node) callerHandler() http.Handler {
+	h := &entry.Handler{
+		Config: n.config,
+		Relay:  n.relay,
+		Gate:   n.gate,
+		Freshness: entry.Freshness{
+			Keys:    time.Duration(freshnessShare * float64(n.settings.RevocationLimit)),
+			Denials: denialAge,
+		},
+		Log: n.log,
+	}
+	n.relay.Admit = h.Recheck
+	return h
+}
+
+// Run serves until SIGTERM.
+func (n *Node) Run() error {
+	callers, err := net.Listen("tcp", n.settings.CallerAddress)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	n.limits = newLimits(n.callerHandler(), callers)
+	var group run.Group
+	group.Add(n.limits.serve, func(error) {
+		_ = callers.Close()
+		n.limits.close()
+	})
+	servers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.settings.AddressesAddress, n.addressHandler()},
+		{n.settings.ReadyAddress, n.readyHandler()},
+		{n.metricsAddress(), metricsHandler()},
+	}
+	for _, s := range servers {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return eris.Wrap(err, "listen")
+		}
+		daemon.AddServer(&group, &http.Server{Handler: s.handler, ReadHeaderTimeout: defaultHeaderTimeout}, l)
+	}
+	peers, err := net.Listen("tcp", n.settings.PeerAddress)
+	if err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	daemon.AddServer(&group, peer.NewServer(n.peerHandler(), nil), peers)
+	for _, task := range []func(context.Context) error{
+		n.configFeed.run, n.endpointFeed.run, n.gossip.Run, n.join, n.followPeers, n.housekeeping, n.awaitSignal,
+	} {
+		daemon.AddTask(&group, task)
+	}
+	n.log.Info("node started", zap.String("data_centre", n.settings.DataCentre),
+		zap.String("caller_address", n.settings.CallerAddress), zap.Uint64("incarnation", n.incarnation))
+	return group.Run()
+}
+
+// housekeepingEvery is how often connections that are too old are closed and work that
+// waits for time alone is looked at.
+const housekeepingEvery = 250 * time.Millisecond
+
+func (n *Node) housekeeping(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, housekeepingEvery)
+		n.client.Prune()
+		n.fleet.Tick()
+	}
+	return nil
+}
--- /dev/null
+++ b/node/serve.go
@@ -0,0 +1,185 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel/gossip"
+	"github.com/crocusreel/crocusreel/internal/boottime"
+	"github.com/crocusreel/crocusreel/platform"
+)
+
+const (
+	// MetricsPort and PathMetrics are where counters and histograms are served.
+	MetricsPort = 9464
+	PathMetrics = "/debug/vars"
+
+	// addressTTL is how long callers may keep an answer: short, so that they leave a
+	// node soon that is about to stop, at the price of a question a caller and second.
+	addressTTL = 1500 * time.Millisecond
+	// youngTTL is used while the node is young: the first node that is up after a
+	// restart of all would otherwise keep every caller.
+	youngTTL = 400 * time.Millisecond
+	youngFor = 3 * time.Second
+	// enoughNearby is the number of ready nodes in the caller's data centre from which
+	// no others are named.
+	enoughNearby = 2
+	// maxAddresses bounds an answer; callers read no more.
+	maxAddresses = 64
+)
+
+// ready tells whether callers may be sent here.
+func (n *Node) ready() bool {
+	known, age := n.config.Current()
+	return known.Table != nil && !n.gate.Leaving() && age < n.settings.RevocationLimit
+}
+
+func (n *Node) readyHandler() http.Handler {
+	e := echo.New()
+	e.GET(platform.PathReady, func(c echo.Context) error {
+		if !n.ready() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return e
+}
+
+func metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(PathMetrics, expvar.Handler())
+	return mux
+}
+
+func (n *Node) metricsAddress() string {
+	return net.JoinHostPort(n.settings.IP, strconv.Itoa(MetricsPort))
+}
+
+func (n *Node) addressHandler() http.Handler {
+	e := echo.New()
+	e.GET(platform.PathAddresses, func(c echo.Context) error {
+		question, err := platform.ReadAddressQuestion(c.Request())
+		if err != nil {
+			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+		}
+		addresses := n.addresses(question)
+		if len(addresses) == 0 {
+			return echo.NewHTTPError(http.StatusServiceUnavailable, "no node is ready")
+		}
+		return c.JSON(http.StatusOK, platform.AddressAnswer{Addresses: addresses, TTLSeconds: n.addressTTL().Seconds()})
+	})
+	return e
+}
+
+func (n *Node) addressTTL() time.Duration {
+	ttl := addressTTL
+	if boottime.Now()-n.started < youngFor {
+		ttl = youngTTL
+	}
+	return min(ttl, n.settings.AddressTTLLimit)
+}
+
+// addresses lists ready nodes: those of the caller's data centre if there are enough,
+// else those of its region, else all.
+func (n *Node) addresses(q platform.AddressQuestion) []string {
+	nodes := n.gossip.Live()
+	if n.ready() {
+		nodes = append(nodes, gossip.Peer{
+			CallerAddress: n.settings.CallerAddress,
+			DataCentre:    n.settings.DataCentre,
+			Ready:         true,
+		})
+	}
+	var near, regional, all []string
+	for _, p := range nodes {
+		if !p.Ready || p.Leaving {
+			continue
+		}
+		all = append(all, p.CallerAddress)
+		if p.DataCentre == q.DataCentre {
+			near = append(near, p.CallerAddress)
+		}
+		if n.settings.Regions[p.DataCentre] == q.Region {
+			regional = append(regional, p.CallerAddress)
+		}
+	}
+	for _, list := range [][]string{near, regional} {
+		if len(list) >= enoughNearby {
+			return list[:min(len(list), maxAddresses)]
+		}
+	}
+	return all[:min(len(all), maxAddresses)]
+}
+
+const (
+	// leaveMargin is the time before the platform kills the process in which it ends
+	// by itself.
+	leaveMargin = 300 * time.Millisecond
+	// leaveServing is how long a leaving node goes on accepting: until the answers
+	// that name it have expired at callers that keep them as long as they should.
+	leaveServing = addressTTL + 500*time.Millisecond
+	// leaveIdle is how long nothing must have run before the process ends.
+	leaveIdle = 300 * time.Millisecond
+)
+
+// awaitSignal ends the process after SIGTERM: callers are sent elsewhere at once, and
+// requests under way are finished within the grace time.
+func (n *Node) awaitSignal(ctx context.Context) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				n.reload()
+				continue
+			}
+			n.leave(ctx, s)
+			return nil
+		}
+	}
+}
+
+// reload reads the settings again. Addresses and bounds are fixed for the life of a
+// process, so only seeds are taken over.
+func (n *Node) reload() {
+	s, err := platform.LoadNodeSettings()
+	if err != nil {
+		n.log.Error("settings not reloaded", zap.Error(err))
+		return
+	}
+	for _, seed := range s.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			n.gossip.Add(host)
+		}
+	}
+	n.log.Info("settings reloaded", zap.Strings("seeds", s.Seeds))
+}
+
+func (n *Node) leave(ctx context.Context, s os.Signal) {
+	stopsAt := time.Now().Add(n.settings.ShutdownGrace - leaveMargin)
+	n.gate.Leave(stopsAt)
+	n.log.Info("node leaving", zap.String("signal", s.String()), zap.Int("requests", n.gate.Inside()))
+	pause(ctx, leaveServing)
+	n.limits.closeIdle()
+	for quiet := time.Now(); time.Now().Before(stopsAt) && time.Since(quiet) < leaveIdle; {
+		if n.gate.Inside() > 0 {
+			quiet = time.Now()
+		}
+		pause(ctx, leaveIdle/10)
+	}
+	n.log.Info("node stopped", zap.Int("requests", n.gate.Inside()))
+}
--- /dev/null
+++ b/node/time.go
@@ -0,0 +1,23 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// pause waits for the given time or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// jitter spreads a wait over half to all of its length, so that nodes that were cut off
+// together do not come back together.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d/2)+1))
+}
--- /dev/null
+++ b/node/watch.go
@@ -0,0 +1,255 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/internal/boottime"
+	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/platform"
+	"github.com/crocusreel/crocusreel/routing"
+)
+
+const (
+	// changesWait is how long the store holds a question for changes. Each answer
+	// confirms what is known, so this is also the usual age of the configuration: well
+	// under the time after which keys must not be served, at a cost of less than one
+	// call a second.
+	changesWait = 1500 * time.Millisecond
+	// endpointsWait may be longer, since nothing expires by the age of the list.
+	endpointsWait = 5 * time.Second
+	// answerSlack is the time beyond the wait after which a question is given up: the
+	// store's slowest answers are some hundred times slower than its usual 4 ms.
+	answerSlack = 700 * time.Millisecond
+	// listTimeout bounds the read of a whole table.
+	listTimeout = 1500 * time.Millisecond
+	// firstBackoff and longestBackoff bound the pause after a failed question. All
+	// nodes ask together after an outage, so the pause grows and has jitter.
+	firstBackoff   = 50 * time.Millisecond
+	longestBackoff = 500 * time.Millisecond
+)
+
+// feed follows one table of the store.
+type feed struct {
+	store *platform.Store
+	table string
+	wait  time.Duration
+	log   *zap.Logger
+	// listed takes a whole table and changed the rows that changed. At is a time at
+	// which the rows were certainly current.
+	listed  func(l platform.Listing, at time.Duration)
+	changed func(l platform.Listing, at time.Duration)
+
+	// version is the store's version up to which changes are known; 0 if the table
+	// must be read as a whole.
+	version int64
+
+	mu   sync.Mutex
+	lost time.Duration
+	back time.Duration
+}
+
+// run follows the table until ctx ends.
+func (f *feed) run(ctx context.Context) error {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		err := f.ask(ctx)
+		if err == nil {
+			f.reached()
+			backoff = firstBackoff
+			continue
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, platform.ErrHistoryGone) {
+			f.log.Info("history gone, table is read again", zap.String("table", f.table))
+			f.version = 0
+			continue
+		}
+		f.failed(err)
+		pause(ctx, jitter(backoff))
+		backoff = min(2*backoff, longestBackoff)
+	}
+	return nil
+}
+
+func (f *feed) ask(ctx context.Context) error {
+	asked := boottime.Now()
+	if f.version == 0 {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		listing, err := f.store.List(ctx, f.table)
+		if err != nil {
+			return err
+		}
+		f.listed(listing, asked)
+		f.version = listing.Version
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.wait+answerSlack)
+	defer cancel()
+	listing, err := f.store.Changes(ctx, f.table, f.version, f.wait)
+	if err != nil {
+		return err
+	}
+	f.changed(listing, asked)
+	f.version = max(f.version, listing.Version)
+	return nil
+}
+
+func (f *feed) failed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost == 0 {
+		f.lost = boottime.Now()
+		f.log.Warn("store lost", zap.String("table", f.table), zap.Error(err))
+	}
+	metrics.Count("store_call_failed")
+}
+
+func (f *feed) reached() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost == 0 {
+		return
+	}
+	f.back = boottime.Now()
+	f.log.Info("store regained", zap.String("table", f.table), zap.Duration("after", f.back-f.lost))
+	f.lost = 0
+}
+
+// unsteady tells whether the store is lost or came back less than the given time ago.
+func (f *feed) unsteady(within time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost != 0 || (f.back != 0 && boottime.Now()-f.back < within)
+}
+
+// configurationListed takes the operator's table.
+func (n *Node) configurationListed(l platform.Listing, at time.Duration) {
+	for _, row := range l.Rows {
+		if row.Key == platform.KeyConfiguration {
+			n.applyConfiguration(row.Data, row.Version, at)
+		}
+	}
+}
+
+// configurationChanged takes changes of the operator's table. Without one for the
+// configuration, the known version is confirmed.
+func (n *Node) configurationChanged(l platform.Listing, at time.Duration) {
+	found := false
+	for _, row := range l.Rows {
+		if row.Key == platform.KeyConfiguration && !row.Deleted {
+			n.applyConfiguration(row.Data, row.Version, at)
+			found = true
+		}
+	}
+	if !found {
+		known, _ := n.config.Current()
+		n.config.Confirm(known.Row, at)
+	}
+}
+
+func (n *Node) applyConfiguration(data []byte, row int64, at time.Duration) {
+	if known, _ := n.config.Current(); row <= known.Row {
+		n.config.Confirm(row, at)
+		return
+	}
+	c, err := platform.DecodeConfiguration(data)
+	if err != nil {
+		n.log.Error("configuration not readable, the last one stays", zap.Int64("row", row), zap.Error(err))
+		return
+	}
+	if n.config.Apply(routing.NewTable(c), row, data, at) {
+		n.log.Info("configuration applied", zap.Int64("config_version", c.Version), zap.Int64("row", row),
+			zap.Int("routes", len(c.Routes)), zap.Int("workspaces_keys", len(c.Keys)))
+		n.limits.apply(c.Limits)
+	}
+}
+
+// missingGrace is how long an endpoint stays in use whose entry vanished around an
+// outage of the store: entries expire while heartbeats cannot be written, and come back
+// within two seconds if their endpoints live. One that is missing longer is gone.
+const missingGrace = 2100 * time.Millisecond
+
+// outageShadow is the time after an outage in which entries may still vanish by it.
+const outageShadow = 2 * time.Second
+
+func (n *Node) endpointsListed(l platform.Listing, _ time.Duration) {
+	instances := make([]fleet.Instance, 0, len(l.Rows))
+	rows := make(map[string]platform.StoredRow, len(l.Rows))
+	for _, row := range l.Rows {
+		rows[row.Key] = row
+		if in, ok := n.decodeEndpoint(row); ok {
+			instances = append(instances, in)
+		}
+	}
+	tentative := n.endpointFeed.unsteady(outageShadow)
+	added, removed := n.fleet.Replace(instances, tentative)
+	n.log.Info("endpoints listed", zap.Int("count", len(instances)), zap.Strings("added", added),
+		zap.Strings("removed", removed), zap.Bool("tentative", tentative), zap.Int64("version", l.Version))
+	n.entries.replace(rows, l.Version)
+}
+
+func (n *Node) endpointsChanged(l platform.Listing, _ time.Duration) {
+	tentative := n.endpointFeed.unsteady(outageShadow)
+	for _, row := range l.Rows {
+		if row.Deleted {
+			n.fleet.Remove(row.Key, tentative)
+			n.log.Info("endpoint removed", zap.String("endpoint", row.Key), zap.Int64("version", row.Version),
+				zap.Bool("tentative", tentative))
+			continue
+		}
+		in, ok := n.decodeEndpoint(row)
+		if !ok {
+			continue
+		}
+		if n.fleet.Update(in) || in.Leaving {
+			n.log.Info("endpoint known", zap.String("endpoint", in.ID), zap.String("service", in.Service),
+				zap.String("address", in.Address), zap.Bool("leaving", in.Leaving), zap.Int64("version", row.Version))
+		}
+	}
+	n.entries.update(l)
+}
+
+func (n *Node) decodeEndpoint(row platform.StoredRow) (fleet.Instance, bool) {
+	in, err := platform.DecodeEndpoint(row.Key, row.Data)
+	if err != nil {
+		n.log.Error("endpoint entry not readable", zap.String("endpoint", row.Key), zap.Error(err))
+		return in, false
+	}
+	return in, true
+}
+
+// entries keeps the rows of the endpoints for nodes that cannot reach the store.
+type entries struct {
+	mu      sync.Mutex
+	rows    map[string]platform.StoredRow
+	version int64
+	at      time.Duration
+}
+
+func (e *entries) replace(rows map[string]platform.StoredRow, version int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rows, e.version, e.at = rows, version, boottime.Now()
+}
+
+func (e *entries) update(l platform.Listing) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, row := range l.Rows {
+		if row.Deleted {
+			delete(e.rows, row.Key)
+		} else {
+			e.rows[row.Key] = row
+		}
+	}
+	e.version, e.at = max(e.version, l.Version), boottime.Now()
+}
--- /dev/null
+++ b/relay/events.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+)
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 256 << 10
+
+// eventReader cuts a stream into whole events. A part of an event at the end of a
+// broken stream is never returned: joined to the next event it would spoil both.
+type eventReader struct {
+	source io.Reader
+	buf    []byte
+	// ready is the length of the whole events that the last call returned.
+	ready int
+}
+
+func newEventReader(source io.Reader) *eventReader {
+	return &eventReader{source: source, buf: make([]byte, 0, 2048)}
+}
+
+// next returns the whole events that have come, at least one unless err is set. The
+// slice is valid until the next call. At the end of the stream err is io.EOF, or
+// io.ErrUnexpectedEOF within an event.
+func (r *eventReader) next() ([]byte, error) {
+	r.buf = append(r.buf[:0], r.buf[r.ready:]...)
+	r.ready = 0
+	for {
+		if len(r.buf) == cap(r.buf) {
+			if len(r.buf) >= maxEvent {
+				return nil, io.ErrShortBuffer
+			}
+			r.buf = append(make([]byte, 0, 2*cap(r.buf)), r.buf...)
+		}
+		n, err := r.source.Read(r.buf[len(r.buf):cap(r.buf)])
+		r.buf = r.buf[:len(r.buf)+n]
+		r.ready = wholeEvents(r.buf)
+		if err == io.EOF && r.ready < len(r.buf) {
+			err = io.ErrUnexpectedEOF
+		}
+		if r.ready > 0 || err != nil {
+			return r.buf[:r.ready:r.ready], err
+		}
+	}
+}
+
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+
+// wholeEvents returns the length of the whole events at the start of b.
+func wholeEvents(b []byte) int {
+	length := 0
+	for _, end := range eventEnds {
+		if i := bytes.LastIndex(b, end); i >= 0 {
+			length = max(length, i+len(end))
+		}
+	}
+	return length
+}
+
+// splitEvent cuts the first event off b, which holds whole events.
+func splitEvent(b []byte) (event, rest []byte) {
+	length := len(b)
+	for _, end := range eventEnds {
+		if i := bytes.Index(b, end); i >= 0 {
+			length = min(length, i+len(end))
+		}
+	}
+	return b[:length], b[length:]
+}
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,312 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/endpoint/h1"
+	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/routing"
+)
+
+// leg is the part of a stream that one endpoint produces.
+type leg struct {
+	*job
+	p      *fleet.Placement
+	resp   *h1.Response
+	mover  *mover
+	events *eventReader
+}
+
+// legEnd is how a leg ended.
+type legEnd int
+
+const (
+	// legWhole: the stream came to its end.
+	legWhole legEnd = iota
+	// legCut: the connection to the endpoint broke before the end.
+	legCut
+	// legCallerGone: the caller no longer takes the stream.
+	legCallerGone
+	// legCorrupt: an event is missing or out of order.
+	legCorrupt
+)
+
+// errSilent ends a stream whose endpoint sends nothing any more.
+var errSilent = errors.New("no event for too long")
+
+// stream serves a request whose answer is a series of events.
+func (j *job) stream(ctx context.Context) Verdict {
+	p, resp, verdict := j.start(ctx)
+	if resp == nil {
+		return verdict
+	}
+	if resp.StatusCode != http.StatusOK {
+		return j.failedStream(p, resp)
+	}
+	progress := &progress{}
+	for {
+		l := &leg{job: j, p: p, resp: resp}
+		end, next := l.run(ctx, progress)
+		if next != nil {
+			p, resp = next.p, next.resp
+			continue
+		}
+		return j.streamEnded(ctx, end, progress)
+	}
+}
+
+// progress is what the caller has of a stream.
+type progress struct {
+	// last is the ID of the last event, and begun is set once there is one.
+	last  int64
+	begun bool
+	// count is the number of events.
+	count int
+}
+
+// start finds an endpoint that takes the request. Without one, resp is nil.
+func (j *job) start(ctx context.Context) (*fleet.Placement, *h1.Response, Verdict) {
+	for {
+		p, refusal := j.place(ctx)
+		if refusal != nil {
+			return nil, nil, j.exhausted(ctx, nil, refusal)
+		}
+		quiet := time.AfterFunc(silentStart, func() { p.Report(fleet.Silent) })
+		resp, err := j.send(ctx, p, nil)
+		quiet.Stop()
+		got := failedStart(err)
+		if err == nil {
+			refused := false
+			if got, refused = j.refused(resp); !refused {
+				return p, resp, Verdict{}
+			}
+		}
+		p.Release(got.health)
+		j.tried = append(j.tried, p.Instance().ID)
+		j.verdict.Detail = got.cause
+		j.ran = j.ran || !got.notRun
+		if got.cause == "connection_lost" {
+			j.Strikes.Add(j.r.Fingerprint, uint32(fleet.KeyOf(p.Instance().ID)))
+		}
+		if ctx.Err() != nil || !j.mayRepeat(got, maxSends) {
+			return nil, nil, j.exhausted(ctx, nil, j.failure(got))
+		}
+	}
+}
+
+func failedStart(err error) result {
+	if err == nil {
+		return result{}
+	}
+	return failedSend(err)
+}
+
+// silentStart is the time without a head of an answer after which an engine counts as
+// silent: it is sent with the first event, which takes a second on a full engine.
+const silentStart = 3 * time.Second
+
+// failedStream passes on an endpoint's answer that is no stream.
+func (j *job) failedStream(p *fleet.Placement, resp *h1.Response) Verdict {
+	j.ran = true
+	got := j.read(resp, func() {})
+	p.Release(got.health)
+	if got.answer == nil {
+		return j.end(lost("%s", got.cause), got.cause)
+	}
+	return j.deliver(got.answer)
+}
+
+// run passes the events of this leg on. If the stream goes on at another endpoint it
+// returns the next leg.
+func (l *leg) run(ctx context.Context, at *progress) (legEnd, *leg) {
+	l.ran = true
+	l.mover = newMover(l)
+	l.mover.start(ctx)
+	defer l.mover.stop()
+	if !l.sink.Begun() {
+		l.verdict.Status = l.resp.StatusCode
+		if err := l.sink.Begin(l.resp.StatusCode, l.Protocol.AnswerHeader(l.resp.Header)); err != nil {
+			l.finish(fleet.Neutral)
+			return legCallerGone, nil
+		}
+	}
+	end, cause := l.follow(at)
+	switch end {
+	case legWhole:
+		if l.resp.Framed() || !l.mover.stopping() {
+			l.resp.Finish()
+			l.p.Release(fleet.Good)
+			return end, nil
+		}
+		end = legCut
+	case legCallerGone, legCorrupt:
+		l.finish(fleet.Neutral)
+		return end, nil
+	case legCut:
+	}
+	if ctx.Err() != nil {
+		l.finish(fleet.Neutral)
+		return legCut, nil
+	}
+	next := l.goOn(ctx, at)
+	if next != nil {
+		l.finish(fleet.Neutral)
+		return end, next
+	}
+	l.verdict.Detail = "stream cut: " + cause.Error()
+	l.finish(l.cutHealth())
+	return end, nil
+}
+
+// cutHealth blames an endpoint for a cut stream unless it was leaving. Only a death
+// that was not announced is a strike against the request.
+func (l *leg) cutHealth() fleet.Result {
+	select {
+	case <-l.p.Leaving():
+		return fleet.Neutral
+	default:
+		l.Strikes.Add(l.r.Fingerprint, uint32(fleet.KeyOf(l.p.Instance().ID)))
+		return fleet.Failed
+	}
+}
+
+func (l *leg) finish(r fleet.Result) {
+	l.resp.Close()
+	l.p.Release(r)
+}
+
+// producedEvery is the number of events between two updates of a placement.
+const producedEvery = 4
+
+// follow passes events on until the leg ends.
+func (l *leg) follow(at *progress) (legEnd, error) {
+	l.events = newEventReader(l.resp.Body)
+	for {
+		batch, err := l.events.next()
+		if len(batch) > 0 {
+			fresh, ok := l.take(batch, at)
+			if !ok {
+				return legCorrupt, io.ErrUnexpectedEOF
+			}
+			if len(fresh) > 0 {
+				if err := l.sink.Write(fresh); err != nil {
+					return legCallerGone, err
+				}
+			}
+		}
+		if err == io.EOF {
+			return legWhole, io.EOF
+		}
+		if err != nil {
+			return legCut, err
+		}
+	}
+}
+
+// take checks the order of the events and returns those that the caller lacks. After
+// a move, an engine may send the last events again, and one at fault may leave one out:
+// the caller must then not get a stream that looks whole.
+func (l *leg) take(batch []byte, at *progress) ([]byte, bool) {
+	fresh := batch[:0]
+	for rest := batch; len(rest) > 0; {
+		var event []byte
+		event, rest = splitEvent(rest)
+		id, numbered := l.Protocol.ParseEvent(event)
+		if numbered && at.begun {
+			if id <= at.last {
+				metrics.Count("event_repeated")
+				continue
+			}
+			if id != at.last+1 {
+				metrics.Count("event_missing")
+				return nil, false
+			}
+		}
+		if numbered {
+			l.count(id, at)
+		}
+		fresh = append(fresh, event...)
+	}
+	return fresh, true
+}
+
+func (l *leg) count(id int64, at *progress) {
+	if !at.begun {
+		l.verdict.FirstEvent = time.Since(l.r.Received)
+	}
+	at.begun = true
+	at.last = id
+	at.count++
+	if at.count%producedEvery == 1 {
+		l.p.Produced(at.count * l.tokensPerEvent())
+	}
+	l.mover.eventSeen()
+}
+
+func (l *leg) tokensPerEvent() int {
+	if spec := l.r.Service.Engine; spec != nil {
+		return spec.TokensPerEvent
+	}
+	return 1
+}
+
+// goOn continues a stream whose leg was cut, if its memory is elsewhere.
+func (l *leg) goOn(ctx context.Context, at *progress) *leg {
+	moved := l.mover.result()
+	if moved == nil {
+		return nil
+	}
+	for _, place := range moved.places {
+		resume := &Resume{Source: moved.source, Handle: moved.handle, LastEvent: at.last}
+		resp, err := l.send(ctx, place, resume)
+		if err != nil {
+			l.Log.Warn("stream not resumed", zap.String("request", l.r.ID),
+				zap.String("endpoint", place.Instance().ID), zap.Error(err))
+			place.Release(failedSend(err).health)
+			continue
+		}
+		if got, refused := l.refused(resp); refused || resp.StatusCode != http.StatusOK {
+			l.Log.Warn("stream not resumed", zap.String("request", l.r.ID),
+				zap.String("endpoint", place.Instance().ID), zap.Int("status", resp.StatusCode))
+			resp.Close()
+			place.Release(got.health)
+			continue
+		}
+		moved.releaseOthers(place)
+		l.verdict.Moves++
+		metrics.Count("stream_moved")
+		return &leg{job: l.job, p: place, resp: resp}
+	}
+	metrics.Count("stream_move_lost")
+	return nil
+}
+
+// streamEnded makes the verdict of a stream.
+func (j *job) streamEnded(ctx context.Context, end legEnd, at *progress) Verdict {
+	j.verdict.Events = at.count
+	if end == legWhole {
+		return j.verdict
+	}
+	v := j.end(nil, j.verdict.Detail)
+	v.Broken = true
+	switch {
+	case end == legCallerGone || errors.Is(ctx.Err(), context.Canceled):
+		v.Detail = "caller gone"
+	case ctx.Err() != nil:
+		v.Detail = "time over"
+	case end == legCorrupt:
+		v.Detail = "event missing"
+	}
+	return v
+}
+
+var _ = routing.Streaming
+var _ = crocusreel.OutcomeRan
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,82 @@
+package routing
+
+import (
+	"hash/fnv"
+	"net"
+	"sort"
+	"strings"
+)
+
+// Table finds routes in one configuration. It is immutable.
+type Table struct {
+	*Configuration
+	hosts map[string][]*Route
+}
+
+// NewTable indexes the routes of a configuration.
+func NewTable(c *Configuration) *Table {
+	t := &Table{Configuration: c, hosts: make(map[string][]*Route)}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, routes := range t.hosts {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return t
+}
+
+// Match returns the route of the host with the longest prefix that begins the path,
+// nil if there is none. Host may carry a port.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.hosts[hostname(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Serves tells whether any route has this host.
+func (t *Table) Serves(host string) bool { return len(t.hosts[hostname(host)]) > 0 }
+
+func hostname(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// Choose returns the service for a request by the weights of the route. The same
+// request ID is always sent to the same service, so that a repeat after a lost
+// connection does not change sides. It returns nil if no service is configured.
+func (t *Table) Choose(r *Route, requestID string) *Service {
+	total := 0
+	for _, b := range r.Backends {
+		total += max(b.Weight, 0)
+	}
+	if total == 0 {
+		return nil
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(requestID))
+	point := int(h.Sum32() % uint32(total))
+	for _, b := range r.Backends {
+		point -= max(b.Weight, 0)
+		if point < 0 {
+			return t.Services[b.Service]
+		}
+	}
+	return nil
+}
+
+// Rank orders requests: lower ranks go first. The workspace's priority goes before
+// the route's.
+func Rank(r *Route, ws *Workspace) int {
+	const routePriorities = 100
+	rank := min(max(r.Priority, 0), routePriorities-1)
+	if ws != nil && ws.Ranked {
+		rank += ws.Priority * routePriorities
+	}
+	return rank
+}
