Stop runs that move only when all first copies are through

Cause: the last copy of a run queued behind whole first copies of other runs on the engine's link; pauses at moves were 0.5 to 1.4 s for a target of 180 ms. Ruled out: the resuming request itself (13 to 20 ms in every logged case). Targets are spread as well, since all nodes choose at the same moment.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -267,6 +267,7 @@
 	)
 	if req.Route.Kind == routing.Streaming {
 		fields = append(fields, zap.Duration("first_event", v.FirstEvent), zap.Int("events", v.Events),
+			zap.Duration("longest_gap", v.LongestGap),
 			zap.Int("moves", v.Moves), zap.Int("prompt", req.Size.Prompt), zap.Int("expected", req.Size.Hint),
 			zap.Int("longest", req.Size.MaxOutput))
 	}
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -59,6 +59,10 @@
 	own       Load
 	remote    map[string]Load
 	health    health
+	// arriving is the number of moves of this node that copy memory to the endpoint.
+	arriving int
+	// left is when the endpoint was found to be leaving.
+	left time.Duration
 }
 
 func newEndpoint(in Instance) *Endpoint {
@@ -81,10 +85,11 @@
 	return sum
 }
 
-func (e *Endpoint) markLeaving() {
+func (e *Endpoint) markLeaving(now time.Duration) {
 	if e.isLeaving {
 		return
 	}
+	e.left = now
 	e.isLeaving = true
 	close(e.leaving)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -70,7 +70,7 @@
 	e.missingAt = 0
 	e.warmUntil = f.now() + in.Warming
 	if in.Leaving {
-		e.markLeaving()
+		e.markLeaving(f.now())
 	}
 	f.dispatchLocked(in.Service)
 	return !known
@@ -111,7 +111,7 @@
 
 // dropLocked forgets an endpoint. Runs on it go on; they learn that it is leaving.
 func (f *Fleet) dropLocked(e *Endpoint) {
-	e.markLeaving()
+	e.markLeaving(f.now())
 	delete(f.byID, e.ID)
 	all := f.services[e.Service]
 	for i, other := range all {
--- /dev/null
+++ b/fleet/move.go
@@ -0,0 +1,46 @@
+package fleet
+
+import "time"
+
+// Target returns a place to which the run at p can be moved, nil if none has room. The
+// caller ends the copying with Arrived.
+func (f *Fleet) Target(p *Placement, w Want) *Placement {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w.Exclude = append(w.Exclude, p.endpoint.ID)
+	w.from = p.endpoint
+	w.Demand = Demand{Prompt: p.demand.Prompt, Output: p.tokens() - p.demand.Prompt}
+	e := f.pickLocked(&w)
+	if e == nil {
+		return nil
+	}
+	target := f.placeLocked(e, w.Demand)
+	e.own.Unread -= target.unread()
+	target.reading = false
+	target.produced = p.produced
+	e.arriving++
+	return target
+}
+
+// Arrived ends the copying of memory to a target.
+func (p *Placement) Arrived() {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	p.endpoint.arriving--
+}
+
+// Departure is what is known of an endpoint that is leaving.
+type Departure struct {
+	// Since is the time since it was found to be leaving.
+	Since time.Duration
+	// Tokens is the memory of all runs there, of all nodes.
+	Tokens int
+}
+
+// Departure tells of the leaving endpoint of p.
+func (p *Placement) Departure() Departure {
+	f := p.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Departure{Since: f.now() - p.endpoint.left, Tokens: p.endpoint.total().Tokens}
+}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -37,6 +37,15 @@
 	// spread is the range of a random addition that keeps nodes, which choose from
 	// the same reports, from all choosing the same endpoint.
 	spread = 0.04
+	// moveFarCost is the cost of moving a run's memory to another data centre: such a
+	// move takes twice as long, and others wait behind it on the source's link.
+	moveFarCost = 0.35
+	// moveQueueCost is for each move of this node that is on its way to an endpoint:
+	// moves queue on the target's link, too.
+	moveQueueCost = 0.2
+	// moveSpread replaces spread for moves: the nodes whose runs leave the same endpoint
+	// choose at the same moment, and see each other's choices too late.
+	moveSpread = 0.25
 	// memoryShare is the part of an engine's memory that may be promised. The rest
 	// covers answers that grow longer than expected: an engine that runs out of
 	// memory preempts a running answer, whose caller sees a stall.
@@ -55,8 +64,8 @@
 	Rank int
 	// Exclude are IDs of endpoints that were tried.
 	Exclude []string
-	// Near prefers this data centre instead of the fleet's own.
-	Near string
+	// from is the endpoint that a move leaves; nil for new work.
+	from *Endpoint
 }
 
 // pickLocked returns the best endpoint with room, nil if there is none.
@@ -98,14 +107,7 @@
 // costLocked returns the cost of one more run and whether it fits.
 func (f *Fleet) costLocked(e *Endpoint, w *Want, now time.Duration) (float64, bool) {
 	load := e.total()
-	cost := f.random.Float64() * spread
-	near := w.Near
-	if near == "" {
-		near = f.dataCentre
-	}
-	if e.DataCentre != near {
-		cost += otherDataCentreCost
-	}
+	cost := f.distanceCostLocked(e, w)
 	cost += failureCost * e.health.penalty(now)
 	if now < e.warmUntil {
 		cost += warmingCost
@@ -122,3 +124,19 @@
 	slots := float64(max(e.Slots, 1))
 	return cost + float64(load.Count)/slots, float64(load.Count) < plainOvercommit*slots
 }
+
+// distanceCostLocked is the cost of the way to the endpoint, with its random part.
+func (f *Fleet) distanceCostLocked(e *Endpoint, w *Want) float64 {
+	if w.from == nil {
+		cost := f.random.Float64() * spread
+		if e.DataCentre != f.dataCentre {
+			cost += otherDataCentreCost
+		}
+		return cost
+	}
+	cost := f.random.Float64()*moveSpread + moveQueueCost*float64(e.arriving)
+	if e.DataCentre != w.from.DataCentre {
+		cost += moveFarCost
+	}
+	return cost
+}
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -166,22 +166,3 @@
 	}
 	return 0
 }
-
-// Target returns a place to which a running generation can be moved from the
-// endpoint of p, nil if none has room.
-func (f *Fleet) Target(p *Placement, w Want) *Placement {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	w.Exclude = append(w.Exclude, p.endpoint.ID)
-	w.Near = p.endpoint.DataCentre
-	w.Demand = Demand{Prompt: p.demand.Prompt, Output: p.tokens() - p.demand.Prompt}
-	e := f.pickLocked(&w)
-	if e == nil {
-		return nil
-	}
-	target := f.placeLocked(e, w.Demand)
-	e.own.Unread -= target.unread()
-	target.reading = false
-	target.produced = p.produced
-	return target
-}
--- a/relay/mover.go
+++ b/relay/mover.go
@@ -16,6 +16,11 @@
 // copies what is new, and the stream goes on at the target. The caller sees a pause of
 // some steps. Without it every stream is lost whose engine leaves, for a stream may
 // not be run twice.
+//
+// Copies of one engine queue on its link, and those of other nodes do, too. A run that
+// is stopped while whole copies are still queued waits behind them, half a second and
+// more, which its caller sees as a stall. So no run is stopped before the time at which
+// all first copies are through; the last copies are then short, each some steps long.
 type mover struct {
 	leg    *leg
 	cancel context.CancelFunc
@@ -54,6 +59,14 @@
 	// copyTimeout bounds a copy: nine runs of a full engine, one after another on its
 	// link, take two seconds.
 	copyTimeout = 3 * time.Second
+	// copySlack is for copies to other data centres, which take twice as long, and for
+	// the tokens that runs make meanwhile.
+	copySlack = 1.2
+	// lastStop is the latest time after the notice at which a run is stopped: engines
+	// that are reclaimed are gone 1.5 s after it.
+	lastStop       = 1250 * time.Millisecond
+	bitsPerByte    = 8
+	bitsPerMegabit = 1e6
 	// stopTimeout bounds the last copy, of some steps' tokens, behind other copies.
 	stopTimeout = 2 * time.Second
 	// resultWait is how long a cut stream waits for the answer to the last copy, which
@@ -132,13 +145,31 @@
 		metrics.Count("move_no_target")
 		return false
 	}
-	if !m.copy(ctx, target) {
+	copied := m.copy(ctx, target)
+	target.Arrived()
+	if !copied {
 		target.Release(fleet.Neutral)
 		return false
 	}
+	sleep(ctx, m.untilStop())
+	if ctx.Err() != nil {
+		target.Release(fleet.Neutral)
+		return true
+	}
 	return m.stopAndCopy(ctx, target)
 }
 
+// untilStop is the time until all first copies from the endpoint are through, as far as
+// can be told from the memory in use there.
+func (m *mover) untilStop() time.Duration {
+	departure := m.leg.p.Departure()
+	spec := m.leg.r.Service.Engine
+	bytes := float64(departure.Tokens) * spec.BytesPerToken
+	seconds := bytes * bitsPerByte / (max(spec.LinkMbps, 1) * bitsPerMegabit)
+	through := time.Duration(copySlack * seconds * float64(time.Second))
+	return min(through, lastStop) - departure.Since
+}
+
 func (m *mover) copy(ctx context.Context, target *fleet.Placement) bool {
 	l := m.leg
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -143,6 +143,8 @@
 	// FirstEvent is the time from receipt to the first part of the answer.
 	FirstEvent time.Duration
 	Events     int
+	// LongestGap is the longest pause between two events.
+	LongestGap time.Duration
 	Detail     string
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,11 +9,9 @@
 
 	"go.uber.org/zap"
 
-	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
-	"github.com/crocusreel/crocusreel/routing"
 )
 
 // leg is the part of a stream that one endpoint produces.
@@ -70,6 +68,20 @@
 	begun bool
 	// count is the number of events.
 	count int
+	// lastAt is when the last event came, longestGap the longest pause between two.
+	lastAt     time.Time
+	longestGap time.Duration
+}
+
+func (p *progress) saw(id int64) {
+	now := time.Now()
+	if p.begun {
+		p.longestGap = max(p.longestGap, now.Sub(p.lastAt))
+	}
+	p.lastAt = now
+	p.begun = true
+	p.last = id
+	p.count++
 }
 
 // start finds an endpoint that takes the request. Without one, resp is nil.
@@ -242,9 +254,7 @@
 	if !at.begun {
 		l.verdict.FirstEvent = time.Since(l.r.Received)
 	}
-	at.begun = true
-	at.last = id
-	at.count++
+	at.saw(id)
 	if at.count%producedEvery == 1 {
 		l.p.Produced(at.count * l.tokensPerEvent())
 	}
@@ -283,6 +293,8 @@
 		moved.releaseOthers(place)
 		l.verdict.Moves++
 		metrics.Count("stream_moved")
+		l.Log.Info("stream goes on", zap.String("request", l.r.ID), zap.String("endpoint", place.Instance().ID),
+			zap.Int64("last_event", at.last), zap.Duration("pause", time.Since(at.lastAt)))
 		return &leg{job: l.job, p: place, resp: resp}
 	}
 	metrics.Count("stream_move_lost")
@@ -292,6 +304,7 @@
 // streamEnded makes the verdict of a stream.
 func (j *job) streamEnded(ctx context.Context, end legEnd, at *progress) Verdict {
 	j.verdict.Events = at.count
+	j.verdict.LongestGap = at.longestGap
 	if end == legWhole {
 		return j.verdict
 	}
@@ -307,6 +320,3 @@
 	}
 	return v
 }
-
-var _ = routing.Streaming
-var _ = crocusreel.OutcomeRan
