Keep idle connections of a leaving node open until it ends

Processes also stayed beyond the grace time while servers waited for peers. Ruled out: the route's timeout, the endpoint.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,13 +57,15 @@
 	if h.Gate.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	done := h.Gate.Enter()
-	defer done()
 	sink := &sink{w: w, rc: http.NewResponseController(w)}
+	if !h.Gate.Enter() {
+		h.turnAway(sink, r, refuseNotRun(crocusreel.ReasonShuttingDown, leavingRetry, "this node has stopped"))
+		return
+	}
+	defer h.Gate.Exit()
 	req, refusal := h.admit(w, r, received)
 	if refusal != nil {
-		h.refuse(sink, refusal)
-		h.logEnd(r, nil, relay.Verdict{Refusal: refusal, Status: statusOf(refusal)})
+		h.turnAway(sink, r, refusal)
 		return
 	}
 	verdict := h.Relay.Serve(r.Context(), req, sink)
@@ -79,6 +81,12 @@
 	}
 }
 
+// turnAway refuses a request that was not taken on.
+func (h *Handler) turnAway(s *sink, r *http.Request, refusal *crocusreel.Refusal) {
+	h.refuse(s, refusal)
+	h.logEnd(r, nil, relay.Verdict{Refusal: refusal, Status: statusOf(refusal)})
+}
+
 // admit checks a request; it returns a refusal for one that cannot be served.
 func (h *Handler) admit(w http.ResponseWriter, r *http.Request, received time.Time) (*relay.Request, *crocusreel.Refusal) {
 	snapshot, age := h.Config.Current()
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -10,6 +10,7 @@
 	mu      sync.Mutex
 	inside  int
 	leaving bool
+	closed  bool
 	stopsAt time.Time
 }
 
@@ -19,16 +20,32 @@
 	return g
 }
 
-// Enter counts a request; the returned function ends it.
-func (g *Gate) Enter() func() {
+// Enter counts a request; it returns false if the gate is closed. Each entry is ended by
+// one Exit.
+func (g *Gate) Enter() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.inside++
-	return func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.inside--
+	if g.closed {
+		return false
 	}
+	g.inside++
+	return true
+}
+
+// Exit ends a request.
+func (g *Gate) Exit() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inside--
+}
+
+// Close closes the gate if nothing is inside, and tells whether it did. A process that
+// ended on a look at Inside alone would cut off a request that came in between.
+func (g *Gate) Close() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = g.closed || g.inside == 0
+	return g.closed
 }
 
 // Inside returns the number of requests under way.
--- a/node/limits.go
+++ b/node/limits.go
@@ -100,15 +100,6 @@
 	}
 }
 
-// closeIdle makes connections without a request close.
-func (l *limits) closeIdle() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, s := range l.servers {
-		s.SetKeepAlivesEnabled(false)
-	}
-}
-
 // handedListener is a net.Listener whose connections are handed to it.
 type handedListener struct {
 	addr  net.Addr
--- a/node/node.go
+++ b/node/node.go
@@ -154,13 +154,13 @@
 		if err != nil {
 			return eris.Wrap(err, "listen")
 		}
-		daemon.AddServer(&group, &http.Server{Handler: s.handler, ReadHeaderTimeout: defaultHeaderTimeout}, l)
+		addServer(&group, &http.Server{Handler: s.handler, ReadHeaderTimeout: defaultHeaderTimeout}, l)
 	}
 	peers, err := net.Listen("tcp", n.settings.PeerAddress)
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
-	daemon.AddServer(&group, peer.NewServer(n.peerHandler(), nil), peers)
+	addServer(&group, peer.NewServer(n.peerHandler(), nil), peers)
 	for _, task := range []func(context.Context) error{
 		n.configFeed.run, n.endpointFeed.run, n.gossip.Run, n.join, n.followPeers, n.housekeeping, n.awaitSignal,
 	} {
@@ -171,6 +171,13 @@
 	return group.Run()
 }
 
+// addServer serves a listener in the group until the group ends. Answers to questions
+// under way are cut off then: the process has drained before, and waiting for peers
+// would use up the rest of the grace time.
+func addServer(g *run.Group, s *http.Server, l net.Listener) {
+	g.Add(func() error { return s.Serve(l) }, func(error) { _ = s.Close() })
+}
+
 // housekeepingEvery is how often connections that are too old are closed and work that
 // waits for time alone is looked at.
 const housekeepingEvery = 250 * time.Millisecond
--- a/node/serve.go
+++ b/node/serve.go
@@ -124,12 +124,12 @@
 const (
 	// leaveMargin is the time before the platform kills the process in which it ends
 	// by itself.
-	leaveMargin = 300 * time.Millisecond
-	// leaveServing is how long a leaving node goes on accepting: until the answers
-	// that name it have expired at callers that keep them as long as they should.
-	leaveServing = addressTTL + 500*time.Millisecond
-	// leaveIdle is how long nothing must have run before the process ends.
-	leaveIdle = 300 * time.Millisecond
+	leaveMargin = 400 * time.Millisecond
+	// leaveServing is how long a leaving node goes on accepting: until the answers that
+	// name it have expired also at callers that keep them three times as long.
+	leaveServing = 3*addressTTL + 200*time.Millisecond
+	// leaveCheck is the pause between two looks at what still runs.
+	leaveCheck = 20 * time.Millisecond
 )
 
 // awaitSignal ends the process after SIGTERM: callers are sent elsewhere at once, and
@@ -173,13 +173,9 @@
 	stopsAt := time.Now().Add(n.settings.ShutdownGrace - leaveMargin)
 	n.gate.Leave(stopsAt)
 	n.log.Info("node leaving", zap.String("signal", s.String()), zap.Int("requests", n.gate.Inside()))
-	pause(ctx, leaveServing)
-	n.limits.closeIdle()
-	for quiet := time.Now(); time.Now().Before(stopsAt) && time.Since(quiet) < leaveIdle; {
-		if n.gate.Inside() > 0 {
-			quiet = time.Now()
-		}
-		pause(ctx, leaveIdle/10)
+	pause(ctx, min(leaveServing, time.Until(stopsAt)))
+	for time.Now().Before(stopsAt) && !n.gate.Close() {
+		pause(ctx, leaveCheck)
 	}
 	n.log.Info("node stopped", zap.Int("requests", n.gate.Inside()))
 }
