--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,11 +32,12 @@
 
 // Freshness bounds the age of knowledge that decisions are made on.
 type Freshness struct {
-	// Keys is the age from which requests with a key are refused: the key may have
-	// been taken away.
+	// Keys is the age of certain knowledge from which requests with a key are refused:
+	// the key may have been taken away.
 	Keys time.Duration
-	// Denials is the age from which an unknown key or route is refused with "come
-	// back" in place of "not allowed": it may have been added.
+	// Denials is the time since the store's last answer from which an unknown key or
+	// route is refused with "come back" in place of "not allowed": it may have been
+	// added.
 	Denials time.Duration
 }
 
@@ -89,7 +90,7 @@
 
 // admit checks a request; it returns a refusal for one that cannot be served.
 func (h *Handler) admit(w http.ResponseWriter, r *http.Request, received time.Time) (*relay.Request, *crocusreel.Refusal) {
-	snapshot, age := h.Config.Current()
+	snapshot, ages := h.Config.Current()
 	if snapshot.Table == nil {
 		return nil, refuseNotRun(crocusreel.ReasonNotReady, notReadyRetry, "no configuration yet")
 	}
@@ -97,7 +98,7 @@
 	if err != nil {
 		return nil, refuseNotRun(crocusreel.ReasonBadRequest, 0, "%v", err)
 	}
-	route, ws, refusal := h.authorize(&snapshot, age, r, &head)
+	route, ws, refusal := h.authorize(&snapshot, ages, r, &head)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -135,11 +136,11 @@
 }
 
 // authorize finds the route and the workspace of a request.
-func (h *Handler) authorize(s *knowledge.Snapshot, age time.Duration, r *http.Request, head *platform.CallerHead) (*routing.Route, *routing.Workspace, *crocusreel.Refusal) {
-	outdated := refuseNotRun(crocusreel.ReasonNotReady, notReadyRetry, "the configuration was last confirmed %s ago", age.Round(time.Millisecond))
+func (h *Handler) authorize(s *knowledge.Snapshot, ages knowledge.Ages, r *http.Request, head *platform.CallerHead) (*routing.Route, *routing.Workspace, *crocusreel.Refusal) {
+	outdated := outdated(ages)
 	route := s.Table.Match(r.Host, r.URL.Path)
 	if route == nil {
-		if age > h.Freshness.Denials {
+		if ages.Answered > h.Freshness.Denials {
 			return nil, nil, outdated
 		}
 		return nil, nil, refuseNotRun(crocusreel.ReasonUnknownRoute, 0, "no route for this host and path")
@@ -147,12 +148,12 @@
 	if route.Public || !s.Table.NeedsKeys {
 		return route, nil, nil
 	}
-	if age > h.Freshness.Keys {
+	if ages.Certain > h.Freshness.Keys {
 		return nil, nil, outdated
 	}
 	ws := s.Table.Keys[head.Key]
 	if ws == nil {
-		if age > h.Freshness.Denials {
+		if ages.Answered > h.Freshness.Denials {
 			return nil, nil, outdated
 		}
 		return nil, nil, refuseNotRun(crocusreel.ReasonUnauthorized, 0, "unknown key")
@@ -166,12 +167,17 @@
 	if r.Workspace == nil {
 		return nil
 	}
-	if _, age := h.Config.Current(); age > h.Freshness.Keys {
-		return refuseNotRun(crocusreel.ReasonNotReady, notReadyRetry, "the configuration was last confirmed %s ago", age.Round(time.Millisecond))
+	if _, ages := h.Config.Current(); ages.Certain > h.Freshness.Keys {
+		return outdated(ages)
 	}
 	return nil
 }
 
+func outdated(ages knowledge.Ages) *crocusreel.Refusal {
+	return refuseNotRun(crocusreel.ReasonNotReady, notReadyRetry, "the configuration was last confirmed %s ago, the store answered %s ago",
+		ages.Certain.Round(time.Millisecond), ages.Answered.Round(time.Millisecond))
+}
+
 // leavingSoon refuses streams that cannot end before this node stops.
 func (h *Handler) leavingSoon(route *routing.Route, size relay.Size) *crocusreel.Refusal {
 	if !h.Gate.Leaving() || route.Kind != routing.Streaming {
@@ -260,8 +266,9 @@
 			zap.String("outcome", string(v.Refusal.Outcome)), zap.String("message", v.Refusal.Message))
 	}
 	if req == nil {
-		_, age := h.Config.Current()
-		h.Log.Info("request refused", append(fields, zap.Duration("config_age", age))...)
+		known, ages := h.Config.Current()
+		h.Log.Info("request refused", append(fields, zap.String("request", platform.AttemptID(r)), zap.Int64("config_row", known.Row),
+			zap.Duration("config_age", ages.Certain))...)
 		return
 	}
 	fields = append(fields,
--- a/exchange/exchangev1/exchange.connect.go
+++ b/exchange/exchangev1/exchange.connect.go
@@ -40,7 +40,7 @@
 
 // ExchangeClient is a client for the exchange.v1.Exchange service.
 type ExchangeClient interface {
-	// Snapshot serves nodes that cannot reach the store.
+	// Snapshot serves nodes that do not follow the store themselves.
 	Snapshot(context.Context, *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error)
 }
 
@@ -76,7 +76,7 @@
 
 // ExchangeHandler is an implementation of the exchange.v1.Exchange service.
 type ExchangeHandler interface {
-	// Snapshot serves nodes that cannot reach the store.
+	// Snapshot serves nodes that do not follow the store themselves.
 	Snapshot(context.Context, *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error)
 }
 
--- a/knowledge/knowledge.go
+++ b/knowledge/knowledge.go
@@ -16,8 +16,27 @@
 	Row int64
 	// Raw is the row's content, for nodes that cannot reach the store.
 	Raw []byte
-	// confirmed is a moment at which this version was certainly the newest.
-	confirmed time.Duration
+	Seen
+}
+
+// Seen tells when a version was the newest.
+type Seen struct {
+	// Certain is a moment at which it was certainly the newest: the question to which
+	// the answer confirmed it had not been sent before. Whatever was taken away earlier
+	// is known.
+	Certain time.Duration
+	// Answered is when the store last answered, here or at the node that was asked. A
+	// store that is silent for longer than its usual wait is out of reach.
+	Answered time.Duration
+}
+
+func (s Seen) or(other Seen) Seen {
+	return Seen{Certain: max(s.Certain, other.Certain), Answered: max(s.Answered, other.Answered)}
+}
+
+// Ages are the times since the moments of Seen.
+type Ages struct {
+	Certain, Answered time.Duration
 }
 
 // Configuration is the node's knowledge of the configuration. Time is that of a clock
@@ -34,34 +53,35 @@
 	return &Configuration{now: now}
 }
 
-// Apply takes a version that was the newest at the time confirmed. An older version
-// than the known one is not applied; it returns whether the version is new.
-func (c *Configuration) Apply(table *routing.Table, row int64, raw []byte, confirmed time.Duration) bool {
+// Apply takes a version that was the newest as seen says. An older version than the
+// known one is not applied; it returns whether the version is new.
+func (c *Configuration) Apply(table *routing.Table, row int64, raw []byte, seen Seen) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if row < c.at.Row {
 		return false
 	}
 	if row == c.at.Row {
-		c.at.confirmed = max(c.at.confirmed, confirmed)
+		c.at.Seen = c.at.or(seen)
 		return false
 	}
-	c.at = Snapshot{Table: table, Row: row, Raw: raw, confirmed: confirmed}
+	c.at = Snapshot{Table: table, Row: row, Raw: raw, Seen: seen}
 	return true
 }
 
-// Confirm records that the version of the row was the newest at the given time.
-func (c *Configuration) Confirm(row int64, at time.Duration) {
+// Confirm records that the version of the row was the newest.
+func (c *Configuration) Confirm(row int64, seen Seen) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if row == c.at.Row {
-		c.at.confirmed = max(c.at.confirmed, at)
+		c.at.Seen = c.at.or(seen)
 	}
 }
 
-// Current returns the knowledge and its age. Without a configuration the table is nil.
-func (c *Configuration) Current() (Snapshot, time.Duration) {
+// Current returns the knowledge and its ages. Without a configuration the table is nil.
+func (c *Configuration) Current() (Snapshot, Ages) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return c.at, c.now() - c.at.confirmed
+	now := c.now()
+	return c.at, Ages{Certain: now - c.at.Certain, Answered: now - c.at.Answered}
 }
--- /dev/null
+++ b/node/entries.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/crocusreel/crocusreel/exchange/exchangev1"
+	"github.com/crocusreel/crocusreel/internal/boottime"
+	"github.com/crocusreel/crocusreel/platform"
+)
+
+// entries keeps the endpoints' rows for the nodes that follow this one.
+type entries struct {
+	mu   sync.Mutex
+	rows map[string]platform.StoredRow
+	// removed holds removals since the version floor; a follower that knows less gets
+	// the whole table.
+	removed map[string]int64
+	floor   int64
+	// version is that of the last change.
+	version int64
+	// at is when the rows were last known to be current.
+	at time.Duration
+}
+
+// maxRemoved bounds the remembered removals: followers are a second behind at most.
+const maxRemoved = 256
+
+func (e *entries) replace(l platform.Listing, at time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rows = make(map[string]platform.StoredRow, len(l.Rows))
+	for _, row := range l.Rows {
+		e.rows[row.Key] = row
+	}
+	e.removed = make(map[string]int64)
+	e.version, e.floor, e.at = l.Version, l.Version, max(e.at, at)
+}
+
+func (e *entries) update(l platform.Listing, at time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.at = max(e.at, at)
+	if len(l.Rows) == 0 {
+		return
+	}
+	if e.rows == nil {
+		e.rows, e.removed = make(map[string]platform.StoredRow), make(map[string]int64)
+	}
+	for _, row := range l.Rows {
+		if row.Deleted {
+			delete(e.rows, row.Key)
+			e.removed[row.Key] = l.Version
+		} else {
+			e.rows[row.Key] = row
+			delete(e.removed, row.Key)
+		}
+	}
+	e.version = max(e.version, l.Version)
+	if len(e.removed) > maxRemoved {
+		e.removed, e.floor = make(map[string]int64), e.version
+	}
+}
+
+// age is the time since the rows were known to be current.
+func (e *entries) age() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return boottime.Now() - e.at
+}
+
+func (e *entries) known() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
+// fill adds what a follower that knows the given version lacks.
+func (e *entries) fill(resp *exchangev1.SnapshotResponse, known int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	resp.EndpointsVersion = e.version
+	resp.EndpointsAgeMs = uint64((boottime.Now() - e.at).Milliseconds()) + 1
+	if e.version <= known {
+		return
+	}
+	resp.EndpointsWhole = known < e.floor
+	for _, row := range e.rows {
+		if resp.GetEndpointsWhole() || row.Version > known {
+			resp.Endpoints = append(resp.Endpoints, &exchangev1.Row{Key: row.Key, Data: row.Data, Version: row.Version})
+		}
+	}
+	if resp.GetEndpointsWhole() {
+		return
+	}
+	for key, version := range e.removed {
+		if version > known {
+			resp.Endpoints = append(resp.Endpoints, &exchangev1.Row{Key: key, Version: version, Deleted: true})
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -39,7 +40,7 @@
 	freshnessShare = 0.92
 	// denialAge is the age of the configuration from which an unknown key or route is
 	// not denied: it may have been added since.
-	denialAge = changesWait + 300*time.Millisecond
+	denialAge = changesWait + 800*time.Millisecond
 )
 
 // Node is one process.
@@ -49,14 +50,19 @@
 	incarnation uint64
 	started     time.Duration
 
-	store        *platform.Store
-	config       *knowledge.Configuration
-	fleet        *fleet.Fleet
-	gossip       *gossip.Gossip
-	relay        *relay.Relay
-	client       *h1.Client
-	gate         *entry.Gate
-	entries      entries
+	store    *platform.Store
+	config   *knowledge.Configuration
+	fleet    *fleet.Fleet
+	gossip   *gossip.Gossip
+	relay    *relay.Relay
+	client   *h1.Client
+	gate     *entry.Gate
+	entries  entries
+	follower follower
+	news     news
+	// unsteadyPeer is set while the node that this one follows has the store back only
+	// lately.
+	unsteadyPeer atomic.Bool
 	endpointFeed *feed
 	configFeed   *feed
 	peerClient   *http.Client
@@ -104,11 +110,11 @@
 		Log:     log,
 	}
 	n.configFeed = &feed{
-		store: n.store, table: platform.TableOperator, wait: changesWait, log: log,
+		store: n.store, table: platform.TableOperator, wait: changesWait, log: log, direct: n.followsStore,
 		listed: n.configurationListed, changed: n.configurationChanged,
 	}
 	n.endpointFeed = &feed{
-		store: n.store, table: platform.TableEndpoints, wait: endpointsWait, log: log,
+		store: n.store, table: platform.TableEndpoints, wait: endpointsWait, log: log, direct: n.followsStore,
 		listed: n.endpointsListed, changed: n.endpointsChanged,
 	}
 	return n
@@ -162,7 +168,7 @@
 	}
 	addServer(&group, peer.NewServer(n.peerHandler(), nil), peers)
 	for _, task := range []func(context.Context) error{
-		n.configFeed.run, n.endpointFeed.run, n.gossip.Run, n.join, n.followPeers, n.housekeeping, n.awaitSignal,
+		n.configFeed.run, n.endpointFeed.run, n.gossip.Run, n.join, n.follow, n.housekeeping, n.awaitSignal,
 	} {
 		daemon.AddTask(&group, task)
 	}
--- a/node/serve.go
+++ b/node/serve.go
@@ -40,8 +40,8 @@
 
 // ready tells whether callers may be sent here.
 func (n *Node) ready() bool {
-	known, age := n.config.Current()
-	return known.Table != nil && !n.gate.Leaving() && age < n.settings.RevocationLimit
+	known, ages := n.config.Current()
+	return known.Table != nil && !n.gate.Leaving() && ages.Certain < n.settings.RevocationLimit
 }
 
 func (n *Node) readyHandler() http.Handler {
--- a/node/watch.go
+++ b/node/watch.go
@@ -11,6 +11,7 @@
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/knowledge"
 	"github.com/crocusreel/crocusreel/platform"
 	"github.com/crocusreel/crocusreel/routing"
 )
@@ -20,12 +21,14 @@
 	// confirms what is known, so this is also the usual age of the configuration: well
 	// under the time after which keys must not be served, at a cost of less than one
 	// call a second.
-	changesWait = 1500 * time.Millisecond
+	changesWait = time.Second
 	// endpointsWait may be longer, since nothing expires by the age of the list.
-	endpointsWait = 5 * time.Second
+	endpointsWait = 2 * time.Second
 	// answerSlack is the time beyond the wait after which a question is given up: the
 	// store's slowest answers are some hundred times slower than its usual 4 ms.
-	answerSlack = 700 * time.Millisecond
+	answerSlack = 500 * time.Millisecond
+	// directCheck is how often a feed that rests looks whether it is needed.
+	directCheck = 50 * time.Millisecond
 	// listTimeout bounds the read of a whole table.
 	listTimeout = 1500 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed question. All
@@ -40,10 +43,11 @@
 	table string
 	wait  time.Duration
 	log   *zap.Logger
-	// listed takes a whole table and changed the rows that changed. At is a time at
-	// which the rows were certainly current.
-	listed  func(l platform.Listing, at time.Duration)
-	changed func(l platform.Listing, at time.Duration)
+	// direct tells whether this node follows the store at present.
+	direct func() bool
+	// listed takes a whole table and changed the rows that changed.
+	listed  func(l platform.Listing, seen knowledge.Seen)
+	changed func(l platform.Listing, seen knowledge.Seen)
 
 	// version is the store's version up to which changes are known; 0 if the table
 	// must be read as a whole.
@@ -58,6 +62,12 @@
 func (f *feed) run(ctx context.Context) error {
 	backoff := firstBackoff
 	for ctx.Err() == nil {
+		if !f.direct() {
+			// What changes meanwhile is read as a whole later.
+			f.version = 0
+			pause(ctx, directCheck)
+			continue
+		}
 		err := f.ask(ctx)
 		if err == nil {
 			f.reached()
@@ -88,7 +98,7 @@
 		if err != nil {
 			return err
 		}
-		f.listed(listing, asked)
+		f.listed(listing, knowledge.Seen{Certain: asked, Answered: boottime.Now()})
 		f.version = listing.Version
 		return nil
 	}
@@ -98,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	f.changed(listing, asked)
+	f.changed(listing, knowledge.Seen{Certain: asked, Answered: boottime.Now()})
 	f.version = max(f.version, listing.Version)
 	return nil
 }
@@ -132,33 +142,33 @@
 }
 
 // configurationListed takes the operator's table.
-func (n *Node) configurationListed(l platform.Listing, at time.Duration) {
+func (n *Node) configurationListed(l platform.Listing, seen knowledge.Seen) {
 	for _, row := range l.Rows {
 		if row.Key == platform.KeyConfiguration {
-			n.applyConfiguration(row.Data, row.Version, at)
+			n.applyConfiguration(row.Data, row.Version, seen)
 		}
 	}
 }
 
 // configurationChanged takes changes of the operator's table. Without one for the
 // configuration, the known version is confirmed.
-func (n *Node) configurationChanged(l platform.Listing, at time.Duration) {
+func (n *Node) configurationChanged(l platform.Listing, seen knowledge.Seen) {
 	found := false
 	for _, row := range l.Rows {
 		if row.Key == platform.KeyConfiguration && !row.Deleted {
-			n.applyConfiguration(row.Data, row.Version, at)
+			n.applyConfiguration(row.Data, row.Version, seen)
 			found = true
 		}
 	}
 	if !found {
 		known, _ := n.config.Current()
-		n.config.Confirm(known.Row, at)
+		n.config.Confirm(known.Row, seen)
 	}
 }
 
-func (n *Node) applyConfiguration(data []byte, row int64, at time.Duration) {
+func (n *Node) applyConfiguration(data []byte, row int64, seen knowledge.Seen) {
 	if known, _ := n.config.Current(); row <= known.Row {
-		n.config.Confirm(row, at)
+		n.config.Confirm(row, seen)
 		return
 	}
 	c, err := platform.DecodeConfiguration(data)
@@ -166,10 +176,11 @@
 		n.log.Error("configuration not readable, the last one stays", zap.Int64("row", row), zap.Error(err))
 		return
 	}
-	if n.config.Apply(routing.NewTable(c), row, data, at) {
+	if n.config.Apply(routing.NewTable(c), row, data, seen) {
 		n.log.Info("configuration applied", zap.Int64("config_version", c.Version), zap.Int64("row", row),
 			zap.Int("routes", len(c.Routes)), zap.Int("workspaces_keys", len(c.Keys)))
 		n.limits.apply(c.Limits)
+		n.news.tell()
 	}
 }
 
@@ -181,24 +192,23 @@
 // outageShadow is the time after an outage in which entries may still vanish by it.
 const outageShadow = 2 * time.Second
 
-func (n *Node) endpointsListed(l platform.Listing, _ time.Duration) {
+func (n *Node) endpointsListed(l platform.Listing, seen knowledge.Seen) {
 	instances := make([]fleet.Instance, 0, len(l.Rows))
-	rows := make(map[string]platform.StoredRow, len(l.Rows))
 	for _, row := range l.Rows {
-		rows[row.Key] = row
 		if in, ok := n.decodeEndpoint(row); ok {
 			instances = append(instances, in)
 		}
 	}
-	tentative := n.endpointFeed.unsteady(outageShadow)
+	tentative := n.endpointFeed.unsteady(outageShadow) || n.unsteadyPeer.Load()
 	added, removed := n.fleet.Replace(instances, tentative)
 	n.log.Info("endpoints listed", zap.Int("count", len(instances)), zap.Strings("added", added),
 		zap.Strings("removed", removed), zap.Bool("tentative", tentative), zap.Int64("version", l.Version))
-	n.entries.replace(rows, l.Version)
+	n.entries.replace(l, seen.Answered)
+	n.news.tell()
 }
 
-func (n *Node) endpointsChanged(l platform.Listing, _ time.Duration) {
-	tentative := n.endpointFeed.unsteady(outageShadow)
+func (n *Node) endpointsChanged(l platform.Listing, seen knowledge.Seen) {
+	tentative := n.endpointFeed.unsteady(outageShadow) || n.unsteadyPeer.Load()
 	for _, row := range l.Rows {
 		if row.Deleted {
 			n.fleet.Remove(row.Key, tentative)
@@ -215,7 +225,10 @@
 				zap.String("address", in.Address), zap.Bool("leaving", in.Leaving), zap.Int64("version", row.Version))
 		}
 	}
-	n.entries.update(l)
+	n.entries.update(l, seen.Answered)
+	if len(l.Rows) > 0 {
+		n.news.tell()
+	}
 }
 
 func (n *Node) decodeEndpoint(row platform.StoredRow) (fleet.Instance, bool) {
@@ -226,30 +239,3 @@
 	}
 	return in, true
 }
-
-// entries keeps the rows of the endpoints for nodes that cannot reach the store.
-type entries struct {
-	mu      sync.Mutex
-	rows    map[string]platform.StoredRow
-	version int64
-	at      time.Duration
-}
-
-func (e *entries) replace(rows map[string]platform.StoredRow, version int64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.rows, e.version, e.at = rows, version, boottime.Now()
-}
-
-func (e *entries) update(l platform.Listing) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, row := range l.Rows {
-		if row.Deleted {
-			delete(e.rows, row.Key)
-		} else {
-			e.rows[row.Key] = row
-		}
-	}
-	e.version, e.at = max(e.version, l.Version), boottime.Now()
-}
