Give the system one client for the platform's store

Cause: the node had a second client beside the one of gateway, controller and ledger, and the stand-in spoke a protocol of our own. Both now use platform.Store; the stand-in serves transactions, pages, changes with a history that can be dropped, and objects. Versions are the store's transaction numbers, so Commit returns the one it wrote; ledger and lease no longer add one.

--- a/controller/lease.go
+++ b/controller/lease.go
@@ -191,13 +191,13 @@
 		panic("controller: lease row cannot be encoded: " + err.Error())
 	}
 	before := l.now()
-	err = l.tables.Commit(ctx, platform.Txn{
+	written, err := l.tables.Commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Table: leaseTable, Key: l.key(), Version: version}},
 		Writes:     []platform.Write{{Table: leaseTable, Key: l.key(), Value: value}},
 	})
 	switch {
 	case err == nil:
-		l.took(row, version+1, before)
+		l.took(row, written, before)
 		return true
 	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnknown):
 		// Either another has the lease, or an earlier write of this process took
--- a/controller/versions.go
+++ b/controller/versions.go
@@ -107,7 +107,7 @@
 	}
 	sent := false
 	for {
-		err := v.tables.Commit(ctx, txn)
+		_, err := v.tables.Commit(ctx, txn)
 		switch {
 		case err == nil:
 			return next, nil
--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -18,6 +18,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"github.com/crocusreel/crocusreel/internal/sockopt"
 )
 
 // Request is one request to an endpoint.
@@ -52,11 +54,9 @@
 	// dialTimeout bounds a new connection: a handshake takes some milliseconds, and an
 	// endpoint whose machine is dark does not answer at all.
 	dialTimeout = 400 * time.Millisecond
-	// userTimeout bounds the time that sent bytes stay unacknowledged, and keepAlive
-	// is the interval of probes on a connection without traffic: a connection that
-	// goes silent without a reset is noticed after about userTimeout.
+	// userTimeout is the time after which a connection is given up that goes silent
+	// without a reset.
 	userTimeout = 1500 * time.Millisecond
-	keepAlive   = 500 * time.Millisecond
 	// reuseWithout is how long a connection is kept if the endpoint states no
 	// timeout. Timeouts are stated in whole seconds, so a silent endpoint may have
 	// one below a second.
@@ -88,23 +88,13 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{
-		dialer: net.Dialer{
-			Timeout:         dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: 3},
-			Control:         setUserTimeout,
-		},
+	c := &Client{
+		dialer: net.Dialer{Timeout: dialTimeout},
 		idle:   make(map[string][]*conn),
 		Opened: func() {},
 	}
-}
-
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
-	})
-	return errors.Join(err, failed)
+	sockopt.Watch(&c.dialer, userTimeout)
+	return c
 }
 
 // Do sends the request to the endpoint at IP:port and returns the head of the answer.
--- a/internal/httponce/client.go
+++ b/internal/httponce/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/crocusreel/crocusreel/internal/sockopt"
 )
 
 const (
@@ -27,6 +29,9 @@
 type Options struct {
 	// ConnectTimeout bounds the TCP handshake. Default 1 second.
 	ConnectTimeout time.Duration
+	// UserTimeout is the time after which a connection is given up on which sent bytes
+	// or probes stay unacknowledged; 0 leaves it to the system, which takes minutes.
+	UserTimeout time.Duration
 }
 
 // Client talks to servers over HTTP/1.1 with pooled connections.
@@ -42,6 +47,9 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	d := &dialer{net.Dialer{Timeout: o.ConnectTimeout}}
+	if o.UserTimeout > 0 {
+		sockopt.Watch(&d.Dialer, o.UserTimeout)
+	}
 	return &Client{transport: &http.Transport{
 		DialContext:         d.dial,
 		Protocols:           protocols,
--- a/internal/standin/admin/faults.go
+++ b/internal/standin/admin/faults.go
@@ -103,6 +103,9 @@
 	// LoseRequests is the fraction of commits that are lost on their way: nothing
 	// is applied and the connection ends without an answer.
 	LoseRequests float64 `json:"lose_requests,omitempty"`
+	// DropHistory forgets the changes up to now: those who follow them must read whole
+	// tables again.
+	DropHistory bool `json:"drop_history,omitempty"`
 	// WeightsDown refuses reservations of the weight store only.
 	WeightsDown bool `json:"weights_down,omitempty"`
 }
--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -52,9 +52,9 @@
 // both carry the same attempt ID.
 func (a *attempt) run(ctx context.Context) ClaimResult {
 	for range claimTries {
-		err := a.write(ctx)
+		version, err := a.write(ctx)
 		if err == nil {
-			return a.held(a.base + 1)
+			return a.held(version)
 		}
 		if errors.Is(err, platform.ErrUnavailable) && !a.pending {
 			return a.unavailable()
@@ -73,7 +73,7 @@
 	return a.unavailable()
 }
 
-func (a *attempt) write(ctx context.Context) error {
+func (a *attempt) write(ctx context.Context) (int64, error) {
 	return a.ledger.put(ctx, a.claim.Key, a.base, a.claim.record)
 }
 
@@ -132,7 +132,8 @@
 		return nil
 	}
 	a.claim.record.State = StateNotRun
-	return a.ledger.put(ctx, a.claim.Key, row.Version, a.claim.record)
+	_, err = a.ledger.put(ctx, a.claim.Key, row.Version, a.claim.record)
+	return err
 }
 
 // notRunOutcome is what may be told to the caller of an attempt that certainly did
@@ -205,11 +206,11 @@
 	return row, rec, nil
 }
 
-// put writes the record if the row still has the given version.
-func (l *Ledger) put(ctx context.Context, key Key, version int64, rec Record) error {
+// put writes the record if the row still has the given version, and returns the new one.
+func (l *Ledger) put(ctx context.Context, key Key, version int64, rec Record) (int64, error) {
 	value, err := json.Marshal(rec)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	return l.tables.Commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Table: table, Key: key.row(), Version: version}},
--- a/ledger/end.go
+++ b/ledger/end.go
@@ -73,7 +73,7 @@
 // reading the row: either it has the new state, or the write is made again under
 // the same version.
 func (l *Ledger) endRecord(ctx context.Context, c *Claim, rec Record) error {
-	err := l.put(ctx, c.Key, c.version, rec)
+	_, err := l.put(ctx, c.Key, c.version, rec)
 	if err == nil || errors.Is(err, platform.ErrUnavailable) {
 		return err
 	}
--- a/node/entries.go
+++ b/node/entries.go
@@ -12,7 +12,7 @@
 // entries keeps the endpoints' rows for the nodes that follow this one.
 type entries struct {
 	mu   sync.Mutex
-	rows map[string]platform.StoredRow
+	rows map[string]platform.Row
 	// removed holds removals since the version floor; a follower that knows less gets
 	// the whole table.
 	removed map[string]int64
@@ -29,7 +29,7 @@
 func (e *entries) replace(l platform.Listing, at time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.rows = make(map[string]platform.StoredRow, len(l.Rows))
+	e.rows = make(map[string]platform.Row, len(l.Rows))
 	for _, row := range l.Rows {
 		e.rows[row.Key] = row
 	}
@@ -45,7 +45,7 @@
 		return
 	}
 	if e.rows == nil {
-		e.rows, e.removed = make(map[string]platform.StoredRow), make(map[string]int64)
+		e.rows, e.removed = make(map[string]platform.Row), make(map[string]int64)
 	}
 	for _, row := range l.Rows {
 		if row.Deleted {
@@ -87,7 +87,7 @@
 	resp.EndpointsWhole = known < e.floor
 	for _, row := range e.rows {
 		if resp.GetEndpointsWhole() || row.Version > known {
-			resp.Endpoints = append(resp.Endpoints, &exchangev1.Row{Key: row.Key, Data: row.Data, Version: row.Version})
+			resp.Endpoints = append(resp.Endpoints, &exchangev1.Row{Key: row.Key, Data: row.Value, Version: row.Version})
 		}
 	}
 	if resp.GetEndpointsWhole() {
--- a/node/follow.go
+++ b/node/follow.go
@@ -163,8 +163,8 @@
 func (n *Node) endpointsFromPeer(resp *exchangev1.SnapshotResponse, known int64, seen knowledge.Seen) {
 	listing := platform.Listing{Version: resp.GetEndpointsVersion()}
 	for _, row := range resp.GetEndpoints() {
-		listing.Rows = append(listing.Rows, platform.StoredRow{
-			Key: row.GetKey(), Data: row.GetData(), Version: row.GetVersion(), Deleted: row.GetDeleted(),
+		listing.Rows = append(listing.Rows, platform.Row{
+			Key: row.GetKey(), Value: row.GetData(), Version: row.GetVersion(), Deleted: row.GetDeleted(),
 		})
 	}
 	n.unsteadyPeer.Store(resp.GetUnsteady())
--- a/node/members.go
+++ b/node/members.go
@@ -66,5 +66,8 @@
 	if err != nil {
 		return err
 	}
-	return n.store.Apply(ctx, platform.Mutation{Table: tableNodes, Key: n.settings.IP, Data: data})
+	_, err = n.store.Commit(ctx, platform.Txn{
+		Writes: []platform.Write{{Table: tableNodes, Key: n.settings.IP, Value: data}},
+	})
+	return err
 }
--- a/node/node.go
+++ b/node/node.go
@@ -38,6 +38,9 @@
 	// freshnessShare is the part of the revocation limit up to which keys are served:
 	// the rest covers the way to the endpoint.
 	freshnessShare = 0.92
+	// storeTimeout bounds a call to the store, whose slowest answers take some hundred
+	// times its usual 4 ms.
+	storeTimeout = 1500 * time.Millisecond
 	// denialAge is the age of the configuration from which an unknown key or route is
 	// not denied: it may have been added since.
 	denialAge = changesWait + 800*time.Millisecond
@@ -77,7 +80,7 @@
 		log:         log,
 		incarnation: uint64(time.Now().UnixNano()),
 		started:     boottime.Now(),
-		store:       platform.NewStore(s.StoreAddress),
+		store:       platform.NewStore(s.StoreAddress, storeTimeout),
 		config:      knowledge.NewConfiguration(boottime.Now),
 		fleet:       fleet.New(s.DataCentre, boottime.Now),
 		client:      h1.NewClient(),
--- a/node/watch.go
+++ b/node/watch.go
@@ -145,7 +145,7 @@
 func (n *Node) configurationListed(l platform.Listing, seen knowledge.Seen) {
 	for _, row := range l.Rows {
 		if row.Key == platform.KeyConfiguration {
-			n.applyConfiguration(row.Data, row.Version, seen)
+			n.applyConfiguration(row.Value, row.Version, seen)
 		}
 	}
 }
@@ -156,7 +156,7 @@
 	found := false
 	for _, row := range l.Rows {
 		if row.Key == platform.KeyConfiguration && !row.Deleted {
-			n.applyConfiguration(row.Data, row.Version, seen)
+			n.applyConfiguration(row.Value, row.Version, seen)
 			found = true
 		}
 	}
@@ -231,8 +231,8 @@
 	}
 }
 
-func (n *Node) decodeEndpoint(row platform.StoredRow) (fleet.Instance, bool) {
-	in, err := platform.DecodeEndpoint(row.Key, row.Data)
+func (n *Node) decodeEndpoint(row platform.Row) (fleet.Instance, bool) {
+	in, err := platform.DecodeEndpoint(row.Key, row.Value)
 	if err != nil {
 		n.log.Error("endpoint entry not readable", zap.String("endpoint", row.Key), zap.Error(err))
 		return in, false
