--- a/fleet/move.go
+++ b/fleet/move.go
@@ -33,8 +33,6 @@
 type Departure struct {
 	// Since is the time since it was found to be leaving.
 	Since time.Duration
-	// Tokens is the memory of all runs there, of all nodes.
-	Tokens int
 }
 
 // Departure tells of the leaving endpoint of p.
@@ -42,5 +40,5 @@
 	f := p.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Departure{Since: f.now() - p.endpoint.left, Tokens: p.endpoint.total().Tokens}
+	return Departure{Since: f.now() - p.endpoint.left}
 }
--- a/relay/mover.go
+++ b/relay/mover.go
@@ -19,8 +19,8 @@
 //
 // Copies of one engine queue on its link, and those of other nodes do, too. A run that
 // is stopped while whole copies are still queued waits behind them, half a second and
-// more, which its caller sees as a stall. So no run is stopped before the time at which
-// all first copies are through; the last copies are then short, each some steps long.
+// more, which its caller sees as a stall. So small copies are made until one is quick,
+// and only then the run is stopped.
 type mover struct {
 	leg    *leg
 	cancel context.CancelFunc
@@ -59,14 +59,12 @@
 	// copyTimeout bounds a copy: nine runs of a full engine, one after another on its
 	// link, take two seconds.
 	copyTimeout = 3 * time.Second
-	// copySlack is for copies to other data centres, which take twice as long, and for
-	// the tokens that runs make meanwhile.
-	copySlack = 1.2
 	// lastStop is the latest time after the notice at which a run is stopped: engines
 	// that are reclaimed are gone 1.5 s after it.
-	lastStop       = 1250 * time.Millisecond
-	bitsPerByte    = 8
-	bitsPerMegabit = 1e6
+	lastStop = 1250 * time.Millisecond
+	// quickCopy is the time in which a copy of some steps' tokens ends while nothing else
+	// is queued: two round trips and some milliseconds on the link.
+	quickCopy = 40 * time.Millisecond
 	// stopTimeout bounds the last copy, of some steps' tokens, behind other copies.
 	stopTimeout = 2 * time.Second
 	// resultWait is how long a cut stream waits for the answer to the last copy, which
@@ -151,23 +149,29 @@
 		target.Release(fleet.Neutral)
 		return false
 	}
-	sleep(ctx, m.untilStop())
-	if ctx.Err() != nil {
+	if !m.awaitIdleLinks(ctx, target) {
 		target.Release(fleet.Neutral)
-		return true
+		return ctx.Err() != nil
 	}
 	return m.stopAndCopy(ctx, target)
 }
 
-// untilStop is the time until all first copies from the endpoint are through, as far as
-// can be told from the memory in use there.
-func (m *mover) untilStop() time.Duration {
-	departure := m.leg.p.Departure()
-	spec := m.leg.r.Service.Engine
-	bytes := float64(departure.Tokens) * spec.BytesPerToken
-	seconds := bytes * bitsPerByte / (max(spec.LinkMbps, 1) * bitsPerMegabit)
-	through := time.Duration(copySlack * seconds * float64(time.Second))
-	return min(through, lastStop) - departure.Since
+// awaitIdleLinks copies what is new again and again until a copy is quick: no whole copy
+// is then queued on the links of source and target, and the last copy will be quick as
+// well. It ends before the engine is gone, in any case.
+func (m *mover) awaitIdleLinks(ctx context.Context, target *fleet.Placement) bool {
+	for m.leg.p.Departure().Since < lastStop {
+		started := time.Now()
+		if !m.copy(ctx, target) {
+			return false
+		}
+		took := time.Since(started)
+		if took < quickCopy {
+			return true
+		}
+		sleep(ctx, quickCopy-took)
+	}
+	return ctx.Err() == nil
 }
 
 func (m *mover) copy(ctx context.Context, target *fleet.Placement) bool {
