Tell the other nodes of new work at once

Cause: loads were told every 150 ms; three to five requests of different nodes chose the same engine within 130 ms, and the last waited two seconds for its first event.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -16,6 +16,9 @@
 	services map[string][]*Endpoint
 	queues   map[string]*queue
 	random   *rand.Rand
+	// Placed is called for each run that is given a place on an engine; it must not
+	// block.
+	Placed func()
 }
 
 // New returns a fleet without endpoints, as seen from a data centre. Now reads a
@@ -27,6 +30,7 @@
 		byID:       make(map[string]*Endpoint),
 		services:   make(map[string][]*Endpoint),
 		queues:     make(map[string]*queue),
+		Placed:     func() {},
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -24,10 +24,10 @@
 	// bytes between data centres cost money and each event takes a millisecond more.
 	otherDataCentreCost = 0.08
 	// unreadCost is for each second of prompts that wait to be read before this one.
-	unreadCost = 0.6
+	unreadCost = 1.0
 	// readRate is the number of prompt tokens that an engine reads in a second, for
 	// unreadCost; engines differ by a third.
-	readRate = 14000.0
+	readRate = 7500.0
 	// failureCost is for an endpoint all of whose recent results are failures.
 	failureCost = 2.0
 	// warmingCost keeps work from an endpoint that has just started.
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -46,6 +46,9 @@
 	e.own.Count++
 	e.own.Tokens += p.tokens()
 	e.own.Unread += p.unread()
+	if d.Prompt > 0 {
+		f.Placed()
+	}
 	return p
 }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -25,6 +25,10 @@
 	// stays the same. A load that is 150 ms old is about one request behind.
 	interval = 150 * time.Millisecond
 	fullRate = 16
+	// shortestGap is the least time between two rounds. New work is told at once: nodes
+	// that learn of it 150 ms later all choose the same engine meanwhile, and the last
+	// of their callers waits two seconds for its prompt to be read.
+	shortestGap = 10 * time.Millisecond
 	// liveFor is how long a node counts as live after its last datagram, in intervals:
 	// a lost datagram and a late one in a row must not take a node out.
 	liveFor = 6
@@ -80,11 +84,13 @@
 	mu       sync.Mutex
 	peers    map[string]*peer
 	sequence uint64
+	// changed asks for a round before the next one is due.
+	changed chan struct{}
 }
 
 // New returns a Gossip that knows no other node.
 func New(o Options) *Gossip {
-	return &Gossip{o: o, peers: make(map[string]*peer)}
+	return &Gossip{o: o, peers: make(map[string]*peer), changed: make(chan struct{}, 1)}
 }
 
 // Add makes nodes known by their IPs.
@@ -108,6 +114,14 @@
 	return p
 }
 
+// Tell makes the next round come at once. It never blocks.
+func (g *Gossip) Tell() {
+	select {
+	case g.changed <- struct{}{}:
+	default:
+	}
+}
+
 // Live returns the nodes heard of lately, ordered by address.
 func (g *Gossip) Live() []Peer {
 	g.mu.Lock()
@@ -133,14 +147,32 @@
 	go g.receive(ctx, conn)
 	for {
 		g.round(conn)
-		select {
-		case <-ctx.Done():
+		if !g.wait(ctx) {
 			return nil
-		case <-time.After(g.period()):
 		}
 	}
 }
 
+// wait waits until the next round is due or asked for; it returns false once ctx ends.
+func (g *Gossip) wait(ctx context.Context) bool {
+	due := time.NewTimer(g.period())
+	defer due.Stop()
+	spaced := time.NewTimer(shortestGap)
+	defer spaced.Stop()
+	select {
+	case <-spaced.C:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-due.C:
+	case <-g.changed:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 func (g *Gossip) period() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -97,6 +97,7 @@
 		Lost:  n.lost,
 		Log:   log,
 	})
+	n.fleet.Placed = n.gossip.Tell
 	n.relay = &relay.Relay{
 		Fleet:    n.fleet,
 		Client:   n.client,
