Do not ask an engine twice to take a run that it had no room for

Cause: a run whose target refused paused 60 ms and was often sent to the same one; four tries were used up while other engines had room.

--- a/relay/mover.go
+++ b/relay/mover.go
@@ -29,6 +29,9 @@
 	begun     chan struct{}
 	beginOnce sync.Once
 
+	// refused are engines that had no room for the run.
+	refused []string
+
 	mu      sync.Mutex
 	stopped bool
 	moved   *movedRun
@@ -52,9 +55,8 @@
 
 const (
 	// moveTries bounds the targets that are tried for one run.
-	moveTries = 4
-	// moveRetry is the pause before the next target, and before an engine is asked
-	// again for a run that it has not begun to make events for.
+	moveTries = 12
+	// moveRetry is the pause before engines are looked through again when none had room.
 	moveRetry = 60 * time.Millisecond
 	// copyTimeout bounds a copy: nine runs of a full engine, one after another on its
 	// link, take two seconds.
@@ -130,7 +132,6 @@
 		if m.try(ctx) || ctx.Err() != nil {
 			return
 		}
-		sleep(ctx, moveRetry)
 	}
 	metrics.Count("move_given_up")
 }
@@ -138,14 +139,19 @@
 // try moves the run to one target; it returns true if no further try makes sense.
 func (m *mover) try(ctx context.Context) bool {
 	l := m.leg
-	target := l.Fleet.Target(l.p, l.want())
+	want := l.want()
+	want.Exclude = m.refused
+	target := l.Fleet.Target(l.p, want)
 	if target == nil {
 		metrics.Count("move_no_target")
+		m.refused = nil
+		sleep(ctx, moveRetry)
 		return false
 	}
 	copied := m.copy(ctx, target)
 	target.Arrived()
 	if !copied {
+		m.refused = append(m.refused, target.Instance().ID)
 		target.Release(fleet.Neutral)
 		return false
 	}
