Give a small request the room that a large one ahead cannot use, at once

Cause: work that queued behind a request too large for the room was looked at only at the next event, up to 250 ms later; found by the new test of the fleet, which failed.

--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,290 @@
+package fleet_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/routing"
+)
+
+var (
+	// pool is an engine service of the size of the users' engines.
+	pool = &routing.Service{Name: "pool", Engine: &routing.EngineSpec{Slots: 24, Memory: 34_000, BytesPerToken: 18_432, LinkMbps: 2700}}
+	app  = &routing.Service{Name: "app"}
+)
+
+type world struct {
+	*fleet.Fleet
+	now time.Duration
+}
+
+func newWorld() *world {
+	w := &world{now: time.Hour}
+	w.Fleet = fleet.New("dc1", func() time.Duration { return w.now })
+	return w
+}
+
+func (w *world) engine(id, dataCentre string) {
+	w.Update(fleet.Instance{ID: id, Service: "pool", Address: id, DataCentre: dataCentre, Slots: 24})
+}
+
+func (w *world) plain(id string) {
+	w.Update(fleet.Instance{ID: id, Service: "app", Address: id, DataCentre: "dc1", Slots: 6})
+}
+
+func generation(prompt, output int) fleet.Want {
+	return fleet.Want{Service: pool, Demand: fleet.Demand{Prompt: prompt, Output: output}}
+}
+
+func (w *world) place(want fleet.Want) *fleet.Placement {
+	GinkgoHelper()
+	p, refusal := w.Acquire(context.Background(), want, 0)
+	Expect(refusal).To(BeNil())
+	return p
+}
+
+func (w *world) refused(want fleet.Want) *crocusreel.Refusal {
+	GinkgoHelper()
+	p, refusal := w.Acquire(context.Background(), want, 0)
+	Expect(p).To(BeNil())
+	return refusal
+}
+
+var _ = Describe("placement on engines", func() {
+	// Answers whose memory does not fit together are preempted in the middle; their
+	// callers see a stall.
+	It("promises no more memory than an engine has, of all nodes together", func() {
+		w := newWorld()
+		w.engine("e1", "dc1")
+		w.SetRemote("node2", []fleet.Load{{Key: fleet.KeyOf("e1"), Count: 3, Tokens: 20_000}})
+		w.place(generation(3000, 1000))
+		w.place(generation(3000, 1000))
+		refusal := w.refused(generation(3000, 1000))
+		Expect(refusal.Reason).To(Equal(crocusreel.ReasonQueueFull))
+		Expect(refusal.Outcome).To(Equal(crocusreel.OutcomeNotRun))
+		Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+		w.SetRemote("node2", nil)
+		w.place(generation(3000, 1000))
+	})
+
+	// Five callers of different nodes come within a tenth of a second. Were their
+	// prompts to queue on one engine, the last would wait two seconds for its first
+	// event while other engines read nothing.
+	It("spreads prompts that wait to be read", func() {
+		w := newWorld()
+		for _, id := range []string{"e1", "e2", "e3"} {
+			w.engine(id, "dc1")
+		}
+		w.SetRemote("node2", []fleet.Load{
+			{Key: fleet.KeyOf("e1"), Count: 1, Tokens: 3000, Unread: 3000},
+			{Key: fleet.KeyOf("e2"), Count: 1, Tokens: 3000, Unread: 3000},
+		})
+		Expect(w.place(generation(3000, 500)).Instance().ID).To(Equal("e3"))
+	})
+
+	It("keeps work in its data centre while loads are equal, and leaves it when they are not", func() {
+		w := newWorld()
+		w.engine("near", "dc1")
+		w.engine("far", "dc2")
+		Expect(w.place(generation(1000, 100)).Instance().ID).To(Equal("near"))
+		w.SetRemote("node2", []fleet.Load{{Key: fleet.KeyOf("near"), Count: 4, Tokens: 16_000}})
+		Expect(w.place(generation(1000, 100)).Instance().ID).To(Equal("far"))
+	})
+
+	It("gives nothing to an engine that is leaving", func() {
+		w := newWorld()
+		w.engine("e1", "dc1")
+		p := w.place(generation(1000, 100))
+		w.Update(fleet.Instance{ID: "e1", Service: "pool", Leaving: true, Slots: 24})
+		Expect(p.Leaving()).To(BeClosed())
+		Expect(w.refused(generation(1000, 100)).Reason).To(Equal(crocusreel.ReasonNoEndpoint))
+	})
+
+	It("gives memory back exactly once", func() {
+		w := newWorld()
+		w.engine("e1", "dc1")
+		p := w.place(generation(20_000, 8000))
+		p.Produced(12_000)
+		p.Release(fleet.Good)
+		p.Release(fleet.Good)
+		Expect(w.OwnLoads()).To(BeEmpty())
+		w.place(generation(20_000, 8000))
+	})
+})
+
+var _ = Describe("waiting work", func() {
+	// A burst fills all engines. Who waits gets the next room, the most urgent first,
+	// whenever it came.
+	It("gets room in the order of its rank", func() {
+		w := newWorld()
+		w.engine("e1", "dc1")
+		holder := w.place(generation(30_000, 1000))
+		order := make(chan string, 2)
+		wait := func(name string, rank int) {
+			want := generation(25_000, 1000)
+			want.Rank = rank
+			waiting := w.Waiting("pool")
+			go func() {
+				defer GinkgoRecover()
+				p, refusal := w.Acquire(context.Background(), want, 5*time.Second)
+				Expect(refusal).To(BeNil())
+				order <- name
+				p.Release(fleet.Good)
+			}()
+			Eventually(func() int { return w.Waiting("pool") }).Should(Equal(waiting + 1))
+		}
+		wait("second", 2)
+		wait("first", 1)
+		holder.Release(fleet.Good)
+		Expect(<-order).To(Equal("first"))
+		Expect(<-order).To(Equal("second"))
+	})
+
+	It("lets a small request pass a large one that does not fit", func() {
+		w := newWorld()
+		w.engine("e1", "dc1")
+		w.place(generation(20_000, 0))
+		go func() { _, _ = w.Acquire(context.Background(), generation(30_000, 0), 2*time.Second) }()
+		Eventually(func() int { return w.Waiting("pool") }).Should(Equal(1))
+		_, refusal := w.Acquire(context.Background(), generation(2000, 100), time.Second)
+		Expect(refusal).To(BeNil())
+	})
+
+	It("is refused when its patience ends, and holds no place then", func() {
+		w := newWorld()
+		w.engine("e1", "dc1")
+		holder := w.place(generation(30_000, 1000))
+		_, refusal := w.Acquire(context.Background(), generation(30_000, 1000), 10*time.Millisecond)
+		Expect(refusal.Reason).To(Equal(crocusreel.ReasonQueueFull))
+		holder.Release(fleet.Good)
+		Expect(w.Waiting("pool")).To(BeZero())
+		w.place(generation(30_000, 1000))
+	})
+})
+
+var _ = Describe("endpoints that fail", func() {
+	call := fleet.Want{Service: app}
+
+	// An endpoint fails most of its requests while its health check is good. Without
+	// ejection a third of all calls would go on failing.
+	It("are left out for a while and tried again", func() {
+		w := newWorld()
+		w.plain("grey")
+		w.plain("good")
+		for range 20 {
+			p := w.place(call)
+			if p.Instance().ID == "grey" {
+				p.Release(fleet.Failed)
+			} else {
+				p.Release(fleet.Good)
+			}
+		}
+		for range 50 {
+			p := w.place(call)
+			Expect(p.Instance().ID).To(Equal("good"))
+			p.Release(fleet.Good)
+		}
+		w.now += 10 * time.Second
+		seen := map[string]bool{}
+		for range 50 {
+			p := w.place(call)
+			seen[p.Instance().ID] = true
+			p.Release(fleet.Good)
+		}
+		Expect(seen).To(HaveKey("grey"))
+	})
+
+	// All endpoints of a service fail at once. Leaving all of them out would refuse
+	// every call although some would succeed.
+	It("stay in use when no other is left", func() {
+		w := newWorld()
+		w.plain("only")
+		for range 10 {
+			w.place(call).Release(fleet.Failed)
+		}
+		Expect(w.place(call).Instance().ID).To(Equal("only"))
+	})
+
+	It("are left out at once when they refuse connections", func() {
+		w := newWorld()
+		w.plain("dead")
+		w.plain("good")
+		for w.place(call).Instance().ID != "dead" {
+		}
+		w = newWorld()
+		w.plain("dead")
+		w.place(call).Release(fleet.Unreachable)
+		w.plain("good")
+		for range 10 {
+			Expect(w.place(call).Instance().ID).To(Equal("good"))
+		}
+	})
+})
+
+var _ = Describe("entries that vanish", func() {
+	// The store was down for longer than heartbeats may be missing: it has dropped the
+	// entries of endpoints that live. Taking them for gone would leave no endpoint.
+	It("after an outage stay in use until the grace time is over", func() {
+		w := newWorld()
+		w.engine("e1", "dc1")
+		w.Replace(nil, true)
+		p := w.place(generation(1000, 100))
+		Expect(p.Leaving()).NotTo(BeClosed())
+		w.now += 2 * time.Second
+		Expect(w.Expire(2100 * time.Millisecond)).To(BeEmpty())
+		w.engine("e1", "dc1")
+		w.now += time.Minute
+		Expect(w.Expire(2100 * time.Millisecond)).To(BeEmpty())
+		Expect(p.Leaving()).NotTo(BeClosed())
+	})
+
+	It("and stay away are taken for gone, and their runs learn of it", func() {
+		w := newWorld()
+		w.engine("e1", "dc1")
+		p := w.place(generation(1000, 100))
+		w.Remove("e1", true)
+		w.now += 2200 * time.Millisecond
+		Expect(w.Expire(2100 * time.Millisecond)).To(Equal([]string{"e1"}))
+		Expect(p.Leaving()).To(BeClosed())
+		Expect(w.refused(generation(1000, 100)).Reason).To(Equal(crocusreel.ReasonNoEndpoint))
+	})
+
+	It("at other times are gone at once", func() {
+		w := newWorld()
+		w.engine("e1", "dc1")
+		p := w.place(generation(1000, 100))
+		w.Remove("e1", false)
+		Expect(p.Leaving()).To(BeClosed())
+	})
+})
+
+var _ = Describe("targets of moves", func() {
+	// A move to another data centre takes twice as long, and all other runs of the
+	// leaving engine wait behind it: near engines come first even when they are fuller.
+	It("are near unless no near engine has room", func() {
+		w := newWorld()
+		w.engine("source", "dc2")
+		p := w.place(generation(3000, 500))
+		w.engine("near", "dc2")
+		w.engine("far", "dc1")
+		w.SetRemote("node2", []fleet.Load{{Key: fleet.KeyOf("near"), Count: 5, Tokens: 20_000}})
+		t := w.Target(p, generation(3000, 500))
+		Expect(t.Instance().ID).To(Equal("near"))
+		t.Arrived()
+		t.Release(fleet.Neutral)
+		w.SetRemote("node2", []fleet.Load{{Key: fleet.KeyOf("near"), Count: 8, Tokens: 30_000}})
+		Expect(w.Target(p, generation(3000, 500)).Instance().ID).To(Equal("far"))
+	})
+
+	It("are not where the run already is", func() {
+		w := newWorld()
+		w.engine("source", "dc1")
+		p := w.place(generation(3000, 500))
+		Expect(w.Target(p, generation(3000, 500))).To(BeNil())
+	})
+})
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -45,6 +45,8 @@
 		return nil, f.refuseLocked(&w)
 	}
 	waiting, refusal := f.enqueueLocked(&w)
+	// What waits ahead may be too large for the room that there is.
+	f.dispatchLocked(w.Service.Name)
 	f.mu.Unlock()
 	if refusal != nil {
 		return nil, refusal
--- /dev/null
+++ b/internal/standin/worker/worker.go
@@ -0,0 +1,337 @@
+// Package worker is the stand-in for the platform's endpoints: model engines and plain
+// services that speak the platform's protocol, with the faults that it allows. It runs
+// within the test's own process.
+package worker
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is what a worker does wrong with one request.
+type Fault int
+
+// Faults. Those marked "has run" count the request as run.
+const (
+	// None answers as it should.
+	None Fault = iota
+	// Shed refuses: the request has not run.
+	Shed
+	// Fail answers 500: has run.
+	Fail
+	// LoseAnswer closes the connection without an answer: has run.
+	LoseAnswer
+	// Truncate closes the connection in the middle of the answer: has run.
+	Truncate
+	// Foreign sends an answer to another request before its own: has run.
+	Foreign
+	// Extra sends a second answer after its own: has run.
+	Extra
+	// Unframed sends an answer without a length, which ends with the connection: has run.
+	Unframed
+	// UnframedReset resets such a connection in the middle: has run.
+	UnframedReset
+	// Hang takes the request and answers nothing: has run.
+	Hang
+	// SkipEvent leaves out an event of a stream: has run.
+	SkipEvent
+	// Crash closes the listener and all connections: has run.
+	Crash
+)
+
+// Run is one request that a worker began to work on.
+type Run struct {
+	ID     string
+	Header http.Header
+	Target string
+	Body   []byte
+	// Resumed is set for a run that goes on from its memory.
+	Resumed bool
+}
+
+// Memory is what several engines share: the memory of runs that was moved.
+type Memory struct {
+	mu      sync.Mutex
+	next    int
+	handles map[string]int64
+}
+
+// NewMemory returns an empty Memory.
+func NewMemory() *Memory { return &Memory{handles: make(map[string]int64)} }
+
+// Options of a worker.
+type Options struct {
+	// ID is the instance ID.
+	ID string
+	// Address is the IP:port to listen at; empty for a free one.
+	Address string
+	// Events is the length of streams and Gap the time between two events; 0 events
+	// makes a plain service.
+	Events int
+	Gap    time.Duration
+	// Memory is shared by engines between which runs move.
+	Memory *Memory
+	// FaultOf chooses the fault for a request; nil for none.
+	FaultOf func(r *Run) Fault
+}
+
+// Worker is a running stand-in.
+type Worker struct {
+	options  Options
+	listener net.Listener
+	server   *http.Server
+
+	mu      sync.Mutex
+	runs    []Run
+	streams map[string]*stream
+	closed  []string // requests whose connection was closed by the caller
+}
+
+type stream struct {
+	made int64
+	stop chan struct{}
+	once sync.Once
+}
+
+// Start returns a worker that serves.
+func Start(o Options) (*Worker, error) {
+	if o.Address == "" {
+		o.Address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", o.Address)
+	if err != nil {
+		return nil, err
+	}
+	w := &Worker{options: o, listener: listener, streams: make(map[string]*stream)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /kv-move", w.move)
+	mux.HandleFunc("GET /report", w.report)
+	mux.HandleFunc("/", w.serve)
+	w.server = &http.Server{Handler: mux}
+	go func() { _ = w.server.Serve(listener) }()
+	return w, nil
+}
+
+// Address returns the IP:port.
+func (w *Worker) Address() string { return w.listener.Addr().String() }
+
+// Stop ends the worker and its connections.
+func (w *Worker) Stop() { _ = w.server.Close() }
+
+// Runs returns the requests that the worker began to work on.
+func (w *Worker) Runs() []Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Run(nil), w.runs...)
+}
+
+// Closed returns the IDs of streams that the caller left before their end.
+func (w *Worker) Closed() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.closed...)
+}
+
+// Seal is the signature of an answer.
+func Seal(instance, id string) string { return "seal." + instance + "." + id }
+
+func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Crocusreel-Expect-Instance"); want != "" && want != w.options.ID {
+		rw.Header().Set("Crocusreel-Instance-Id", w.options.ID)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	run := Run{ID: r.Header.Get("Crocusreel-Attempt-Id"), Header: r.Header.Clone(), Target: r.RequestURI, Body: body}
+	run.Resumed = r.Header.Get("Kv-From") != ""
+	fault := None
+	if w.options.FaultOf != nil {
+		fault = w.options.FaultOf(&run)
+	}
+	if fault == Shed {
+		rw.Header().Set("Crocusreel-Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.mu.Lock()
+	w.runs = append(w.runs, run)
+	w.mu.Unlock()
+	conn, _, err := rw.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	if w.options.Events > 0 && fault != Fail && fault != LoseAnswer {
+		w.stream(conn, r, run, fault)
+		return
+	}
+	w.answer(conn, run, fault)
+}
+
+func (w *Worker) head(run Run, status int, framing string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nCrocusreel-Attempt-Id: %s\r\nCrocusreel-Response-Seal: %s\r\nContent-Type: text/plain\r\n%s\r\n",
+		status, http.StatusText(status), run.ID, Seal(w.options.ID, run.ID), framing)
+}
+
+// answer writes a plain answer; the connection ends after it.
+func (w *Worker) answer(conn net.Conn, run Run, fault Fault) {
+	body := "answer to " + run.ID
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	text := w.head(run, http.StatusOK, length) + body
+	switch fault {
+	case Fail:
+		text = w.head(run, http.StatusInternalServerError, length) + body
+	case LoseAnswer:
+		return
+	case Truncate:
+		text = text[:len(text)-3]
+	case Foreign:
+		text = w.head(Run{ID: "foreign"}, http.StatusOK, "Content-Length: 3\r\n") + "bad" + text
+	case Extra:
+		text += w.head(run, http.StatusOK, "Content-Length: 3\r\n") + "bad"
+	case Unframed:
+		text = w.head(run, http.StatusOK, "Connection: close\r\n") + body
+	case UnframedReset:
+		text = w.head(run, http.StatusOK, "Connection: close\r\n") + body[:4]
+	case Hang:
+		time.Sleep(time.Minute)
+	case Crash:
+		w.Stop()
+		return
+	}
+	if _, err := io.WriteString(conn, text); err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok && fault == UnframedReset {
+		time.Sleep(20 * time.Millisecond)
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// stream writes events until the end, or until the run is moved away.
+func (w *Worker) stream(conn net.Conn, r *http.Request, run Run, fault Fault) {
+	first := int64(1)
+	if from := r.Header.Get("Kv-From"); from != "" {
+		last, ok := w.options.Memory.use(from, r.Header.Get("Last-Event-Id"))
+		if !ok {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nCrocusreel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		first = last + 1
+	}
+	s := &stream{made: first - 1, stop: make(chan struct{})}
+	w.mu.Lock()
+	w.streams[run.ID] = s
+	w.mu.Unlock()
+	if fault == Hang {
+		time.Sleep(time.Minute)
+		return
+	}
+	if _, err := io.WriteString(conn, w.head(run, http.StatusOK, "Transfer-Encoding: chunked\r\n")); err != nil {
+		return
+	}
+	gone := make(chan struct{})
+	go func() {
+		_, _ = conn.Read(make([]byte, 1))
+		close(gone)
+	}()
+	for id := first; id <= int64(w.options.Events); id++ {
+		select {
+		case <-s.stop:
+			return
+		case <-gone:
+			w.mu.Lock()
+			w.closed = append(w.closed, run.ID)
+			w.mu.Unlock()
+			return
+		case <-time.After(w.options.Gap):
+		}
+		event := fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", id, id, run.ID)
+		switch {
+		case fault == Truncate && id == int64(w.options.Events)/2:
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s", len(event), event[:len(event)/2])
+			return
+		case fault == Crash && id == int64(w.options.Events)/2:
+			w.Stop()
+			return
+		case fault == SkipEvent && id == int64(w.options.Events)/2:
+			continue
+		}
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return
+		}
+		w.mu.Lock()
+		s.made = id
+		w.mu.Unlock()
+	}
+	_, _ = io.WriteString(conn, "0\r\n\r\n")
+}
+
+// use takes the memory that a Kv-From header names; the run goes on behind the given
+// event.
+func (m *Memory) use(from, lastEvent string) (int64, bool) {
+	_, handle, _ := strings.Cut(from, "/")
+	last, err := strconv.ParseInt(lastEvent, 10, 64)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.handles[handle]
+	delete(m.handles, handle)
+	return last, ok && err == nil
+}
+
+type moveBody struct {
+	ID    string `json:"id"`
+	To    string `json:"to"`
+	Final bool   `json:"final"`
+}
+
+func (w *Worker) move(rw http.ResponseWriter, r *http.Request) {
+	var body moveBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	s := w.streams[body.ID]
+	if s == nil {
+		w.mu.Unlock()
+		rw.WriteHeader(http.StatusNotFound)
+		return
+	}
+	made := s.made
+	if body.Final {
+		s.once.Do(func() { close(s.stop) })
+	}
+	w.mu.Unlock()
+	handle := w.options.Memory.keep(made)
+	_ = json.NewEncoder(rw).Encode(map[string]any{"cache_handle": handle, "created": made})
+}
+
+func (m *Memory) keep(made int64) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.next++
+	handle := "h" + strconv.Itoa(m.next)
+	m.handles[handle] = made
+	return handle
+}
+
+func (w *Worker) report(rw http.ResponseWriter, _ *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	runs := [][]any{}
+	for id, s := range w.streams {
+		runs = append(runs, []any{id, 1000 + s.made, s.made, 5})
+	}
+	_ = json.NewEncoder(rw).Encode(map[string]any{"runs": runs})
+}
--- /dev/null
+++ b/knowledge/knowledge_test.go
@@ -0,0 +1,55 @@
+package knowledge_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/knowledge"
+	"github.com/crocusreel/crocusreel/routing"
+)
+
+var _ = Describe("knowledge of the configuration", func() {
+	var now time.Duration
+	var c *knowledge.Configuration
+	table := func(version int64) *routing.Table {
+		return routing.NewTable(&routing.Configuration{Version: version})
+	}
+	seen := func(at time.Duration) knowledge.Seen { return knowledge.Seen{Certain: at, Answered: at} }
+
+	BeforeEach(func() {
+		now = time.Minute
+		c = knowledge.NewConfiguration(func() time.Duration { return now })
+	})
+
+	// A node learns version 9 from the store and then gets version 7 from a peer that is
+	// behind. A caller whose key was taken away by 9 would be served again.
+	It("never goes back to an older version", func() {
+		Expect(c.Apply(table(9), 90, nil, seen(now))).To(BeTrue())
+		Expect(c.Apply(table(7), 70, nil, seen(now+time.Second))).To(BeFalse())
+		known, _ := c.Current()
+		Expect(known.Table.Version).To(BeEquivalentTo(9))
+		Expect(known.Certain).To(Equal(time.Minute))
+	})
+
+	// A peer that is behind confirms its own older version. Taken for a confirmation of
+	// the newer one it would make a cut-off node believe that it is up to date.
+	It("takes a confirmation only for the version that it knows", func() {
+		c.Apply(table(9), 90, nil, seen(now))
+		now += 3 * time.Second
+		c.Confirm(70, seen(now))
+		_, ages := c.Current()
+		Expect(ages.Certain).To(Equal(3 * time.Second))
+		c.Confirm(90, knowledge.Seen{Certain: now - time.Second, Answered: now})
+		_, ages = c.Current()
+		Expect(ages).To(Equal(knowledge.Ages{Certain: time.Second, Answered: 0}))
+	})
+
+	It("never becomes older by a late confirmation", func() {
+		c.Apply(table(9), 90, nil, seen(now))
+		c.Confirm(90, seen(now-10*time.Second))
+		_, ages := c.Current()
+		Expect(ages.Certain).To(BeZero())
+	})
+})
--- /dev/null
+++ b/relay/export_test.go
@@ -0,0 +1,15 @@
+package relay
+
+// Names for tests of decisions that need no endpoint.
+var (
+	EvacuationOrder = evacuationOrder
+	CopyTime        = copyTime
+	NewEventReader  = newEventReader
+	SplitEvent      = splitEvent
+)
+
+// Next gives tests the events of a reader.
+func (r *eventReader) Next() ([]byte, error) { return r.next() }
+
+// StrikeLimit is the number of endpoints that may die of one request.
+const StrikeLimit = strikeLimit
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,75 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/crocusreel/crocusreel/retry"
+)
+
+// After an outage all requests want to be repeated at once. Whatever the pattern of
+// firsts and repeats, no window of the given length may hold more repeats than its
+// share: endpoints count over a sliding window, and a budget that saves up over quiet
+// minutes would spend it all in one second. The allowance for the firsts is taken over
+// the window and one slice before it.
+func TestNoWindowHoldsMoreRepeatsThanItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const length = 10 * time.Second
+		now := time.Hour
+		set := &retry.Windows{
+			Ratio: 0.2, Slack: 20, Length: length,
+			Now: func() time.Duration { return now }, Nodes: func() int { return 2 },
+		}
+		w := set.Get("service")
+		var firsts, repeats []time.Duration
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond
+			if rapid.Bool().Draw(t, "first") {
+				w.Earn()
+				firsts = append(firsts, now)
+			} else if w.Spend() {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, end := range repeats {
+			spent := within(repeats, end-length+time.Second, end)
+			earned := within(firsts, end-length-time.Second, end)
+			if float64(spent) > 0.2*float64(earned)+20/2 {
+				t.Fatalf("%d repeats for %d firsts in the window up to %s", spent, earned, end)
+			}
+		}
+	})
+}
+
+func within(times []time.Duration, from, to time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at > from && at <= to {
+			n++
+		}
+	}
+	return n
+}
+
+// The slack is one for all nodes together. A node that used all of it would leave
+// nothing to the others, and together they would exceed it.
+func TestSlackIsSharedByTheLiveNodes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	spent := func(nodes int) int {
+		set := &retry.Windows{
+			Slack: 70, Length: 10 * time.Second,
+			Now: func() time.Duration { return time.Hour }, Nodes: func() int { return nodes },
+		}
+		n := 0
+		for set.Get("service").Spend() {
+			n++
+		}
+		return n
+	}
+	g.Expect(spent(1)).To(gomega.BeNumerically("<=", 70))
+	g.Expect(7 * spent(7)).To(gomega.BeNumerically("<=", 70))
+	g.Expect(spent(7)).To(gomega.BeNumerically(">", 0))
+}
