--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,416 @@
+package relay_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/endpoint/h1"
+	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/internal/boottime"
+	"github.com/crocusreel/crocusreel/internal/standin/worker"
+	"github.com/crocusreel/crocusreel/platform"
+	"github.com/crocusreel/crocusreel/relay"
+	"github.com/crocusreel/crocusreel/retry"
+	"github.com/crocusreel/crocusreel/routing"
+)
+
+// rig is a relay with stand-ins behind it.
+type rig struct {
+	*relay.Relay
+	memory *worker.Memory
+	ids    int
+}
+
+func newRig() *rig {
+	client := h1.NewClient()
+	r := &rig{memory: worker.NewMemory()}
+	r.Relay = &relay.Relay{
+		Fleet:    fleet.New("dc1", boottime.Now),
+		Client:   client,
+		Protocol: platform.Wire{},
+		Mover:    platform.NewEngines(client),
+		Budgets: &retry.Windows{
+			Ratio: 0.2, Slack: 100, Length: 10 * time.Second, Now: boottime.Now, Nodes: func() int { return 1 },
+		},
+		Strikes: relay.NewStrikes(boottime.Now),
+		Log:     zap.NewNop(),
+		Admit:   func(*relay.Request) *crocusreel.Refusal { return nil },
+	}
+	return r
+}
+
+// service adds a plain service's worker that does the given fault each time.
+func (r *rig) service(id string, fault worker.Fault) *worker.Worker {
+	return r.start("app", worker.Options{ID: id, FaultOf: always(fault)})
+}
+
+// engine adds an engine whose streams have so many events, 5 ms apart.
+func (r *rig) engine(id string, events int, faultOf func(*worker.Run) worker.Fault) *worker.Worker {
+	return r.start("pool", worker.Options{ID: id, Events: events, Gap: 5 * time.Millisecond, Memory: r.memory, FaultOf: faultOf})
+}
+
+func always(f worker.Fault) func(*worker.Run) worker.Fault {
+	return func(*worker.Run) worker.Fault { return f }
+}
+
+func (r *rig) start(service string, o worker.Options) *worker.Worker {
+	GinkgoHelper()
+	w, err := worker.Start(o)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(w.Stop)
+	r.Fleet.Update(fleet.Instance{ID: o.ID, Service: service, Address: w.Address(), DataCentre: "dc1", Slots: 8})
+	return w
+}
+
+func (r *rig) leaving(id string) {
+	r.Fleet.Update(fleet.Instance{ID: id, Service: "pool", DataCentre: "dc1", Slots: 8, Leaving: true})
+}
+
+func (r *rig) request(kind routing.Kind) *relay.Request {
+	r.ids++
+	service := app
+	if kind == routing.Streaming {
+		service = pool
+	}
+	return &relay.Request{
+		ID:       fmt.Sprintf("attempt-%d", r.ids),
+		Method:   http.MethodPost,
+		Target:   "/x/1?q=2",
+		Host:     "a.example",
+		Header:   http.Header{"Crocusreel-Attempt-Id": {fmt.Sprintf("attempt-%d", r.ids)}},
+		Body:     []byte("body"),
+		Route:    &routing.Route{Name: "r", Kind: kind, MaxAttempts: 2, TargetLatency: time.Second},
+		Service:  service,
+		Received: time.Now(),
+		Deadline: time.Now().Add(3 * time.Second),
+		Size:     relay.Size{Prompt: 100, MaxOutput: 100},
+	}
+}
+
+var (
+	app  = &routing.Service{Name: "app"}
+	pool = &routing.Service{Name: "pool", Engine: spec}
+)
+
+// answer is a Sink that keeps what it gets.
+type answer struct {
+	mu     sync.Mutex
+	status int
+	header http.Header
+	body   bytes.Buffer
+	fail   bool
+}
+
+func (a *answer) Begin(status int, h http.Header) error {
+	a.status, a.header = status, h
+	return nil
+}
+
+func (a *answer) Write(part []byte) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.fail {
+		return fmt.Errorf("the caller is gone")
+	}
+	a.body.Write(part)
+	return nil
+}
+
+func (a *answer) Begun() bool { return a.status != 0 }
+
+func (a *answer) text() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.body.String()
+}
+
+func (r *rig) serve(req *relay.Request) (relay.Verdict, *answer) {
+	a := &answer{}
+	return r.Serve(context.Background(), req, a), a
+}
+
+var _ = Describe("a call to a plain service", func() {
+	It("brings back the answer unchanged", func() {
+		r := newRig()
+		w := r.service("i1", worker.None)
+		req := r.request(routing.NonIdempotent)
+		v, a := r.serve(req)
+		Expect(v.Refusal).To(BeNil())
+		Expect(a.status).To(Equal(http.StatusOK))
+		Expect(a.text()).To(Equal("answer to " + req.ID))
+		Expect(a.header.Get("Crocusreel-Response-Seal")).To(Equal(worker.Seal("i1", req.ID)))
+		Expect(w.Runs()).To(HaveLen(1))
+		run := w.Runs()[0]
+		Expect(run.Target).To(Equal("/x/1?q=2"))
+		Expect(string(run.Body)).To(Equal("body"))
+		Expect(run.Header.Get("Crocusreel-Deadline-Ms")).To(MatchRegexp(`^2\d\d\d$`))
+	})
+
+	// Work that may have run is not sent again: a bed would be booked twice. Its caller
+	// must not be told that it has not run either.
+	DescribeTable("that may run once is not repeated after a fault that leaves its fate open",
+		func(fault worker.Fault) {
+			r := newRig()
+			one, two := r.service("i1", fault), r.service("i2", fault)
+			req := r.request(routing.NonIdempotent)
+			req.Deadline = time.Now().Add(300 * time.Millisecond)
+			v, a := r.serve(req)
+			Expect(len(one.Runs()) + len(two.Runs())).To(Equal(1))
+			Expect(v.Refusal).NotTo(BeNil())
+			Expect(v.Refusal.Outcome).To(Equal(crocusreel.OutcomeUnknown))
+			Expect(a.Begun()).To(BeFalse())
+		},
+		Entry("lost answer", worker.LoseAnswer),
+		Entry("truncated answer", worker.Truncate),
+		Entry("answer without a length that was reset", worker.UnframedReset),
+		Entry("no answer", worker.Hang),
+		Entry("crash", worker.Crash),
+	)
+
+	// The same faults cost a caller of idempotent work nothing while another endpoint
+	// does its work.
+	DescribeTable("that may be repeated is given to another endpoint",
+		func(fault worker.Fault) {
+			r := newRig()
+			bad := r.service("bad", fault)
+			req := r.request(routing.Idempotent)
+			for len(bad.Runs()) == 0 && fault != worker.Shed {
+				req = r.request(routing.Idempotent)
+				r.service("good", worker.None)
+				v, a := r.serve(req)
+				Expect(v.Refusal).To(BeNil())
+				Expect(a.text()).To(Equal("answer to " + req.ID))
+			}
+		},
+		Entry("failure of the endpoint", worker.Fail),
+		Entry("lost answer", worker.LoseAnswer),
+		Entry("truncated answer", worker.Truncate),
+		Entry("answer without a length that was reset", worker.UnframedReset),
+		Entry("no answer", worker.Hang),
+	)
+
+	It("is sent on when an endpoint says that it has not run, also if it may run once only", func() {
+		r := newRig()
+		full := r.service("full", worker.Shed)
+		good := r.service("good", worker.None)
+		for range 6 {
+			v, _ := r.serve(r.request(routing.NonIdempotent))
+			Expect(v.Refusal).To(BeNil())
+		}
+		Expect(full.Runs()).To(BeEmpty())
+		Expect(good.Runs()).To(HaveLen(6))
+	})
+
+	It("is refused as not run when every endpoint says so", func() {
+		r := newRig()
+		r.service("full", worker.Shed)
+		v, _ := r.serve(r.request(routing.NonIdempotent))
+		Expect(v.Refusal.Outcome).To(Equal(crocusreel.OutcomeNotRun))
+		Expect(v.Refusal.RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	// The address of an endpoint that is gone was given to another service. The new
+	// owner says that it is not the one that was meant.
+	It("does not run at another endpoint that has the address now", func() {
+		r := newRig()
+		stranger := r.service("new", worker.None)
+		r.Fleet.Remove("new", false)
+		r.Fleet.Update(fleet.Instance{ID: "old", Service: "app", Address: stranger.Address(), DataCentre: "dc1", Slots: 8})
+		v, _ := r.serve(r.request(routing.NonIdempotent))
+		Expect(stranger.Runs()).To(BeEmpty())
+		Expect(v.Refusal.Outcome).To(Equal(crocusreel.OutcomeNotRun))
+	})
+
+	It("is not taken for run when nothing listens at the endpoint", func() {
+		r := newRig()
+		dead := r.service("dead", worker.None)
+		dead.Stop()
+		v, _ := r.serve(r.request(routing.NonIdempotent))
+		Expect(v.Refusal.Outcome).To(Equal(crocusreel.OutcomeNotRun))
+	})
+
+	// An answer to an earlier request comes late, just where the next is expected, or a
+	// second one follows an answer. Its caller must not get somebody else's answer.
+	It("skips answers that belong to another request", func() {
+		r := newRig()
+		r.service("i1", worker.Foreign)
+		for range 5 {
+			req := r.request(routing.NonIdempotent)
+			v, a := r.serve(req)
+			Expect(v.Refusal).To(BeNil())
+			Expect(a.text()).To(Equal("answer to " + req.ID))
+		}
+	})
+
+	It("drops what follows an answer", func() {
+		r := newRig()
+		r.service("i1", worker.Extra)
+		for range 5 {
+			req := r.request(routing.NonIdempotent)
+			_, a := r.serve(req)
+			Expect(a.text()).To(Equal("answer to " + req.ID))
+		}
+	})
+
+	It("takes an answer without a length for whole when its connection ends well", func() {
+		r := newRig()
+		r.service("i1", worker.Unframed)
+		req := r.request(routing.NonIdempotent)
+		_, a := r.serve(req)
+		Expect(a.text()).To(Equal("answer to " + req.ID))
+		Expect(a.header.Get("Content-Length")).To(Equal(fmt.Sprint(len("answer to " + req.ID))))
+	})
+
+	It("passes on the failure of an endpoint with its seal when there is no other", func() {
+		r := newRig()
+		r.service("i1", worker.Fail)
+		req := r.request(routing.Idempotent)
+		v, a := r.serve(req)
+		Expect(v.Refusal).To(BeNil())
+		Expect(a.status).To(Equal(http.StatusInternalServerError))
+		Expect(a.header.Get("Crocusreel-Response-Seal")).To(Equal(worker.Seal("i1", req.ID)))
+	})
+})
+
+func events(id string, from, to int) string {
+	var b bytes.Buffer
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d of %s\n\n", i, i, id)
+	}
+	return b.String()
+}
+
+var _ = Describe("a stream", func() {
+	It("brings every event once and in order", func() {
+		r := newRig()
+		r.engine("e1", 20, nil)
+		req := r.request(routing.Streaming)
+		v, a := r.serve(req)
+		Expect(v.Broken).To(BeFalse())
+		Expect(a.text()).To(Equal(events(req.ID, 1, 20)))
+		Expect(v.Events).To(Equal(20))
+	})
+
+	// Engines are reclaimed at short notice in the middle of long answers, and an answer
+	// may not be run twice. Its caller sees one stream without a seam.
+	It("goes on at another engine when its engine is about to leave", func() {
+		r := newRig()
+		first := r.engine("first", 100, nil)
+		req := r.request(routing.Streaming)
+		a := &answer{}
+		done := make(chan relay.Verdict)
+		go func() { done <- r.Serve(context.Background(), req, a) }()
+		Eventually(a.text).Should(ContainSubstring("id: 10\n"))
+		second := r.engine("second", 100, nil)
+		r.leaving("first")
+		var v relay.Verdict
+		Eventually(done, 3*time.Second).Should(Receive(&v))
+		Expect(v.Broken).To(BeFalse())
+		Expect(v.Moves).To(Equal(1))
+		Expect(a.text()).To(Equal(events(req.ID, 1, 100)))
+		Expect(first.Runs()).To(HaveLen(1))
+		Expect(second.Runs()).To(HaveLen(1))
+		Expect(second.Runs()[0].Resumed).To(BeTrue())
+	})
+
+	// An engine leaves and no other has room: the stream goes on there to its end, which
+	// may come before the engine's.
+	It("stays where it is when there is no other engine", func() {
+		r := newRig()
+		r.engine("only", 60, nil)
+		req := r.request(routing.Streaming)
+		a := &answer{}
+		done := make(chan relay.Verdict)
+		go func() { done <- r.Serve(context.Background(), req, a) }()
+		Eventually(a.text).Should(ContainSubstring("id: 5\n"))
+		r.leaving("only")
+		Eventually(done, 3*time.Second).Should(Receive(HaveField("Broken", false)))
+		Expect(a.text()).To(Equal(events(req.ID, 1, 60)))
+	})
+
+	// An engine dies in the middle of an event. Nobody has the run's memory, and another
+	// run may not take its place: the caller must see that the stream is not whole.
+	DescribeTable("is broken off visibly when it cannot be whole, and never run again",
+		func(fault worker.Fault) {
+			r := newRig()
+			one, two := r.engine("e1", 20, always(fault)), r.engine("e2", 20, always(fault))
+			req := r.request(routing.Streaming)
+			v, a := r.serve(req)
+			Expect(v.Broken).To(BeTrue())
+			Expect(a.text()).To(Equal(events(req.ID, 1, 9)))
+			Expect(len(one.Runs()) + len(two.Runs())).To(Equal(1))
+		},
+		Entry("cut within an event", worker.Truncate),
+		Entry("crash of the engine", worker.Crash),
+		Entry("an event that is missing", worker.SkipEvent),
+	)
+
+	// A caller leaves. Its engine would go on for seconds with work that nobody wants.
+	It("ends at the engine when its caller leaves", func() {
+		r := newRig()
+		e := r.engine("e1", 400, nil)
+		ctx, cancel := context.WithCancel(context.Background())
+		req := r.request(routing.Streaming)
+		a := &answer{}
+		done := make(chan relay.Verdict)
+		go func() { done <- r.Serve(ctx, req, a) }()
+		Eventually(a.text).Should(ContainSubstring("id: 5\n"))
+		cancel()
+		Eventually(e.Closed, 500*time.Millisecond).Should(ConsistOf(req.ID))
+		Eventually(done).Should(Receive())
+	})
+
+	It("is sent to another engine when one refuses it unrun", func() {
+		r := newRig()
+		full := r.engine("full", 10, always(worker.Shed))
+		r.engine("good", 10, nil)
+		for range 5 {
+			req := r.request(routing.Streaming)
+			v, a := r.serve(req)
+			Expect(v.Broken).To(BeFalse())
+			Expect(a.text()).To(Equal(events(req.ID, 1, 10)))
+		}
+		Expect(full.Runs()).To(BeEmpty())
+	})
+
+	// A request kills each engine that runs it, and its caller sends it again and again.
+	It("is stopped once three engines died of it", func() {
+		r := newRig()
+		var engines []*worker.Worker
+		for i := range 6 {
+			engines = append(engines, r.engine(fmt.Sprintf("e%d", i), 20, always(worker.Crash)))
+		}
+		for range 8 {
+			r.serve(r.request(routing.Streaming))
+		}
+		runs := 0
+		for _, e := range engines {
+			runs += len(e.Runs())
+		}
+		Expect(runs).To(Equal(relay.StrikeLimit))
+		v, _ := r.serve(r.request(routing.Streaming))
+		Expect(v.Refusal.Reason).To(Equal(crocusreel.ReasonSuspect))
+		Expect(v.Refusal.Outcome).To(Equal(crocusreel.OutcomeNotRun))
+	})
+
+	// The key of a waiting request is taken away while it waits, or its machine sleeps.
+	It("does not run when it may no longer be admitted", func() {
+		r := newRig()
+		e := r.engine("e1", 10, nil)
+		r.Admit = func(*relay.Request) *crocusreel.Refusal {
+			return crocusreel.Refuse(crocusreel.ReasonNotReady, crocusreel.OutcomeNotRun, time.Second, "too old")
+		}
+		v, _ := r.serve(r.request(routing.Streaming))
+		Expect(v.Refusal.Reason).To(Equal(crocusreel.ReasonNotReady))
+		Expect(e.Runs()).To(BeEmpty())
+	})
+})
