Let short answers use the memory that long ones leave free

Cause: where memory binds (grown sites: promised memory at 97% of the engines'), checks that hold memory for half a second waited behind drafts that hold it for eight.

--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -51,7 +51,13 @@
 	// memoryShare is the part of an engine's memory that may be promised. The rest
 	// covers answers that grow longer than expected: an engine that runs out of
 	// memory preempts a running answer, whose caller sees a stall.
-	memoryShare = 0.92
+	memoryShare = 0.88
+	// shortShare is that part for short answers. They hold their memory for less than a
+	// second and so may use what long ones must leave free.
+	shortShare = 0.98
+	// shortOutput is the length in tokens up to which an answer is short: it is made
+	// within half a second.
+	shortOutput = 64
 	// plainOvercommit is how many requests, in multiples of its slots, a plain
 	// service's endpoint is given. Those beyond its slots wait in its own queue, which
 	// is shorter than the way back here.
@@ -120,7 +126,7 @@
 	if spec := w.Service.Engine; spec != nil {
 		share := float64(load.Tokens) / float64(max(spec.Memory, 1))
 		need := float64(load.Tokens + w.Demand.Tokens())
-		fits := load.Count < e.Slots && (need <= memoryShare*float64(spec.Memory) || load.Count == 0)
+		fits := load.Count < e.Slots && (need <= w.memoryShare()*float64(spec.Memory) || load.Count == 0)
 		return cost + share + unreadCost*float64(load.Unread)/readRate, fits
 	}
 	slots := float64(max(e.Slots, 1))
@@ -142,3 +148,10 @@
 	}
 	return cost
 }
+
+func (w *Want) memoryShare() float64 {
+	if w.Demand.Output <= shortOutput {
+		return shortShare
+	}
+	return memoryShare
+}
--- a/node/watch.go
+++ b/node/watch.go
@@ -27,6 +27,9 @@
 	// answerSlack is the time beyond the wait after which a question is given up: the
 	// store's slowest answers are some hundred times slower than its usual 4 ms.
 	answerSlack = 500 * time.Millisecond
+	// gather is the pause after a change before the next question: changes come in
+	// groups, as when several engines leave, and each call has its price.
+	gather = 40 * time.Millisecond
 	// directCheck is how often a feed that rests looks whether it is needed.
 	directCheck = 50 * time.Millisecond
 	// listTimeout bounds the read of a whole table.
@@ -110,6 +113,9 @@
 	}
 	f.changed(listing, knowledge.Seen{Certain: asked, Answered: boottime.Now()})
 	f.version = max(f.version, listing.Version)
+	if len(listing.Rows) > 0 {
+		pause(ctx, gather)
+	}
 	return nil
 }
 
