--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -29,6 +29,9 @@
 	// that learn of it 150 ms later all choose the same engine meanwhile, and the last
 	// of their callers waits two seconds for its prompt to be read.
 	shortestGap = 10 * time.Millisecond
+	// fullEvery is the time between two datagrams that also carry addresses; those
+	// between are a third of their size, and bytes between data centres have a price.
+	fullEvery = time.Second
 	// liveFor is how long a node counts as live after its last datagram, in intervals:
 	// a lost datagram and a late one in a row must not take a node out.
 	liveFor = 6
@@ -84,6 +87,8 @@
 	mu       sync.Mutex
 	peers    map[string]*peer
 	sequence uint64
+	// full is when addresses were last told.
+	full time.Duration
 	// changed asks for a round before the next one is due.
 	changed chan struct{}
 }
@@ -231,10 +236,15 @@
 	g.mu.Lock()
 	g.sequence++
 	state.Sequence = g.sequence
-	for address, p := range g.peers {
-		if p.live && len(state.Known) < maxKnown {
-			state.Known = append(state.Known, address)
+	if now := g.o.Now(); g.full == 0 || now-g.full >= fullEvery {
+		g.full = now
+		for address, p := range g.peers {
+			if p.live && len(state.Known) < maxKnown {
+				state.Known = append(state.Known, address)
+			}
 		}
+	} else {
+		shorten(state)
 	}
 	g.mu.Unlock()
 	data, err := proto.Marshal(state)
@@ -251,6 +261,12 @@
 	return data
 }
 
+// shorten leaves out what changes with a new incarnation only.
+func shorten(s *exchangev1.NodeState) {
+	s.Brief = true
+	s.CallerAddress, s.PeerAddress, s.DataCentre = "", "", ""
+}
+
 func (g *Gossip) receive(ctx context.Context, conn net.PacketConn) {
 	buf := make([]byte, 64<<10)
 	for {
@@ -287,6 +303,10 @@
 		metrics.Count("gossip_stale")
 		return false
 	}
+	if s.GetBrief() && s.GetIncarnation() != p.incarnation {
+		// Its addresses come with the next whole datagram.
+		return false
+	}
 	p.incarnation, p.sequence = s.GetIncarnation(), s.GetSequence()
 	p.heard = g.o.Now()
 	if !p.live || p.Ready != s.GetReady() || p.Leaving != s.GetLeaving() {
@@ -294,6 +314,10 @@
 			zap.Bool("leaving", s.GetLeaving()), zap.Uint64("incarnation", s.GetIncarnation()))
 	}
 	p.live = true
+	p.Ready, p.Leaving = s.GetReady(), s.GetLeaving()
+	if s.GetBrief() {
+		return true
+	}
 	p.Peer = Peer{
 		Address:       s.GetAddress(),
 		CallerAddress: s.GetCallerAddress(),
--- a/node/follow.go
+++ b/node/follow.go
@@ -56,7 +56,10 @@
 	f := &n.follower
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, ages := n.config.Current()
+	known, ages := n.config.Current()
+	if known.Table == nil {
+		return "", false
+	}
 	if ages.Answered > readerStale || n.entries.age() > endpointsStale {
 		if now >= f.directUntil {
 			n.log.Info("following the store", zap.Duration("answered_age", ages.Answered), zap.Duration("endpoints_age", n.entries.age()))
