--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -119,6 +119,9 @@
 	ejectLongest = 6 * time.Second
 	// unreachableFor keeps work away from an endpoint that refused a connection.
 	unreachableFor = 500 * time.Millisecond
+	// silentFor keeps work away from an endpoint that has taken work and answered nothing
+	// for long: its queue is longer than is known here, or it hangs.
+	silentFor = time.Second
 )
 
 func (h *health) decay(now time.Duration) {
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -128,6 +128,7 @@
 		e.health.failed(now, busyWeight)
 	case Silent:
 		e.health.failed(now, silentWeight)
+		e.health.ejectedUntil = max(e.health.ejectedUntil, now+silentFor)
 	case Unreachable:
 		e.health.failed(now, 1)
 		e.health.ejectedUntil = max(e.health.ejectedUntil, now+unreachableFor)
--- a/relay/mover.go
+++ b/relay/mover.go
@@ -5,9 +5,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
-	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 )
 
@@ -38,38 +35,11 @@
 	moved   *movedRun
 }
 
-// movedRun is a run whose memory is held elsewhere.
-type movedRun struct {
-	source string
-	handle string
-	// places are endpoints at which the run can go on, best first.
-	places []*fleet.Placement
-}
-
-func (m *movedRun) releaseOthers(chosen *fleet.Placement) {
-	for _, p := range m.places {
-		if p != chosen {
-			p.Release(fleet.Neutral)
-		}
-	}
-}
-
 const (
 	// moveTries bounds the targets that are tried for one run.
 	moveTries = 12
 	// moveRetry is the pause before engines are looked through again when none had room.
 	moveRetry = 60 * time.Millisecond
-	// copyTimeout bounds a copy: nine runs of a full engine, one after another on its
-	// link, take two seconds.
-	copyTimeout = 3 * time.Second
-	// lastStop is the time before the engine stops at which a run is stopped at the
-	// latest: its last copy may wait behind some others.
-	lastStop = 250 * time.Millisecond
-	// quickCopy is the time in which a copy of some steps' tokens ends while nothing else
-	// is queued: two round trips and some milliseconds on the link.
-	quickCopy = 40 * time.Millisecond
-	// stopTimeout bounds the last copy, of some steps' tokens, behind other copies.
-	stopTimeout = 2 * time.Second
 	// resultWait is how long a cut stream waits for the answer to the last copy, which
 	// may come after the cut.
 	resultWait = 2 * time.Second
@@ -151,80 +121,41 @@
 		sleep(ctx, moveRetry)
 		return false
 	}
-	copied := m.copy(ctx, target)
+	t := &transfer{leg: l, target: target}
+	copied := t.copy(ctx)
 	target.Arrived()
 	if !copied {
 		m.refused = append(m.refused, target.Instance().ID)
-		target.Release(fleet.Neutral)
-		return false
-	}
-	if !m.awaitIdleLinks(ctx, target) {
-		target.Release(fleet.Neutral)
+		t.abandon()
 		return ctx.Err() != nil
 	}
-	return m.stopAndCopy(ctx, target)
-}
-
-// awaitIdleLinks copies what is new again and again until a copy is quick: no whole copy
-// is then queued on the links of source and target, and the last copy will be quick as
-// well. It ends before the engine is gone, in any case.
-func (m *mover) awaitIdleLinks(ctx context.Context, target *fleet.Placement) bool {
-	for time.Until(m.evacuation.leavesAt) > lastStop {
-		started := time.Now()
-		if !m.copy(ctx, target) {
-			return false
-		}
-		took := time.Since(started)
-		if took < quickCopy {
-			return true
-		}
-		sleep(ctx, quickCopy-took)
+	if !t.awaitIdleLinks(ctx, m.evacuation.leavesAt) {
+		t.abandon()
+		return ctx.Err() != nil
 	}
-	return ctx.Err() == nil
-}
-
-func (m *mover) copy(ctx context.Context, target *fleet.Placement) bool {
-	l := m.leg
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
-	started := time.Now()
-	got, err := l.Mover.Move(ctx, l.p.Instance().Address, l.r.ID, target.Instance().Address, false)
-	l.Log.Info("copy made", zap.String("request", l.r.ID), zap.String("endpoint", l.p.Instance().ID),
-		zap.String("target", target.Instance().ID), zap.Int("events", got.Events), zap.Bool("refused", got.Refused),
-		zap.Duration("took", time.Since(started)), zap.Error(err))
-	return err == nil && !got.Refused
-}
-
-func (m *mover) stopAndCopy(ctx context.Context, target *fleet.Placement) bool {
-	l := m.leg
 	m.mu.Lock()
 	m.stopped = true
 	m.mu.Unlock()
-	// The run may have stopped when the answer is lost or the caller leaves, so this
-	// call is not cut short.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-	defer cancel()
-	started := time.Now()
-	got, err := l.Mover.Move(ctx, l.p.Instance().Address, l.r.ID, target.Instance().Address, true)
-	l.Log.Info("run moved", zap.String("request", l.r.ID), zap.String("endpoint", l.p.Instance().ID),
-		zap.String("target", target.Instance().ID), zap.Int("events", got.Events), zap.Bool("refused", got.Refused),
-		zap.Duration("took", time.Since(started)), zap.Error(err))
-	if err != nil || got.Handle == "" {
-		target.Release(fleet.Neutral)
-		return true
-	}
-	moved := &movedRun{source: l.p.Instance().Address, handle: got.Handle}
-	if !got.Refused {
-		moved.places = append(moved.places, target)
-	} else {
-		target.Release(fleet.Neutral)
-	}
+	moved := t.stopAndCopy(ctx)
 	m.mu.Lock()
 	m.moved = moved
 	m.mu.Unlock()
 	return true
 }
 
+// discard gives up what a move has made that is not needed: the stream ended, or its
+// caller left, while it was under way.
+func (m *mover) discard() {
+	m.cancel()
+	<-m.done
+	m.mu.Lock()
+	moved := m.moved
+	m.moved = nil
+	m.mu.Unlock()
+	if moved != nil {
+		moved.giveUp(m.leg.job)
+	}
+}
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -123,7 +123,7 @@
 
 // silentStart is the time without a head of an answer after which an engine counts as
 // silent: it is sent with the first event, which takes a second on a full engine.
-const silentStart = 3 * time.Second
+const silentStart = 2 * time.Second
 
 // failedStream passes on an endpoint's answer that is no stream.
 func (j *job) failedStream(p *fleet.Placement, resp *h1.Response) Verdict {
@@ -143,6 +143,15 @@
 	l.mover = newMover(l)
 	l.mover.start(ctx)
 	defer l.mover.stop()
+	end, next := l.pass(ctx, at)
+	if next == nil {
+		go l.mover.discard()
+	}
+	return end, next
+}
+
+// pass passes events on until the leg ends and finds the next one.
+func (l *leg) pass(ctx context.Context, at *progress) (legEnd, *leg) {
 	if !l.sink.Begun() {
 		l.verdict.Status = l.resp.StatusCode
 		if err := l.sink.Begin(l.resp.StatusCode, l.Protocol.AnswerHeader(l.resp.Header)); err != nil {
@@ -170,7 +179,10 @@
 	}
 	next := l.goOn(ctx, at)
 	if next != nil {
-		l.finish(fleet.Neutral)
+		l.resp.Close()
+		if next.p != l.p {
+			l.p.Release(fleet.Neutral)
+		}
 		return end, next
 	}
 	l.verdict.Detail = "stream cut: " + cause.Error()
@@ -274,33 +286,42 @@
 	if moved == nil {
 		return nil
 	}
-	for _, place := range moved.places {
-		resume := &Resume{Source: moved.source, Handle: moved.handle, LastEvent: at.last}
-		resp, err := l.send(ctx, place, resume)
-		if err != nil {
-			l.Log.Warn("stream not resumed", zap.String("request", l.r.ID),
-				zap.String("endpoint", place.Instance().ID), zap.Error(err))
-			place.Release(failedSend(err).health)
+	for _, place := range []*fleet.Placement{moved.target, l.p} {
+		if place == nil {
 			continue
 		}
-		if got, refused := l.refused(resp); refused || resp.StatusCode != http.StatusOK {
-			l.Log.Warn("stream not resumed", zap.String("request", l.r.ID),
-				zap.String("endpoint", place.Instance().ID), zap.Int("status", resp.StatusCode))
-			resp.Close()
-			place.Release(got.health)
-			continue
+		if resp := l.resume(ctx, place, moved, at); resp != nil {
+			return &leg{job: l.job, p: place, resp: resp}
 		}
-		moved.releaseOthers(place)
-		l.verdict.Moves++
-		metrics.Count("stream_moved")
-		l.Log.Info("stream goes on", zap.String("request", l.r.ID), zap.String("endpoint", place.Instance().ID),
-			zap.Int64("last_event", at.last), zap.Duration("pause", time.Since(at.lastAt)))
-		return &leg{job: l.job, p: place, resp: resp}
+	}
+	if moved.target != nil {
+		moved.target.Release(fleet.Neutral)
 	}
 	metrics.Count("stream_move_lost")
 	return nil
 }
 
+// resume sends the request on to an engine that has its memory; it returns nil if the
+// engine does not take it.
+func (l *leg) resume(ctx context.Context, place *fleet.Placement, moved *movedRun, at *progress) *h1.Response {
+	resume := &Resume{Source: moved.source, Handle: moved.handle, LastEvent: at.last}
+	resp, err := l.send(ctx, place, resume)
+	if err == nil {
+		_, refused := l.refused(resp)
+		if !refused && resp.StatusCode == http.StatusOK {
+			l.verdict.Moves++
+			metrics.Count("stream_moved")
+			l.Log.Info("stream goes on", zap.String("request", l.r.ID), zap.String("endpoint", place.Instance().ID),
+				zap.Int64("last_event", at.last), zap.Duration("pause", time.Since(at.lastAt)))
+			return resp
+		}
+		resp.Close()
+	}
+	l.Log.Warn("stream not resumed", zap.String("request", l.r.ID), zap.String("endpoint", place.Instance().ID),
+		zap.NamedError("cause", err))
+	return nil
+}
+
 // streamEnded makes the verdict of a stream.
 func (j *job) streamEnded(ctx context.Context, end legEnd, at *progress) Verdict {
 	j.verdict.Events = at.count
