Tell new nodes addresses in each datagram; test entry and gossip

Cause: addresses were told once a second, and nodes not known to live were sent to once a second; the two need never coincide, so that nodes could stay strangers. Found by the new test of gossip, which failed. A test of moves that end early covers freed copies. The stand-in now announces that it closes its connections; without, the next request could meet the close (fate unknown), as any endpoint's idle close can.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -192,11 +192,17 @@
 
 // round sends this node's state to every node that is due.
 func (g *Gossip) round(conn net.PacketConn) {
-	targets := g.due()
+	live, others := g.due()
+	g.send(conn, live, g.briefly())
+	// A node that does not know this one's addresses yet can do nothing with less.
+	g.send(conn, others, false)
+}
+
+func (g *Gossip) send(conn net.PacketConn, targets []string, brief bool) {
 	if len(targets) == 0 {
 		return
 	}
-	data := g.encode()
+	data := g.encode(brief)
 	for _, address := range targets {
 		to := &net.UDPAddr{IP: net.ParseIP(address), Port: g.o.Port}
 		if _, err := conn.WriteTo(data, to); err != nil {
@@ -205,12 +211,24 @@
 	}
 }
 
-// due lists the nodes to send to and drops those that are given up.
-func (g *Gossip) due() []string {
+// briefly tells whether live nodes are told of loads only this time.
+func (g *Gossip) briefly() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Now()
+	if g.full == 0 || now-g.full >= fullEvery {
+		g.full = now
+		return false
+	}
+	return true
+}
+
+// due lists the nodes to send to, those that are live and others, and drops those that
+// are given up.
+func (g *Gossip) due() (live, others []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Now()
-	var due []string
 	for address, p := range g.peers {
 		quiet := now - max(p.heard, p.added)
 		if p.live && quiet >= g.liveTimeLocked() {
@@ -222,30 +240,31 @@
 			delete(g.peers, address)
 			continue
 		}
-		if !p.live && p.sent != 0 && now-p.sent < probeEvery {
+		if p.live {
+			live = append(live, address)
 			continue
 		}
-		p.sent = now
-		due = append(due, address)
+		if p.sent == 0 || now-p.sent >= probeEvery {
+			p.sent = now
+			others = append(others, address)
+		}
 	}
-	return due
+	return live, others
 }
 
-func (g *Gossip) encode() []byte {
+func (g *Gossip) encode(brief bool) []byte {
 	state := g.o.State()
 	g.mu.Lock()
 	g.sequence++
 	state.Sequence = g.sequence
-	if now := g.o.Now(); g.full == 0 || now-g.full >= fullEvery {
-		g.full = now
-		for address, p := range g.peers {
-			if p.live && len(state.Known) < maxKnown {
-				state.Known = append(state.Known, address)
-			}
-		}
-	} else {
+	if brief {
 		shorten(state)
 	}
+	for address, p := range g.peers {
+		if !brief && p.live && len(state.Known) < maxKnown {
+			state.Known = append(state.Known, address)
+		}
+	}
 	g.mu.Unlock()
 	data, err := proto.Marshal(state)
 	for err == nil && len(data) > maxDatagram && len(state.GetLoads()) > 0 {
@@ -304,7 +323,9 @@
 		return false
 	}
 	if s.GetBrief() && s.GetIncarnation() != p.incarnation {
-		// Its addresses come with the next whole datagram.
+		// Its addresses come with the next whole datagram; it is asked for by telling
+		// the node of this one.
+		p.live, p.sent = false, 0
 		return false
 	}
 	p.incarnation, p.sequence = s.GetIncarnation(), s.GetSequence()
--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,132 @@
+package gossip_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel/exchange/exchangev1"
+	"github.com/crocusreel/crocusreel/gossip"
+	"github.com/crocusreel/crocusreel/internal/boottime"
+)
+
+// node is one node on a loopback address of its own.
+type node struct {
+	*gossip.Gossip
+	ip   string
+	stop context.CancelFunc
+
+	mu    sync.Mutex
+	heard []*exchangev1.NodeState
+	lost  []string
+	ready bool
+}
+
+// port is one that is below the ports of outgoing connections.
+const port = 23117
+
+func start(ip string, incarnation uint64) *node {
+	n := &node{ip: ip, ready: true}
+	n.Gossip = gossip.New(gossip.Options{
+		IP: ip, Port: port, Now: boottime.Now, Log: zap.NewNop(),
+		State: func() *exchangev1.NodeState {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return &exchangev1.NodeState{
+				Address: ip, CallerAddress: ip + ":1", PeerAddress: ip + ":2", DataCentre: "dc", Incarnation: incarnation, Ready: n.ready,
+				Loads: []*exchangev1.EndpointLoad{{Key: 7, Count: 1}},
+			}
+		},
+		Heard: func(s *exchangev1.NodeState) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.heard = append(n.heard, s)
+		},
+		Lost: func(address string) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.lost = append(n.lost, address)
+		},
+	})
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer GinkgoRecover()
+		defer close(done)
+		Expect(n.Run(ctx)).To(Succeed())
+	}()
+	DeferCleanup(func() {
+		n.stop()
+		<-done
+	})
+	return n
+}
+
+func (n *node) live() []string {
+	var live []string
+	for _, p := range n.Live() {
+		live = append(live, p.Address)
+	}
+	return live
+}
+
+func (n *node) lostNodes() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]string(nil), n.lost...)
+}
+
+func (n *node) heardCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.heard)
+}
+
+var _ = Describe("nodes that gossip", func() {
+	// A new node knows one other node only, as after a start with one good seed.
+	It("learn of all through one, and tell what has changed", func() {
+		a, b, c := start("127.0.0.11", 1), start("127.0.0.12", 1), start("127.0.0.13", 1)
+		a.Add(b.ip)
+		c.Add(b.ip)
+		Eventually(a.live, 3*time.Second).Should(Equal([]string{b.ip, c.ip}))
+		Eventually(c.live, 3*time.Second).Should(Equal([]string{a.ip, b.ip}))
+		b.mu.Lock()
+		b.ready = false
+		b.mu.Unlock()
+		Eventually(func() bool { return a.Live()[0].Ready }, time.Second).Should(BeFalse())
+		Expect(a.Live()[0].PeerAddress).To(Equal(b.ip + ":2"))
+	})
+
+	// A node falls silent without a word. The work that it told of must not be counted
+	// for ever, and callers must not be sent there.
+	It("lose one that is silent, and find it again", func() {
+		a, b := start("127.0.0.21", 1), start("127.0.0.22", 1)
+		a.Add(b.ip)
+		Eventually(a.live, 2*time.Second).Should(Equal([]string{b.ip}))
+		b.stop()
+		Eventually(a.lostNodes, 3*time.Second).Should(Equal([]string{b.ip}))
+		Expect(a.live()).To(BeEmpty())
+		again := start(b.ip, 2)
+		Eventually(a.live, 3*time.Second).Should(Equal([]string{again.ip}))
+	})
+
+	// New work is told at once: a node that learns of it a round later chooses the same
+	// engine meanwhile.
+	It("tell of new work before the next round", func() {
+		a, b := start("127.0.0.31", 1), start("127.0.0.32", 1)
+		a.Add(b.ip)
+		Eventually(a.live, 2*time.Second).ShouldNot(BeEmpty())
+		Eventually(b.live, 2*time.Second).ShouldNot(BeEmpty())
+		before := b.heardCount()
+		for range 5 {
+			a.Tell()
+			time.Sleep(15 * time.Millisecond)
+		}
+		Expect(b.heardCount() - before).To(BeNumerically(">=", 3))
+	})
+})
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -59,7 +59,6 @@
 // Memory is what several engines share: the memory of runs that was moved.
 type Memory struct {
 	mu      sync.Mutex
-	next    int
 	handles map[string]int64
 }
 
@@ -78,6 +77,8 @@
 	Gap    time.Duration
 	// Memory is shared by engines between which runs move.
 	Memory *Memory
+	// MoveTime is the time that a copy takes.
+	MoveTime time.Duration
 	// FaultOf chooses the fault for a request; nil for none.
 	FaultOf func(r *Run) Fault
 }
@@ -112,6 +113,7 @@
 	w := &Worker{options: o, listener: listener, streams: make(map[string]*stream)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /kv-move", w.move)
+	mux.HandleFunc("DELETE /kv-handle/{handle}", w.free)
 	mux.HandleFunc("GET /report", w.report)
 	mux.HandleFunc("/", w.serve)
 	w.server = &http.Server{Handler: mux}
@@ -179,7 +181,7 @@
 }
 
 func (w *Worker) head(run Run, status int, framing string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nCrocusreel-Attempt-Id: %s\r\nCrocusreel-Response-Seal: %s\r\nContent-Type: text/plain\r\n%s\r\n",
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nCrocusreel-Attempt-Id: %s\r\nCrocusreel-Response-Seal: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n%s\r\n",
 		status, http.StatusText(status), run.ID, Seal(w.options.ID, run.ID), framing)
 }
 
@@ -196,13 +198,14 @@
 	case Truncate:
 		text = text[:len(text)-3]
 	case Foreign:
-		text = w.head(Run{ID: "foreign"}, http.StatusOK, "Content-Length: 3\r\n") + "bad" + text
+		foreign := w.head(Run{ID: "foreign"}, http.StatusOK, "Content-Length: 3\r\n") + "bad"
+		text = strings.Replace(foreign, "Connection: close\r\n", "", 1) + text
 	case Extra:
 		text += w.head(run, http.StatusOK, "Content-Length: 3\r\n") + "bad"
 	case Unframed:
-		text = w.head(run, http.StatusOK, "Connection: close\r\n") + body
+		text = w.head(run, http.StatusOK, "") + body
 	case UnframedReset:
-		text = w.head(run, http.StatusOK, "Connection: close\r\n") + body[:4]
+		text = w.head(run, http.StatusOK, "") + body[:4]
 	case Hang:
 		time.Sleep(time.Minute)
 	case Crash:
@@ -313,19 +316,38 @@
 		s.once.Do(func() { close(s.stop) })
 	}
 	w.mu.Unlock()
-	handle := w.options.Memory.keep(made)
+	time.Sleep(w.options.MoveTime)
+	handle := w.options.Memory.keep(body.ID, made)
 	_ = json.NewEncoder(rw).Encode(map[string]any{"cache_handle": handle, "created": made})
 }
 
-func (m *Memory) keep(made int64) string {
+// keep makes or renews the copy of a run.
+func (m *Memory) keep(run string, made int64) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.next++
-	handle := "h" + strconv.Itoa(m.next)
+	handle := "copy-of-" + run
 	m.handles[handle] = made
 	return handle
 }
 
+func (w *Worker) free(rw http.ResponseWriter, r *http.Request) {
+	w.options.Memory.drop(r.PathValue("handle"))
+	rw.WriteHeader(http.StatusOK)
+}
+
+func (m *Memory) drop(handle string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.handles, handle)
+}
+
+// Copies returns the number of copies that are neither used nor freed.
+func (m *Memory) Copies() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.handles)
+}
+
 func (w *Worker) report(rw http.ResponseWriter, _ *http.Request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -182,14 +182,17 @@
 		func(fault worker.Fault) {
 			r := newRig()
 			bad := r.service("bad", fault)
-			req := r.request(routing.Idempotent)
-			for len(bad.Runs()) == 0 && fault != worker.Shed {
-				req = r.request(routing.Idempotent)
-				r.service("good", worker.None)
+			r.service("good", worker.None)
+			for range 20 {
+				req := r.request(routing.Idempotent)
 				v, a := r.serve(req)
 				Expect(v.Refusal).To(BeNil())
 				Expect(a.text()).To(Equal("answer to " + req.ID))
+				if len(bad.Runs()) > 0 {
+					return
+				}
 			}
+			Fail("the endpoint at fault was never chosen")
 		},
 		Entry("failure of the endpoint", worker.Fail),
 		Entry("lost answer", worker.LoseAnswer),
@@ -322,6 +325,34 @@
 		Expect(second.Runs()[0].Resumed).To(BeTrue())
 	})
 
+	// A stream ends, or its caller leaves, while its memory is copied away. A copy left
+	// behind would hold memory that other requests then wait for.
+	DescribeTable("leaves no copy and no place behind when it ends while it moves",
+		func(callerLeaves bool) {
+			r := newRig()
+			r.start("pool", worker.Options{
+				ID: "first", Events: 30, Gap: 5 * time.Millisecond, Memory: r.memory, MoveTime: 300 * time.Millisecond,
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			a := &answer{}
+			done := make(chan relay.Verdict)
+			go func() { done <- r.Serve(ctx, r.request(routing.Streaming), a) }()
+			Eventually(a.text).Should(ContainSubstring("id: 5\n"))
+			r.engine("second", 30, nil)
+			r.leaving("first")
+			if callerLeaves {
+				time.Sleep(30 * time.Millisecond)
+				cancel()
+			}
+			Eventually(done, 3*time.Second).Should(Receive())
+			Eventually(r.Fleet.OwnLoads, 3*time.Second).Should(BeEmpty())
+			Expect(r.memory.Copies()).To(BeZero())
+		},
+		Entry("end of the stream", false),
+		Entry("caller gone", true),
+	)
+
 	// An engine leaves and no other has room: the stream goes on there to its end, which
 	// may come before the engine's.
 	It("stays where it is when there is no other engine", func() {
