--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -31,11 +31,13 @@
 	gate   *entry.Gate
 	app    *worker.Worker
 	url    string
+	// usage and hint are the sizes that callers state.
+	usage, hint string
 }
 
 func newSite() *site {
 	GinkgoHelper()
-	s := &site{now: time.Hour, gate: entry.NewGate()}
+	s := &site{now: time.Hour, gate: entry.NewGate(), usage: "100,2000"}
 	s.config = knowledge.NewConfiguration(func() time.Duration { return s.now })
 	client := h1.NewClient()
 	endpoints := fleet.New("dc1", boottime.Now)
@@ -112,7 +114,10 @@
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
 	req.Header.Set("Crocusreel-Deadline-Ms", "5000")
-	req.Header.Set("Crocusreel-Token-Usage", "100,2000")
+	req.Header.Set("Crocusreel-Token-Usage", s.usage)
+	if s.hint != "" {
+		req.Header.Set("Crocusreel-Length-Hint", s.hint)
+	}
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = resp.Body.Close() }()
@@ -197,6 +202,19 @@
 		Expect(call.status).To(Equal(http.StatusOK))
 	})
 
+	// Callers' estimates are often far too low: a draft that was expected to take two
+	// seconds takes twenty, and is cut when the node stops. Only the longest answer that
+	// is allowed says whether it can end in time.
+	It("does not trust a caller's estimate while it is leaving", func() {
+		s := newSite()
+		s.configure()
+		s.hint = "40"
+		s.gate.Leave(time.Now().Add(3 * time.Second))
+		Expect(s.send("/drafts/1", "key", "").status).To(Equal(http.StatusServiceUnavailable))
+		s.usage = "100,48"
+		Expect(s.send("/drafts/1", "key", "").status).To(Equal(http.StatusOK))
+	})
+
 	// A process ends between two requests of one connection. A request that comes in that
 	// moment must not be begun.
 	It("begins nothing once it is closed", func() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -289,14 +289,14 @@
 }
 
 const (
-	// expectedFirst and expectedPerToken estimate the time of a generation for
-	// decisions that only need its order of magnitude: a prompt is read within a second
-	// on an engine that is half full, and a token takes 9 ms there.
-	expectedFirst    = time.Second
-	expectedPerToken = 9 * time.Millisecond
+	// longestFirst and longestPerToken are the times of a generation on a crowded engine:
+	// reading its prompt behind others, and one token.
+	longestFirst    = 2 * time.Second
+	longestPerToken = 12 * time.Millisecond
 )
 
-// ExpectedTime estimates how long a generation takes.
-func ExpectedTime(s Size) time.Duration {
-	return expectedFirst + time.Duration(s.expectedOutput())*expectedPerToken
+// LongestTime is how long a generation may take. It goes by the longest answer that is
+// allowed: callers' estimates are right at the median and often far too low.
+func LongestTime(s Size) time.Duration {
+	return longestFirst + time.Duration(s.MaxOutput)*longestPerToken
 }
