--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -26,6 +26,8 @@
 
 	path string
 	args []string
+	// env are variables beside those of this process, as name=value.
+	env []string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -37,6 +39,14 @@
 	return &Process{Name: name, LogPath: logPath, path: path, args: args}
 }
 
+// NewProcess describes a program that is not part of a Rig, with variables as
+// name=value beside those of this process.
+func NewProcess(name, logPath, path string, env []string, args ...string) *Process {
+	p := newProcess(name, logPath, path, args...)
+	p.env = env
+	return p
+}
+
 // starts carries the commands to the goroutine that starts them.
 var starts = sync.OnceValue(func() chan func() {
 	ch := make(chan func())
@@ -72,6 +82,9 @@
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command(p.path, p.args...)
 	cmd.Stdout, cmd.Stderr = log, log
+	if len(p.env) > 0 {
+		cmd.Env = append(os.Environ(), p.env...)
+	}
 	// A process must not outlive the one that steers it.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := startCommand(cmd); err != nil {
--- /dev/null
+++ b/tests/node/node_test.go
@@ -0,0 +1,187 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/internal/standin/admin"
+)
+
+func events(id string, count int) string {
+	var b strings.Builder
+	for i := 1; i <= count; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d of %s\n\n", i, i, id)
+	}
+	return b.String()
+}
+
+// expectCall waits until a call is served at the node.
+func (s *site) expectCall(n *member) {
+	GinkgoHelper()
+	Eventually(func() int { return s.send(n, "/calls/1", "key").status }, 3*time.Second).Should(Equal(http.StatusOK))
+}
+
+var _ = Describe("nodes on the platform", func() {
+	It("serve calls and streams, and name each other to callers", func() {
+		s := newSite()
+		s.app("i1")
+		s.engine("e1", 30)
+		s.start(3)
+		for _, n := range s.nodes {
+			s.expectCall(n)
+			r := s.send(n, "/drafts/1", "key")
+			Expect(r.whole).To(BeTrue())
+			Expect(r.body).To(Equal(events(r.id, 30)))
+			Expect(s.send(n, "/calls/1", "wrong").status).To(Equal(http.StatusUnauthorized))
+			Expect(s.send(n, "/nowhere/1", "key").status).To(Equal(http.StatusNotFound))
+		}
+	})
+
+	// A machine loses power. Callers that ask the others must not be sent there.
+	It("leave out one that was killed, and take it back", func() {
+		s := newSite()
+		s.app("i1")
+		s.start(3)
+		s.nodes[1].Kill()
+		for _, n := range []*member{s.nodes[0], s.nodes[2]} {
+			Eventually(n.addresses, 2*time.Second, 50*time.Millisecond).Should(HaveLen(2))
+			s.expectCall(n)
+		}
+		Expect(s.nodes[1].Start()).To(Succeed())
+		s.awaitAll()
+		s.expectCall(s.nodes[1])
+	})
+
+	// All machines lose power at once and come back together: nobody is there to ask but
+	// the store.
+	It("serve again soon after all were killed at once", func() {
+		s := newSite()
+		s.app("i1")
+		s.start(3)
+		for _, n := range s.nodes {
+			n.Kill()
+		}
+		began := time.Now()
+		for _, n := range s.nodes {
+			Expect(n.Start()).To(Succeed())
+		}
+		for _, n := range s.nodes {
+			s.expectCall(n)
+		}
+		Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+	})
+
+	// A node is stopped while a draft runs through it. Its caller gets the whole draft;
+	// new callers are sent elsewhere at once.
+	It("finish what runs when they are told to stop", func() {
+		s := newSite()
+		s.app("i1")
+		s.engine("e1", 250)
+		s.start(2)
+		done := make(chan reply, 1)
+		go func() { done <- s.send(s.nodes[0], "/drafts/1", "key") }()
+		time.Sleep(300 * time.Millisecond)
+		s.nodes[0].Terminate()
+		Eventually(s.nodes[0].ready, 500*time.Millisecond).Should(BeFalse())
+		Eventually(s.nodes[1].addresses, time.Second).Should(HaveLen(1))
+		var r reply
+		Eventually(done, 6*time.Second).Should(Receive(&r))
+		Expect(r.whole).To(BeTrue())
+		Expect(r.body).To(Equal(events(r.id, 250)))
+		Eventually(s.nodes[0].Running, 8*time.Second).Should(BeFalse())
+	})
+
+	// An engine is reclaimed in the middle of a draft.
+	It("carry a stream to another engine when its engine leaves", func() {
+		s := newSite()
+		first := s.engine("e1", 150)
+		s.start(2)
+		done := make(chan reply, 1)
+		go func() { done <- s.send(s.nodes[0], "/drafts/1", "key") }()
+		Eventually(first.Runs, 2*time.Second).Should(HaveLen(1))
+		second := s.engine("e2", 150)
+		time.Sleep(200 * time.Millisecond)
+		s.register("e1", "pool", first.Address(), "draining")
+		var r reply
+		Eventually(done, 6*time.Second).Should(Receive(&r))
+		Expect(r.whole).To(BeTrue())
+		Expect(r.body).To(Equal(events(r.id, 150)))
+		Expect(second.Runs()).To(HaveLen(1))
+	})
+
+	// A key is taken away while one node is frozen. When it wakes, it still knows the
+	// key; a request that waited in its socket must not run.
+	It("run nothing for a key that was taken away while they were frozen", func() {
+		s := newSite()
+		s.keys = []string{"key", "old"}
+		s.configure()
+		app := s.app("i1")
+		s.start(2)
+		frozen := s.nodes[1]
+		Expect(s.send(frozen, "/calls/1", "old").status).To(Equal(http.StatusOK))
+		frozen.Freeze()
+		s.keys = []string{"key"}
+		s.configure()
+		time.Sleep(5100 * time.Millisecond)
+		done := make(chan reply, 1)
+		go func() { done <- s.send(frozen, "/calls/1", "old") }()
+		time.Sleep(100 * time.Millisecond)
+		ran := len(app.Runs())
+		frozen.Thaw()
+		var r reply
+		Eventually(done, 5*time.Second).Should(Receive(&r))
+		Expect(r.status).To(BeElementOf(http.StatusUnauthorized, http.StatusServiceUnavailable))
+		Expect(app.Runs()).To(HaveLen(ran))
+		s.expectCall(frozen)
+	})
+
+	// The store is out of reach for everybody. Keys are served as long as nobody can have
+	// taken them away for too long, and then callers are asked to come back; once the
+	// store is back they are served again.
+	It("serve through a short outage of the store, refuse in a long one, and recover", func() {
+		s := newSite()
+		s.app("i1")
+		s.start(2)
+		Expect(s.faults.SetFaults(GinkgoT().Context(), admin.PlatformFaults{Unreachable: true})).To(Succeed())
+		for range 10 {
+			Expect(s.send(s.nodes[0], "/calls/1", "key").status).To(Equal(http.StatusOK))
+			time.Sleep(150 * time.Millisecond)
+		}
+		Eventually(func() int { return s.send(s.nodes[0], "/calls/1", "key").status }, 5*time.Second).
+			Should(Equal(http.StatusServiceUnavailable))
+		Expect(s.send(s.nodes[0], "/calls/1", "unknown").status).To(Equal(http.StatusServiceUnavailable))
+		Expect(s.faults.SetFaults(GinkgoT().Context(), admin.PlatformFaults{})).To(Succeed())
+		s.expectCall(s.nodes[0])
+		s.expectCall(s.nodes[1])
+	})
+
+	// The store drops its history while a change is made: those who follow it must read
+	// the tables again, or they would miss the change.
+	It("see changes made while the store's history is dropped", func() {
+		s := newSite()
+		s.app("i1")
+		s.start(2)
+		s.keys = []string{"new"}
+		s.configure()
+		Expect(s.faults.SetFaults(GinkgoT().Context(), admin.PlatformFaults{DropHistory: true})).To(Succeed())
+		for _, n := range s.nodes {
+			Eventually(func() int { return s.send(n, "/calls/1", "new").status }, 2*time.Second).Should(Equal(http.StatusOK))
+			Expect(s.send(n, "/calls/1", "key").status).To(Equal(http.StatusUnauthorized))
+		}
+	})
+
+	It("end with a message that names the line when the settings are wrong", func() {
+		s := newSite()
+		n := s.node("127.0.99.1", "")
+		broken := strings.Replace(readFile(s.dir, n.ip+".conf"), "bounds.grace_s=8", "bounds.grace_s=soon", 1)
+		writeFile(s.dir, n.ip+".conf", broken)
+		Expect(n.Start()).To(Succeed())
+		Eventually(n.Running, 3*time.Second).Should(BeFalse())
+		Expect(readFile(s.dir, n.ip+".log")).To(ContainSubstring("bounds.grace_s"))
+	})
+})
--- /dev/null
+++ b/tests/node/site_test.go
@@ -0,0 +1,248 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/internal/rig"
+	"github.com/crocusreel/crocusreel/internal/standin/admin"
+	standin "github.com/crocusreel/crocusreel/internal/standin/platform"
+	"github.com/crocusreel/crocusreel/internal/standin/worker"
+	"github.com/crocusreel/crocusreel/platform"
+)
+
+// Ports of every node; each node has a loopback address of its own.
+const (
+	callerPort  = 23740
+	readyPort   = 23749
+	peerPort    = 23748
+	addressPort = 23746
+	gossipPort  = 23720
+)
+
+// sites numbers the sites, so that no two specs use the same addresses.
+var sites atomic.Int32
+
+// site is a small deployment.
+type site struct {
+	store  *platform.Store
+	faults *admin.Client
+	memory *worker.Memory
+	nodes  []*member
+	keys   []string
+	config int
+	ids    atomic.Int32
+	dir    string
+	addr   string
+}
+
+// member is one node.
+type member struct {
+	*rig.Process
+	ip string
+}
+
+// newSite starts a store with a configuration, an engine and two plain endpoints.
+func newSite() *site {
+	GinkgoHelper()
+	server := httptest.NewServer(standin.New(standin.Options{Latency: 2 * time.Millisecond}).Handler())
+	DeferCleanup(server.Close)
+	s := &site{memory: worker.NewMemory(), keys: []string{"key"}, dir: GinkgoT().TempDir()}
+	s.addr = strings.TrimPrefix(server.URL, "http://")
+	s.store = platform.NewStore(s.addr, time.Second)
+	s.faults = admin.NewClient(s.addr)
+	s.configure()
+	return s
+}
+
+// configure writes the next version of the configuration.
+func (s *site) configure() {
+	GinkgoHelper()
+	s.config++
+	data, err := json.Marshal(map[string]any{
+		"version": s.config,
+		"routes": []map[string]any{
+			{"name": "calls", "host": "a.example", "prefix": "/calls/", "type": "idempotent", "service": "app", "max_attempts": 2, "timeout_ms": 3000, "target_latency_ms": 200},
+			{"name": "bookings", "host": "a.example", "prefix": "/bookings/", "type": "non_idempotent", "service": "app", "max_attempts": 1, "timeout_ms": 3000},
+			{"name": "drafts", "host": "a.example", "prefix": "/drafts/", "type": "streaming", "service": "pool", "max_attempts": 1, "timeout_ms": 20000, "target_latency_ms": 1000},
+		},
+		"services": []map[string]any{
+			{"name": "app", "max_connections": 100},
+			{"name": "pool", "max_connections": 100, "runtime": map[string]any{
+				"batch_size": 24, "kv_capacity": 34360, "kv_bytes": 18432, "link_mbps": 2700, "migrations": true, "stride": 4,
+			}},
+		},
+		"tenants": []map[string]any{{"name": "ws", "api_keys": s.keys}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	s.write(platform.Write{Table: platform.TableOperator, Key: platform.KeyConfiguration, Value: data})
+}
+
+func (s *site) write(w platform.Write) {
+	GinkgoHelper()
+	_, err := s.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{w}})
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// register writes the entry of an endpoint.
+func (s *site) register(id, service, address, phase string) {
+	GinkgoHelper()
+	data, err := json.Marshal(map[string]any{"service": service, "address": address, "zone": "dc1", "batch_size": 24, "phase": phase})
+	Expect(err).NotTo(HaveOccurred())
+	s.write(platform.Write{Table: platform.TableEndpoints, Key: id, Value: data})
+}
+
+func (s *site) app(id string) *worker.Worker {
+	GinkgoHelper()
+	w, err := worker.Start(worker.Options{ID: id})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(w.Stop)
+	s.register(id, "app", w.Address(), "ready")
+	return w
+}
+
+func (s *site) engine(id string, events int) *worker.Worker {
+	GinkgoHelper()
+	w, err := worker.Start(worker.Options{ID: id, Events: events, Gap: 10 * time.Millisecond, Memory: s.memory})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(w.Stop)
+	s.register(id, "pool", w.Address(), "ready")
+	return w
+}
+
+// start starts so many nodes and waits until they are ready and know each other.
+func (s *site) start(count int) {
+	GinkgoHelper()
+	number := sites.Add(1)
+	var seeds []string
+	for i := range count {
+		seeds = append(seeds, fmt.Sprintf("127.0.%d.%d:%d", 100+number, i+1, peerPort))
+	}
+	for i := range count {
+		s.nodes = append(s.nodes, s.node(fmt.Sprintf("127.0.%d.%d", 100+number, i+1), strings.Join(seeds, ",")))
+	}
+	for _, n := range s.nodes {
+		Expect(n.Start()).To(Succeed())
+	}
+	s.awaitAll()
+}
+
+func (s *site) awaitAll() {
+	GinkgoHelper()
+	for _, n := range s.nodes {
+		Eventually(n.addresses, 5*time.Second, 50*time.Millisecond).Should(HaveLen(len(s.nodes)))
+	}
+}
+
+func (s *site) node(ip, seeds string) *member {
+	GinkgoHelper()
+	settings := fmt.Sprintf(`node_name=node-%[1]s
+ip=%[1]s
+zone=dc1
+region=north
+zones.dc1=north
+listen.frontend=%[1]s:%[2]d
+listen.ready=%[1]s:%[3]d
+listen.control_plane=%[1]s:%[4]d
+listen.registry=%[1]s:%[5]d
+internal_ports=%[6]d,%[6]d
+seed_nodes=%[7]s
+limits.memory_mb=134
+bounds.revoke_strict=true
+bounds.revoke_ms=5000
+bounds.grace_s=8
+bounds.retry_slack=50
+platform.address=%[8]s
+`, ip, callerPort, readyPort, peerPort, addressPort, gossipPort, seeds, s.addr)
+	path := filepath.Join(s.dir, ip+".conf")
+	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
+	log := filepath.Join(s.dir, ip+".log")
+	n := &member{ip: ip, Process: rig.NewProcess("node "+ip, log, bin, []string{platform.SettingsVariable + "=" + path})}
+	DeferCleanup(func() {
+		n.Thaw()
+		n.Kill()
+		if CurrentSpecReport().Failed() {
+			text, err := os.ReadFile(log)
+			Expect(err).NotTo(HaveOccurred())
+			AddReportEntry(log, string(text))
+		}
+	})
+	return n
+}
+
+var client = &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// addresses asks the node where to connect; nil if it does not answer.
+func (n *member) addresses() []string {
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d/lookup?name=a.example&zone=dc1&region=north", n.ip, addressPort))
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer platform.AddressAnswer
+	if json.NewDecoder(resp.Body).Decode(&answer) != nil {
+		return nil
+	}
+	return answer.Addresses
+}
+
+func (n *member) ready() bool {
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d/readyz", n.ip, readyPort))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+type reply struct {
+	id     string
+	status int
+	body   string
+	whole  bool
+}
+
+// send sends a request to the node; status 0 means that there was no answer.
+func (s *site) send(n *member, path, key string) reply {
+	id := fmt.Sprintf("%s-%d", filepath.Base(s.dir), s.ids.Add(1))
+	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, callerPort, path), strings.NewReader("body"))
+	if err != nil {
+		return reply{id: id}
+	}
+	req.Host = "a.example"
+	req.Header.Set("Crocusreel-Attempt-Id", id)
+	req.Header.Set("Crocusreel-Deadline-Ms", "12000")
+	req.Header.Set("Crocusreel-Token-Usage", "1000,400")
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{id: id}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return reply{id: id, status: resp.StatusCode, body: string(body), whole: err == nil}
+}
+
+func readFile(dir, name string) string {
+	GinkgoHelper()
+	data, err := os.ReadFile(filepath.Join(dir, name))
+	Expect(err).NotTo(HaveOccurred())
+	return string(data)
+}
+
+func writeFile(dir, name, text string) {
+	GinkgoHelper()
+	Expect(os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600)).To(Succeed())
+}
--- /dev/null
+++ b/tests/node/suite_test.go
@@ -0,0 +1,31 @@
+// Package node_test runs the real node program as separate processes on one machine,
+// before stand-ins of the platform's store and of its endpoints, and injects faults from
+// outside: signals to the processes, faults of the store, endpoints that leave.
+package node_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/internal/rig"
+)
+
+var bin string
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "node")
+}
+
+var _ = BeforeSuite(func() {
+	dir, err := os.MkdirTemp("", "crocusreel-node-")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(os.RemoveAll, dir)
+	Expect(rig.Build(context.Background(), "../..", dir)).To(Succeed())
+	bin = filepath.Join(dir, "crocusreel-node")
+})
