Ask engines for their health while the store does not tell who leaves

Cause: during an outage of the store no entry tells that an engine is reclaimed; two engines in each 3.3 s took their streams with them. Ruled out: reports (half a second old, a third of the notice), checks by every node (eight times the price); the first node of a data centre checks its busy engines and tells the others.

--- /dev/null
+++ b/fleet/doubt.go
@@ -0,0 +1,49 @@
+package fleet
+
+import "slices"
+
+// While the store is away, no entry tells that an endpoint is about to leave. Its health
+// check does, and what one node learns by it the others are told. An entry that is
+// written later goes before it.
+
+// Busy returns the endpoints of a service in a data centre on which anything runs and
+// that are not known to leave.
+func (f *Fleet) Busy(service, dataCentre string) []Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var busy []Instance
+	for _, e := range f.services[service] {
+		if e.DataCentre == dataCentre && !e.isLeaving && e.total().Count > 0 {
+			busy = append(busy, e.Instance)
+		}
+	}
+	return busy
+}
+
+// Unhealthy records that an endpoint said at its health check that it leaves.
+func (f *Fleet) Unhealthy(key EndpointKey) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.byID {
+		if e.key == key && !e.isLeaving {
+			e.byHealth = true
+			e.markLeaving(f.now())
+			return true
+		}
+	}
+	return false
+}
+
+// UnhealthyKeys returns the endpoints that count as leaving by their health check alone.
+func (f *Fleet) UnhealthyKeys() []EndpointKey {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var keys []EndpointKey
+	for _, e := range f.byID {
+		if e.byHealth {
+			keys = append(keys, e.key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -61,6 +61,8 @@
 	health    health
 	// arriving is the number of moves of this node that copy memory to the endpoint.
 	arriving int
+	// byHealth is set while it counts as leaving by its health check alone.
+	byHealth bool
 	// left is when the endpoint was found to be leaving.
 	left time.Duration
 }
@@ -94,6 +96,12 @@
 	close(e.leaving)
 }
 
+// stay takes back that the endpoint is leaving.
+func (e *Endpoint) stay() {
+	e.isLeaving, e.byHealth = false, false
+	e.leaving = make(chan struct{})
+}
+
 // health remembers failures of an endpoint whose health check may be good.
 type health struct {
 	// failures and successes decay with healthMemory.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -74,7 +74,10 @@
 	e.missingAt = 0
 	e.warmUntil = f.now() + in.Warming
 	if in.Leaving {
+		e.byHealth = false
 		e.markLeaving(f.now())
+	} else if e.byHealth {
+		e.stay()
 	}
 	f.dispatchLocked(in.Service)
 	return !known
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -56,7 +56,11 @@
 func (p *Placement) Instance() Instance { return p.endpoint.Instance }
 
 // Leaving is closed once the endpoint is about to stop.
-func (p *Placement) Leaving() <-chan struct{} { return p.endpoint.leaving }
+func (p *Placement) Leaving() <-chan struct{} {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.endpoint.leaving
+}
 
 // tokens is the memory that the run is expected to need. An answer that has outgrown
 // its expectation is expected to go on for a while.
--- a/node/follow.go
+++ b/node/follow.go
@@ -57,7 +57,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known, ages := n.config.Current()
-	if known.Table == nil {
+	if known.Table == nil || n.entries.known() == 0 {
 		return "", false
 	}
 	if ages.Answered > readerStale || n.entries.age() > endpointsStale {
--- /dev/null
+++ b/node/health.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/internal/metrics"
+)
+
+const (
+	// healthEvery is the time between two rounds of health checks while the store is
+	// away. Engines are gone 1.5 s after their notice; a round costs one check for each
+	// busy engine, so there are none while the store tells who leaves.
+	healthEvery = 300 * time.Millisecond
+	// healthTimeout bounds a check, which takes milliseconds.
+	healthTimeout = 250 * time.Millisecond
+)
+
+// checkHealth asks the engines of this data centre whether they go on while the store
+// does not tell. Of the nodes of a data centre, the first does it for all.
+func (n *Node) checkHealth(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, healthEvery)
+		if !n.storeAway() || !n.firstInDataCentre() {
+			continue
+		}
+		known, _ := n.config.Current()
+		if known.Table == nil {
+			continue
+		}
+		for name, service := range known.Table.Services {
+			if service.Engine != nil && service.HealthPath != "" {
+				n.checkAll(ctx, n.fleet.Busy(name, n.settings.DataCentre), service.HealthPath)
+			}
+		}
+	}
+	return nil
+}
+
+// storeAway tells whether the list of endpoints cannot be followed.
+func (n *Node) storeAway() bool {
+	return n.configFeed.unsteady(0) || n.endpointFeed.unsteady(0) || n.entries.age() > endpointsStale
+}
+
+func (n *Node) firstInDataCentre() bool {
+	for _, p := range n.gossip.Live() {
+		if p.DataCentre == n.settings.DataCentre && !p.Leaving && p.Address < n.settings.IP {
+			return false
+		}
+	}
+	return !n.gate.Leaving()
+}
+
+func (n *Node) checkAll(ctx context.Context, busy []fleet.Instance, path string) {
+	var checks sync.WaitGroup
+	for _, in := range busy {
+		checks.Go(func() { n.check(ctx, in, path) })
+	}
+	checks.Wait()
+}
+
+func (n *Node) check(ctx context.Context, in fleet.Instance, path string) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	metrics.Count("health_checks")
+	goesOn, err := n.engines.Health(ctx, in.Address, path, in.ID)
+	if err != nil || goesOn {
+		return
+	}
+	if n.fleet.Unhealthy(fleet.KeyOf(in.ID)) {
+		n.log.Info("endpoint leaves by its health check", zap.String("endpoint", in.ID), zap.String("address", in.Address))
+		n.gossip.Tell()
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -59,6 +59,7 @@
 	gossip   *gossip.Gossip
 	relay    *relay.Relay
 	client   *h1.Client
+	engines  *platform.Engines
 	gate     *entry.Gate
 	entries  entries
 	follower follower
@@ -87,6 +88,7 @@
 		gate:        entry.NewGate(),
 		peerClient:  peer.NewHTTPClient(nil),
 	}
+	n.engines = platform.NewEngines(n.client)
 	n.client.Opened = func() { metrics.Count("endpoint_connections") }
 	n.gossip = gossip.New(gossip.Options{
 		IP:    s.IP,
@@ -102,7 +104,7 @@
 		Fleet:    n.fleet,
 		Client:   n.client,
 		Protocol: platform.Wire{},
-		Mover:    platform.NewEngines(n.client),
+		Mover:    n.engines,
 		Budgets: &retry.Windows{
 			Ratio:  s.RetryRatio,
 			Slack:  s.RetrySlack,
@@ -172,7 +174,7 @@
 	}
 	addServer(&group, peer.NewServer(n.peerHandler(), nil), peers)
 	for _, task := range []func(context.Context) error{
-		n.configFeed.run, n.endpointFeed.run, n.gossip.Run, n.join, n.follow, n.housekeeping, n.awaitSignal,
+		n.configFeed.run, n.endpointFeed.run, n.gossip.Run, n.join, n.follow, n.housekeeping, n.checkHealth, n.awaitSignal,
 	} {
 		daemon.AddTask(&group, task)
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/crocusreel/crocusreel/exchange/exchangev1"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/peer"
@@ -30,6 +32,9 @@
 			Unread: uint32(max(l.Unread, 0)),
 		})
 	}
+	for _, key := range n.fleet.UnhealthyKeys() {
+		s.LeavingEndpoints = append(s.LeavingEndpoints, uint32(key))
+	}
 	for _, k := range n.relay.Strikes.Fresh(strikesTold) {
 		s.Strikes = append(s.Strikes, &exchangev1.Strike{Work: uint64(k.Work), Endpoint: k.Endpoint})
 	}
@@ -52,11 +57,26 @@
 		})
 	}
 	n.fleet.SetRemote(s.GetAddress(), loads)
+	n.heardLeaving(s)
 	for _, k := range s.GetStrikes() {
 		n.relay.Strikes.Merge(relay.Fingerprint(k.GetWork()), k.GetEndpoint())
 	}
 }
 
+// heardLeaving takes over which endpoints leave by their health check. A node that the
+// store tells itself goes by that.
+func (n *Node) heardLeaving(s *exchangev1.NodeState) {
+	if len(s.GetLeavingEndpoints()) == 0 || !n.storeAway() {
+		return
+	}
+	for _, key := range s.GetLeavingEndpoints() {
+		if n.fleet.Unhealthy(fleet.EndpointKey(key)) {
+			n.log.Info("endpoint leaves by another node's health check", zap.Uint32("endpoint_key", key),
+				zap.String("node", s.GetAddress()))
+		}
+	}
+}
+
 // lost forgets the work of a node that is no longer heard.
 func (n *Node) lost(address string) { n.fleet.SetRemote(address, nil) }
 
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -53,6 +53,8 @@
 // Service is a set of endpoints that run the same software.
 type Service struct {
 	Name string
+	// HealthPath is the path of an endpoint's health check.
+	HealthPath string
 	// MaxConnections bounds the connections that one endpoint accepts from all
 	// nodes together.
 	MaxConnections int
