--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -93,6 +93,7 @@
 	runs    []Run
 	streams map[string]*stream
 	closed  []string // requests whose connection was closed by the caller
+	leaving bool
 }
 
 type stream struct {
@@ -115,6 +116,7 @@
 	mux.HandleFunc("POST /kv-move", w.move)
 	mux.HandleFunc("DELETE /kv-handle/{handle}", w.free)
 	mux.HandleFunc("GET /report", w.report)
+	mux.HandleFunc("GET /healthz", w.health)
 	mux.HandleFunc("/", w.serve)
 	w.server = &http.Server{Handler: mux}
 	go func() { _ = w.server.Serve(listener) }()
@@ -141,6 +143,22 @@
 	return append([]string(nil), w.closed...)
 }
 
+// Leave makes the worker say at its health check that it leaves.
+func (w *Worker) Leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+}
+
+func (w *Worker) health(rw http.ResponseWriter, _ *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	rw.Header().Set("Crocusreel-Instance-Id", w.options.ID)
+	if w.leaving {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // Seal is the signature of an answer.
 func Seal(instance, id string) string { return "seal." + instance + "." + id }
 
--- a/tests/node/node_test.go
+++ b/tests/node/node_test.go
@@ -114,6 +114,29 @@
 		Expect(second.Runs()).To(HaveLen(1))
 	})
 
+	// The store is away, and an engine is reclaimed in the middle of a draft: no entry
+	// tells of it.
+	It("carry a stream to another engine while the store is away", func() {
+		s := newSite()
+		first, second := s.engine("e1", 500), s.engine("e2", 500)
+		s.start(2)
+		done := make(chan reply, 1)
+		go func() { done <- s.send(s.nodes[1], "/drafts/1", "key") }()
+		Eventually(func() int { return len(first.Runs()) + len(second.Runs()) }, 2*time.Second).Should(Equal(1))
+		Expect(s.faults.SetFaults(GinkgoT().Context(), admin.PlatformFaults{Unreachable: true})).To(Succeed())
+		time.Sleep(1500 * time.Millisecond)
+		source, target := first, second
+		if len(second.Runs()) == 1 {
+			source, target = second, first
+		}
+		source.Leave()
+		Eventually(target.Runs, 2*time.Second).Should(HaveLen(1))
+		var r reply
+		Eventually(done, 10*time.Second).Should(Receive(&r))
+		Expect(r.whole).To(BeTrue())
+		Expect(r.body).To(Equal(events(r.id, 500)))
+	})
+
 	// A key is taken away while one node is frozen. When it wakes, it still knows the
 	// key; a request that waited in its socket must not run.
 	It("run nothing for a key that was taken away while they were frozen", func() {
--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -80,7 +80,7 @@
 		},
 		"services": []map[string]any{
 			{"name": "app", "max_connections": 100},
-			{"name": "pool", "max_connections": 100, "runtime": map[string]any{
+			{"name": "pool", "max_connections": 100, "health_path": "/healthz", "runtime": map[string]any{
 				"batch_size": 24, "kv_capacity": 34360, "kv_bytes": 18432, "link_mbps": 2700, "migrations": true, "stride": 4,
 			}},
 		},
