--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -127,7 +127,14 @@
 func (w *Worker) Address() string { return w.listener.Addr().String() }
 
 // Stop ends the worker and its connections.
-func (w *Worker) Stop() { _ = w.server.Close() }
+//
+// The listener is closed here as well: a server that is closed before its goroutine has
+// begun to serve closes it only later, and a connection made meanwhile is reset after the
+// request was sent, while tests count on a refusal.
+func (w *Worker) Stop() {
+	_ = w.listener.Close()
+	_ = w.server.Close()
+}
 
 // Runs returns the requests that the worker began to work on.
 func (w *Worker) Runs() []Run {
