Bound the memory of callers' bodies; remove what nothing uses

Bodies of 4 MB are allowed on VMs of 112 MB; thirty at once would have ended the process. Where keys need not be revoked at nodes that are cut off, they are served on. Removed: fields and settings that nothing reads; kept connections an endpoint 16 to 4.

--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -64,8 +64,9 @@
 	// reuseMargin is the time before the stated timeout in which a connection is no
 	// longer used: a request that crosses the endpoint's close may or may not have run.
 	reuseMargin = 500 * time.Millisecond
-	// maxIdle bounds the kept connections to one endpoint.
-	maxIdle = 16
+	// maxIdle bounds the kept connections to one endpoint: endpoints accept a few hundred
+	// from all nodes together, and a node sends one some requests a second.
+	maxIdle = 4
 	// readBuffer is the size of a connection's buffer in bytes: two events of a stream.
 	readBuffer = 2048
 	// maxForeign is how many answers to other requests are skipped on one connection,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,6 +25,7 @@
 	Config *knowledge.Configuration
 	Relay  *relay.Relay
 	Gate   *Gate
+	Bodies *Bodies
 	// Freshness says how old knowledge may be.
 	Freshness Freshness
 	Log       *zap.Logger
@@ -64,6 +65,9 @@
 		return
 	}
 	defer h.Gate.Exit()
+	content := &body{Reader: r.Body, bodies: h.Bodies}
+	defer content.release()
+	r.Body = io.NopCloser(content)
 	req, refusal := h.admit(w, r, received)
 	if refusal != nil {
 		h.turnAway(sink, r, refusal)
@@ -209,6 +213,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, refuseNotRun(crocusreel.ReasonTooLarge, 0, "the body is over %d bytes", limit)
+	case errors.Is(err, errBodiesFull):
+		return nil, refuseNotRun(crocusreel.ReasonQueueFull, notReadyRetry, "%v", err)
 	case err != nil:
 		return nil, refuseNotRun(crocusreel.ReasonBadRequest, 0, "the body ended early")
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -53,6 +53,7 @@
 	h := &entry.Handler{
 		Config: s.config,
 		Gate:   s.gate,
+		Bodies: entry.NewBodies(1500),
 		Log:    zap.NewNop(),
 		Freshness: entry.Freshness{
 			Keys:    4600 * time.Millisecond,
@@ -154,6 +155,25 @@
 		Entry("body over the limit", "r", "/calls/1", "key", string(make([]byte, 1001)), http.StatusRequestEntityTooLarge),
 	)
 
+	// Callers send many large bodies at once. Those for which there is no memory are asked
+	// to come back; what is read is given back when a request ends.
+	It("bounds the memory of all bodies together", func() {
+		s := newSite()
+		s.configure()
+		large := string(make([]byte, 900))
+		first := make(chan reply)
+		go func() { first <- s.sendAs("long", "/drafts/1", "key", large) }()
+		Eventually(s.gate.Inside).Should(Equal(1))
+		time.Sleep(50 * time.Millisecond)
+		full := s.send("/calls/1", "key", large)
+		Expect(full.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(full.body).To(ContainSubstring("queue_full"))
+		Expect((<-first).status).To(Equal(http.StatusOK))
+		for range 5 {
+			Expect(s.send("/calls/1", "key", large).status).To(Equal(http.StatusOK))
+		}
+	})
+
 	// A node that has just started knows no configuration. 404 or 401 would make callers
 	// give up for good.
 	It("asks callers to come back while it knows no configuration", func() {
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -55,7 +55,6 @@
 	// missingAt is when the entry vanished although the instance may be alive; 0 if
 	// it is there.
 	missingAt time.Duration
-	runs      map[*Placement]struct{}
 	own       Load
 	remote    map[string]Load
 	health    health
@@ -72,7 +71,6 @@
 		Instance: in,
 		key:      KeyOf(in.ID),
 		leaving:  make(chan struct{}),
-		runs:     make(map[*Placement]struct{}),
 		remote:   make(map[string]Load),
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -164,19 +164,6 @@
 	return loads
 }
 
-// Count returns the number of endpoints that take new work of a service.
-func (f *Fleet) Count(service string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, e := range f.services[service] {
-		if !e.isLeaving {
-			n++
-		}
-	}
-	return n
-}
-
 // Tick dispatches waiting work, for capacity that comes back with time alone.
 func (f *Fleet) Tick() {
 	f.mu.Lock()
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -42,7 +42,6 @@
 
 func (f *Fleet) placeLocked(e *Endpoint, d Demand) *Placement {
 	p := &Placement{fleet: f, endpoint: e, demand: d, reading: d.Prompt > 0}
-	e.runs[p] = struct{}{}
 	e.own.Count++
 	e.own.Tokens += p.tokens()
 	e.own.Unread += p.unread()
@@ -106,7 +105,6 @@
 	}
 	p.released = true
 	e := p.endpoint
-	delete(e.runs, p)
 	e.own.Count--
 	e.own.Tokens -= p.tokens()
 	e.own.Unread -= p.unread()
--- a/node/node.go
+++ b/node/node.go
@@ -35,9 +35,15 @@
 	// memoryShare is the part of the VM's memory at which the garbage collector works
 	// harder: what is received and not yet read counts as well, outside the heap.
 	memoryShare = 0.55
+	// bodiesShare is the part of the VM's memory that callers' bodies may take together;
+	// each is held twice while it is sent.
+	bodiesShare = 0.2
 	// freshnessShare is the part of the revocation limit up to which keys are served:
 	// the rest covers the way to the endpoint.
 	freshnessShare = 0.92
+	// lenientKeys is that limit where keys need not be revoked at nodes that are cut off:
+	// service goes on through any outage that operators would sit out.
+	lenientKeys = time.Hour
 	// storeTimeout bounds a call to the store, whose slowest answers take some hundred
 	// times its usual 4 ms.
 	storeTimeout = 1500 * time.Millisecond
@@ -131,8 +137,9 @@
 		Config: n.config,
 		Relay:  n.relay,
 		Gate:   n.gate,
+		Bodies: entry.NewBodies(int64(bodiesShare * float64(n.settings.MemoryMB) * (1 << 20))),
 		Freshness: entry.Freshness{
-			Keys:    time.Duration(freshnessShare * float64(n.settings.RevocationLimit)),
+			Keys:    n.keysLimit(),
 			Denials: denialAge,
 		},
 		Log: n.log,
@@ -141,6 +148,14 @@
 	return h
 }
 
+// keysLimit is the age of the configuration up to which keys are served.
+func (n *Node) keysLimit() time.Duration {
+	if !n.settings.RevocationStrict {
+		return lenientKeys
+	}
+	return time.Duration(freshnessShare * float64(n.settings.RevocationLimit))
+}
+
 // Run serves until SIGTERM.
 func (n *Node) Run() error {
 	callers, err := net.Listen("tcp", n.settings.CallerAddress)
--- a/node/serve.go
+++ b/node/serve.go
@@ -41,7 +41,7 @@
 // ready tells whether callers may be sent here.
 func (n *Node) ready() bool {
 	known, ages := n.config.Current()
-	return known.Table != nil && !n.gate.Leaving() && ages.Certain < n.settings.RevocationLimit
+	return known.Table != nil && !n.gate.Leaving() && ages.Certain < n.keysLimit()
 }
 
 func (n *Node) readyHandler() http.Handler {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -57,9 +57,6 @@
 	Remaining time.Duration
 	// Resume continues a run from its memory; nil for a new run.
 	Resume *Resume
-	// BackupTo is the address of the endpoint that keeps a copy of the run's memory;
-	// empty for none.
-	BackupTo string
 }
 
 // Resume names the memory that a run goes on from.
@@ -78,8 +75,6 @@
 	NotRun bool
 	// Misdirected tells that another instance has the endpoint's address.
 	Misdirected bool
-	// Whole is set on answers that an endpoint itself has made.
-	Whole bool
 }
 
 // Protocol puts requests into the form that endpoints understand.
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -30,18 +30,13 @@
 	// TargetLatency is the time to the whole answer, or to the first event of a
 	// stream, within which an answer is of full use.
 	TargetLatency time.Duration
-	// GapTarget is the longest pause between two events of a stream that still
-	// counts as on time.
-	GapTarget time.Duration
 	// Priority ranks requests, 0 first.
 	Priority int
 	// MaxAttempts bounds the endpoints that one attempt of a caller is sent to.
 	MaxAttempts int
 	// Public routes need no key.
-	Public bool
-	// Resumable streams may be continued by a new run.
-	Resumable bool
-	Backends  []Backend
+	Public   bool
+	Backends []Backend
 }
 
 // Backend is a service that takes a share of a route's requests.
@@ -74,8 +69,6 @@
 	LinkMbps float64
 	// CanMove tells that running generations can be moved between engines.
 	CanMove bool
-	// CanBackup tells that engines copy a run's memory elsewhere as it grows.
-	CanBackup bool
 	// TokensPerEvent is the number of tokens in one event of a stream.
 	TokensPerEvent int
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -37,9 +37,6 @@
 	return nil
 }
 
-// Serves tells whether any route has this host.
-func (t *Table) Serves(host string) bool { return len(t.hosts[hostname(host)]) > 0 }
-
 func hostname(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
