--- a/relay/evacuation.go
+++ b/relay/evacuation.go
@@ -39,6 +39,8 @@
 	// reportTimeout bounds the question for the runs; without an answer runs are moved
 	// as if they were alone.
 	reportTimeout = 150 * time.Millisecond
+	// orderLifetime is how long an order holds: longer than any notice.
+	orderLifetime = 10 * time.Second
 	// moveOverhead is the time of a move beside its copy: the last copy and the way of
 	// three calls.
 	moveOverhead = 25 * time.Millisecond
@@ -76,6 +78,8 @@
 // evacuation is the departure of one engine.
 type evacuation struct {
 	ready chan struct{}
+	// began is when the first run asked for the order.
+	began time.Time
 	// leavesAt is when the engine stops; starts when the move of each run may begin.
 	leavesAt time.Time
 	starts   map[string]time.Time
@@ -95,11 +99,15 @@
 	id := p.Instance().ID
 	l.departures.mu.Lock()
 	e, known := l.departures.all[id]
+	if known && time.Since(e.began) > orderLifetime {
+		// The endpoint has stayed after all, and leaves again.
+		known = false
+	}
 	if !known {
 		if l.departures.all == nil || len(l.departures.all) >= maxEvacuations {
 			l.departures.all = make(map[string]*evacuation)
 		}
-		e = &evacuation{ready: make(chan struct{})}
+		e = &evacuation{ready: make(chan struct{}), began: time.Now()}
 		l.departures.all[id] = e
 	}
 	l.departures.mu.Unlock()
