--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -173,11 +173,17 @@
 	DeferCleanup(func() {
 		n.Thaw()
 		n.Kill()
+		text, err := os.ReadFile(log)
+		if err != nil {
+			return // it was never started
+		}
 		if CurrentSpecReport().Failed() {
-			text, err := os.ReadFile(log)
-			Expect(err).NotTo(HaveOccurred())
 			AddReportEntry(log, string(text))
 		}
+		// A panic within a request ends that request only, and a race shows in the log
+		// alone.
+		Expect(string(text)).NotTo(ContainSubstring("panic serving"))
+		Expect(string(text)).NotTo(ContainSubstring("DATA RACE"))
 	})
 	return n
 }
--- /dev/null
+++ b/tests/node/soak_test.go
@@ -0,0 +1,191 @@
+package node_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/internal/standin/admin"
+	"github.com/crocusreel/crocusreel/internal/standin/worker"
+)
+
+// Seeds of the random run: SOAK_SEEDS=FIRST:COUNT chooses others, for longer runs by hand.
+const (
+	firstSeed = 1
+	seedCount = 2
+	// soakFor is the time in which faults are injected in one run.
+	soakFor = 6 * time.Second
+	callers = 6
+)
+
+func soakSeeds() (first, count int) {
+	text := os.Getenv("SOAK_SEEDS")
+	if text == "" {
+		return firstSeed, seedCount
+	}
+	from, number, _ := strings.Cut(text, ":")
+	first, errFirst := strconv.Atoi(from)
+	count, errCount := strconv.Atoi(number)
+	if errFirst != nil || errCount != nil {
+		panic("SOAK_SEEDS must be FIRST:COUNT")
+	}
+	return first, count
+}
+
+// soak is one random run.
+type soak struct {
+	*site
+	random  *rand.Rand
+	workers []*worker.Worker
+	engines map[string]*worker.Worker
+
+	mu      sync.Mutex
+	replies []reply
+	paths   map[string]string
+}
+
+var _ = Describe("a random run", func() {
+	first, count := soakSeeds()
+	for seed := first; seed < first+count; seed++ {
+		// Nodes are killed, frozen and stopped, the store goes away and comes back, engines
+		// leave and others come, in series and overlapping, under load. Whatever comes:
+		// work that may run once runs at most once, who is told that it has not run is told
+		// the truth, streams that look whole are whole, and in the end all is served again.
+		It(fmt.Sprintf("keeps the promises with seed %d", seed), func() {
+			s := &soak{
+				site: newSite(), random: rand.New(rand.NewPCG(uint64(seed), 0)),
+				engines: make(map[string]*worker.Worker), paths: make(map[string]string),
+			}
+			for i := range 2 {
+				s.workers = append(s.workers, s.app(fmt.Sprintf("app-%d", i)))
+			}
+			for i := range 3 {
+				s.addEngine(fmt.Sprintf("engine-%d", i))
+			}
+			s.start(3)
+			stop := make(chan struct{})
+			var load sync.WaitGroup
+			for i := range callers {
+				load.Go(func() { s.call(i, stop) })
+			}
+			s.injectFaults()
+			close(stop)
+			load.Wait()
+			s.check()
+			for _, n := range s.nodes {
+				s.expectCall(n)
+			}
+		})
+	}
+})
+
+func (s *soak) addEngine(id string) {
+	w := s.engine(id, 120)
+	s.engines[id] = w
+	s.workers = append(s.workers, w)
+}
+
+// call sends requests of all kinds to any node until stop is closed.
+func (s *soak) call(caller int, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(uint64(caller), 1))
+	paths := []string{"/calls/1", "/bookings/1", "/drafts/1"}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
+		}
+		path := paths[random.IntN(len(paths))]
+		r := s.send(s.nodes[random.IntN(len(s.nodes))], path, "key")
+		s.mu.Lock()
+		s.replies = append(s.replies, r)
+		s.paths[r.id] = path
+		s.mu.Unlock()
+	}
+}
+
+// injectFaults plays faults until the time is over, then takes them all back.
+func (s *soak) injectFaults() {
+	ctx := GinkgoT().Context()
+	until := time.Now().Add(soakFor)
+	for number := 0; time.Now().Before(until); number++ {
+		n := s.nodes[s.random.IntN(len(s.nodes))]
+		switch s.random.IntN(6) {
+		case 0:
+			n.Kill()
+			time.Sleep(time.Duration(s.random.IntN(400)) * time.Millisecond)
+			Expect(n.Start()).To(Succeed())
+		case 1:
+			n.Freeze()
+			time.Sleep(time.Duration(s.random.IntN(1200)) * time.Millisecond)
+			n.Thaw()
+		case 2:
+			Expect(s.faults.SetFaults(ctx, admin.PlatformFaults{Unreachable: true})).To(Succeed())
+			time.Sleep(time.Duration(s.random.IntN(1500)) * time.Millisecond)
+			Expect(s.faults.SetFaults(ctx, admin.PlatformFaults{})).To(Succeed())
+		case 3:
+			Expect(s.faults.SetFaults(ctx, admin.PlatformFaults{DropHistory: true})).To(Succeed())
+		case 4:
+			s.replaceEngine(number)
+		case 5:
+			s.configure()
+		}
+		time.Sleep(time.Duration(s.random.IntN(300)) * time.Millisecond)
+	}
+}
+
+// replaceEngine lets one engine leave after another has come.
+func (s *soak) replaceEngine(number int) {
+	id := fmt.Sprintf("engine-new-%d", number)
+	var leaving string
+	for known := range s.engines {
+		if leaving == "" || known < leaving {
+			leaving = known
+		}
+	}
+	s.addEngine(id)
+	s.register(leaving, "pool", s.engines[leaving].Address(), "draining")
+	delete(s.engines, leaving)
+}
+
+// check compares what callers were told with what endpoints ran.
+func (s *soak) check() {
+	GinkgoHelper()
+	fresh := make(map[string]int)
+	for _, w := range s.workers {
+		for _, run := range w.Runs() {
+			if !run.Resumed {
+				fresh[run.ID]++
+			}
+		}
+	}
+	whole := 0
+	for _, r := range s.replies {
+		path := s.paths[r.id]
+		if path != "/calls/1" {
+			Expect(fresh[r.id]).To(BeNumerically("<=", 1), "%s ran %d times", r.id, fresh[r.id])
+		}
+		switch {
+		case r.status == http.StatusServiceUnavailable:
+			if path != "/calls/1" {
+				Expect(fresh[r.id]).To(BeZero(), "%s was told 503 and ran", r.id)
+			}
+		case r.status == http.StatusOK && r.whole && path == "/drafts/1":
+			whole++
+			Expect(r.body).To(Equal(events(r.id, 120)))
+		case r.status == http.StatusOK && r.whole:
+			whole++
+			Expect(r.body).To(Equal("answer to " + r.id))
+		}
+	}
+	AddReportEntry("requests", fmt.Sprintf("%d, %d answered whole", len(s.replies), whole))
+	Expect(whole).To(BeNumerically(">", len(s.replies)/4))
+}
