--- a/Makefile
+++ b/Makefile
@@ -54,5 +54,11 @@
 	$(GO) test -count=1 ./tests -ginkgo.seed=$(SEED) -ginkgo.randomize-all
 	SEED=$(SEED) $(GO) test -count=1 -v ./tests/soak
 
+# soak-nodes makes random runs of real nodes; SEEDS is FIRST:COUNT.
+SEEDS ?= 1:50
+.PHONY: soak-nodes
+soak-nodes:
+	SOAK_SEEDS=$(SEEDS) $(GO) test -count=1 -v -timeout 60m ./tests/node -ginkgo.focus "a random run"
+
 soak:
 	SEED=$(SEED) REQUESTS=$(REQUESTS) $(GO) test -count=1 -v -timeout 60m ./tests/soak
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -238,7 +238,7 @@
 	return remaining
 }
 
-// header passes on what the endpoint needs of the request.
+// send sends the request to the endpoint of p and returns the head of its answer.
 func (j *job) send(ctx context.Context, p *fleet.Placement, resume *Resume) (*h1.Response, error) {
 	attempt := Attempt{Instance: p.Instance(), Remaining: time.Until(j.r.Deadline), Resume: resume}
 	j.verdict.Attempts++
