--- a/relay/export_test.go
+++ b/relay/export_test.go
@@ -11,5 +11,8 @@
 // Next gives tests the events of a reader.
 func (r *eventReader) Next() ([]byte, error) { return r.next() }
 
+// MoveOverhead is the time that a move takes beside its copy.
+const MoveOverhead = moveOverhead
+
 // StrikeLimit is the number of endpoints that may die of one request.
 const StrikeLimit = strikeLimit
