End the loss of the store when another node is followed

Cause: a node that was cut off from the store and then followed another node counted its own feed as lost for ever, and one that left a node whose store had been lost kept that for ever; either took each removal of an endpoint for a passing one and sent work to endpoints that were gone for 2.1 s.

--- /dev/null
+++ b/node/export_test.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel/knowledge"
+	"github.com/crocusreel/crocusreel/platform"
+)
+
+// Feed gives tests a feed by itself.
+type Feed = feed
+
+// NewFeed returns a feed that drops what it learns.
+func NewFeed(store *platform.Store, direct func() bool) *Feed {
+	drop := func(platform.Listing, knowledge.Seen) {}
+	return &feed{store: store, table: "t", wait: time.Second, log: zap.NewNop(), direct: direct, listed: drop, changed: drop}
+}
+
+// Run follows the table; Unsteady tells whether the store counts as lost.
+var (
+	Run      = (*feed).run
+	Unsteady = (*feed).unsteady
+)
--- a/node/node.go
+++ b/node/node.go
@@ -127,7 +127,7 @@
 	}
 	n.endpointFeed = &feed{
 		store: n.store, table: platform.TableEndpoints, wait: endpointsWait, log: log, direct: n.followsStore,
-		listed: n.endpointsListed, changed: n.endpointsChanged,
+		listed: n.ownEndpoints(n.endpointsListed), changed: n.ownEndpoints(n.endpointsChanged),
 	}
 	return n
 }
--- a/node/watch.go
+++ b/node/watch.go
@@ -68,6 +68,7 @@
 		if !f.direct() {
 			// What changes meanwhile is read as a whole later.
 			f.version = 0
+			f.reached()
 			pause(ctx, directCheck)
 			continue
 		}
@@ -129,6 +130,7 @@
 	metrics.Count("store_call_failed")
 }
 
+// reached ends a loss of the store: it answered, or another node is followed that has it.
 func (f *feed) reached() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -198,6 +200,15 @@
 // outageShadow is the time after an outage in which entries may still vanish by it.
 const outageShadow = 2 * time.Second
 
+// ownEndpoints takes what the store itself says: whether the node that was followed before
+// had lost the store no longer matters.
+func (n *Node) ownEndpoints(take func(platform.Listing, knowledge.Seen)) func(platform.Listing, knowledge.Seen) {
+	return func(l platform.Listing, seen knowledge.Seen) {
+		n.unsteadyPeer.Store(false)
+		take(l, seen)
+	}
+}
+
 func (n *Node) endpointsListed(l platform.Listing, seen knowledge.Seen) {
 	instances := make([]fleet.Instance, 0, len(l.Rows))
 	for _, row := range l.Rows {
