--- a/node/export_test.go
+++ b/node/export_test.go
@@ -23,3 +23,12 @@
 	Run      = (*feed).run
 	Unsteady = (*feed).unsteady
 )
+
+// Absences gives tests the record of nodes that are not live.
+type Absences = absences
+
+// Stale returns the rows that may be removed.
+var Stale = (*absences).stale
+
+// PruneAfter is the time without a sign of life after which a row is removed.
+const PruneAfter = pruneAfter
--- a/relay/call.go
+++ b/relay/call.go
@@ -58,6 +58,9 @@
 			return j.deliver(got.answer)
 		}
 		if got.answer != nil {
+			if held != nil {
+				held.release()
+			}
 			held = got.answer
 		}
 		if !got.notRun {
