Count the risk of an answer as it will be counted once it is added

Ruled out: order of adding (the same from a fresh count), the lone answer of an idle engine.

Also: two zeros in an experiment's comparison are undecided, no longer reached.

--- a/load/experiment/aims.go
+++ b/load/experiment/aims.go
@@ -31,10 +31,24 @@
 	Ratio   float64
 	Bound   float64
 	Reached bool
+	// Undecided is set where both figures are zero: the load does not bind, and nothing
+	// was compared.
+	Undecided bool
 }
 
-// atMost compares two figures of which less is better. Two zeros reach every bound;
-// a ratio to zero has no value.
+// verdict is the aim's entry in the table.
+func (a Aim) verdict() string {
+	switch {
+	case a.Undecided:
+		return "undecided"
+	case a.Reached:
+		return "yes"
+	default:
+		return "no"
+	}
+}
+
+// atMost compares two figures of which less is better. A ratio to zero has no value.
 func atMost(mix, text string, ours, other, bound float64) Aim {
 	a := Aim{Mix: mix, Text: text, Ours: ours, Other: other, Bound: bound}
 	switch {
@@ -42,7 +56,7 @@
 		a.Ratio = ours / other
 		a.Reached = a.Ratio <= bound
 	case ours == 0:
-		a.Reached = true
+		a.Undecided = true
 	default:
 		a.Ratio = math.Inf(1)
 	}
@@ -54,6 +68,8 @@
 	if other > 0 {
 		a.Ratio = ours / other
 		a.Reached = a.Ratio >= bound
+	} else {
+		a.Undecided = ours == 0
 	}
 	return a
 }
--- a/load/experiment/markdown.go
+++ b/load/experiment/markdown.go
@@ -54,11 +54,7 @@
 	b.WriteString("\n### Aims\n\nMedians over seeds; the ratio is ours to the other.\n\n")
 	b.WriteString("| mix | aim | ours | other | ratio | bound | reached |\n|---|---|---|---|---|---|---|\n")
 	for _, a := range aims {
-		reached := "no"
-		if a.Reached {
-			reached = "yes"
-		}
-		fmt.Fprintf(b, "| %s | %s | %.1f | %.1f | %.2f | %.2f | %s |\n", a.Mix, a.Text, a.Ours, a.Other, a.Ratio, a.Bound, reached)
+		fmt.Fprintf(b, "| %s | %s | %.1f | %.1f | %.2f | %.2f | %s |\n", a.Mix, a.Text, a.Ours, a.Other, a.Ratio, a.Bound, a.verdict())
 	}
 }
 
--- a/policy/demand.go
+++ b/policy/demand.go
@@ -1,5 +1,7 @@
 package policy
 
+import "math"
+
 // horizonPoints is the number of moments ahead at which memory use is predicted.
 const horizonPoints = 14
 
@@ -128,6 +130,37 @@
 	return float64((1-f)*o.reach[i][k+1] + f*next)
 }
 
+// exceedsWith returns the probability that more than x bins are in use at point i once an
+// answer is added that uses the given number of bins. It counts as convolve does, which
+// splits a use between two bins: a use that is merely subtracted from x comes out smaller
+// where bins are coarse, and an answer was then admitted whose risk, once it was added,
+// was over the bound.
+func (o *Occupancy) exceedsWith(i int, x, bins float64) float64 {
+	whole := math.Floor(bins)
+	up := bins - whole
+	return (1-up)*o.spread(i, x-whole) + up*o.spread(i, x-whole-1)
+}
+
+// spread interpolates the probability that more than x bins are in use, also for x
+// between -1 and 0.
+func (o *Occupancy) spread(i int, x float64) float64 {
+	k := int(math.Floor(x))
+	f := x - math.Floor(x)
+	return (1-f)*o.atLeast(i, k+1) + f*o.atLeast(i, k+2)
+}
+
+// atLeast is the probability that at least k bins are in use at point i.
+func (o *Occupancy) atLeast(i, k int) float64 {
+	switch {
+	case k <= 0:
+		return 1
+	case k > occupancyBins:
+		return 0
+	default:
+		return float64(o.reach[i][k])
+	}
+}
+
 // nearPoints is the number of points of the horizon that count as near.
 const nearPoints = 2
 
@@ -157,7 +190,7 @@
 		without := o.exceeds(i, x)
 		risk := without * (1 - part)
 		if d.prob[i] > 0 {
-			risk += d.prob[i] * (o.exceeds(i, x-d.size[i]/o.bin) - without)
+			risk += d.prob[i] * (o.exceedsWith(i, x, d.size[i]/o.bin) - without)
 		}
 		if worst = max(worst, risk); worst > bound {
 			return worst
