Tell addresses to nodes that were just found, and hardly ever to others

Cause: each node told each other up to 32 addresses once a second.

Now a node that was just found is told everything, every other one each six seconds with four addresses of other nodes.

The receiving half of gossip is a file of its own now.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,9 +19,10 @@
 	queues   map[line]*queue
 	remote   map[string]remoteNode
 	random   *rand.Rand
-	// Changed is called when the other nodes should be told at once what this one runs
-	// and what waits on it; it must not block.
-	Changed func()
+	// Changed is called when other nodes should be told at once what this one runs and
+	// what waits on it: the nodes of the given data centre, or all if it is empty. It
+	// must not block.
+	Changed func(dataCentre string)
 	// Wake is asked to call Tick after the given time; it must not block.
 	Wake func(after time.Duration)
 }
@@ -36,7 +37,7 @@
 		services:   make(map[string][]*Endpoint),
 		queues:     make(map[line]*queue),
 		remote:     make(map[string]remoteNode),
-		Changed:    func() {},
+		Changed:    func(string) {},
 		Wake:       func(time.Duration) {},
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -46,7 +46,7 @@
 	e.own.Tokens += p.tokens()
 	e.own.Unread += p.unread()
 	if d.Prompt > 0 {
-		f.Changed()
+		f.tellLocked(e)
 	}
 	return p
 }
@@ -112,7 +112,7 @@
 	f.dispatchLocked(e.Service)
 	if p.demand.Prompt > 0 && f.othersWaitLocked(e.Service) {
 		// They would otherwise learn of the room with the next regular datagram.
-		f.Changed()
+		f.Changed("")
 	}
 }
 
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -78,7 +78,7 @@
 	// What waits ahead may be too large for the room that there is.
 	f.dispatchLineLocked(w.line())
 	if w.Service.Engine != nil {
-		f.Changed()
+		f.Changed("")
 	}
 	f.mu.Unlock()
 	if refusal != nil {
@@ -101,7 +101,7 @@
 	defer f.mu.Unlock()
 	f.queues[w.want.line()].remove(w)
 	if w.want.Service.Engine != nil {
-		f.Changed()
+		f.Changed("")
 	}
 	select {
 	case p := <-w.granted:
--- a/fleet/turn.go
+++ b/fleet/turn.go
@@ -127,6 +127,17 @@
 	return false
 }
 
+// tellLocked has the nodes told of new work on an endpoint: all while work waits
+// anywhere, else those of the endpoint's data centre at least. Others use it when their
+// own are full, and may hear of it with the next regular datagram.
+func (f *Fleet) tellLocked(e *Endpoint) {
+	if f.waitingLocked(e.Service) > 0 || f.othersWaitLocked(e.Service) {
+		f.Changed("")
+		return
+	}
+	f.Changed(e.DataCentre)
+}
+
 // turn is a waiter's place among those of all nodes that see the same room.
 type turn struct {
 	// sees is set while there is room for the work.
--- a/fleet/turn_test.go
+++ b/fleet/turn_test.go
@@ -54,7 +54,7 @@
 		n := &crowdNode{name: fmt.Sprintf("node%d", i), told: -time.Hour}
 		n.Fleet = fleet.New("dc1", func() time.Duration { return c.now })
 		n.Name = n.name
-		n.Changed = func() { c.tell(n) }
+		n.Changed = func(string) { c.tell(n) }
 		n.Wake = func(after time.Duration) { c.after(after, n.Tick) }
 		c.nodes = append(c.nodes, n)
 		c.repeat(n)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -29,9 +29,11 @@
 	// that learn of it 150 ms later all choose the same engine meanwhile, and the last
 	// of their callers waits two seconds for its prompt to be read.
 	shortestGap = 10 * time.Millisecond
-	// fullEvery is the time between two datagrams that also carry addresses; those
-	// between are a third of their size, and bytes between data centres have a price.
-	fullEvery = time.Second
+	// fullEvery is the time between two datagrams to a node that also carry addresses;
+	// those between are a sixth of their size. At one a second, addresses were two thirds
+	// of all bytes between the data centres of 64 nodes, and nobody needs them that often:
+	// a node that was just found is told everything at once.
+	fullEvery = 6 * time.Second
 	// liveFor is how long a node counts as live after its last datagram, in intervals:
 	// a lost datagram and a late one in a row must not take a node out.
 	liveFor = 6
@@ -40,10 +42,17 @@
 	// long finds the others through the store.
 	probeEvery  = time.Second
 	forgetAfter = time.Minute
+	// TellAllUpTo is the usual number of nodes up to which all are told of new work at
+	// once. With 64 nodes, telling only the data centres that use the endpoint first saved no
+	// byte between them, since work then went there more often, and one first event in
+	// fifty fewer was in time. Beyond, bytes grow with the square of the number of nodes.
+	TellAllUpTo = 128
 	// maxDatagram bounds a datagram in bytes: the network's packets hold no more.
 	maxDatagram = 1400
-	// maxKnown bounds the addresses of other nodes in a datagram.
+	// maxKnown bounds the addresses of other nodes in a datagram to a node that was just
+	// found, and fewKnown in any other: those that a node lacks come with some other.
 	maxKnown = 32
+	fewKnown = 4
 )
 
 // Peer is another node as it last told of itself.
@@ -62,14 +71,19 @@
 	heard                 time.Duration
 	added                 time.Duration
 	sent                  time.Duration
-	live                  bool
+	// full is when the node was last told everything; 0 if it has to be.
+	full time.Duration
+	live bool
 }
 
 // Options describe the node and the rest of the process.
 type Options struct {
 	// IP is this node's address; Port is that of all nodes' datagrams.
-	IP   string
-	Port int
+	IP         string
+	Port       int
+	DataCentre string
+	// TellAllUpTo is the number of other nodes up to which Tell tells all of them.
+	TellAllUpTo int
 	// Now reads a monotonic clock.
 	Now func() time.Duration
 	// State returns what to tell, without addresses of other nodes.
@@ -87,12 +101,21 @@
 	mu       sync.Mutex
 	peers    map[string]*peer
 	sequence uint64
-	// full is when addresses were last told.
-	full time.Duration
-	// changed asks for a round before the next one is due.
-	changed chan struct{}
+	// regular is when all nodes were last told.
+	regular time.Duration
+	// changed asks for a round before the next one is due, and audience tells to whom.
+	changed  chan struct{}
+	audience audience
 }
 
+// audience is who must hear of a change at once, beside the nodes of this data centre.
+type audience struct {
+	all         bool
+	dataCentres map[string]bool
+}
+
+func (a audience) includes(dataCentre string) bool { return a.all || a.dataCentres[dataCentre] }
+
 // New returns a Gossip that knows no other node.
 func New(o Options) *Gossip {
 	return &Gossip{o: o, peers: make(map[string]*peer), changed: make(chan struct{}, 1)}
@@ -119,8 +142,30 @@
 	return p
 }
 
-// Tell makes the next round come at once. It never blocks.
-func (g *Gossip) Tell() {
+// Tell makes the next round come at once, to the nodes of this data centre and the given
+// ones, or to all if there are few. It never blocks.
+func (g *Gossip) Tell(dataCentres ...string) {
+	g.mu.Lock()
+	g.audience.all = g.audience.all || len(g.peers) <= g.o.TellAllUpTo
+	if g.audience.dataCentres == nil {
+		g.audience.dataCentres = make(map[string]bool)
+	}
+	for _, name := range dataCentres {
+		g.audience.dataCentres[name] = true
+	}
+	g.mu.Unlock()
+	g.wake()
+}
+
+// TellAll makes the next round come at once, to all nodes. It never blocks.
+func (g *Gossip) TellAll() {
+	g.mu.Lock()
+	g.audience.all = true
+	g.mu.Unlock()
+	g.wake()
+}
+
+func (g *Gossip) wake() {
 	select {
 	case g.changed <- struct{}{}:
 	default:
@@ -160,7 +205,7 @@
 
 // wait waits until the next round is due or asked for; it returns false once ctx ends.
 func (g *Gossip) wait(ctx context.Context) bool {
-	due := time.NewTimer(g.period())
+	due := time.NewTimer(g.untilRegular())
 	defer due.Stop()
 	spaced := time.NewTimer(shortestGap)
 	defer spaced.Stop()
@@ -178,10 +223,10 @@
 	return true
 }
 
-func (g *Gossip) period() time.Duration {
+func (g *Gossip) untilRegular() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.periodLocked()
+	return g.regular + g.periodLocked() - g.o.Now()
 }
 
 func (g *Gossip) periodLocked() time.Duration {
@@ -190,21 +235,25 @@
 
 func (g *Gossip) liveTimeLocked() time.Duration { return liveFor * g.periodLocked() }
 
+// recipients are the nodes of one round, by what they are told.
+type recipients struct {
+	// brief get loads only, whole everything, and found as well all known addresses.
+	brief, whole, found []string
+}
+
 // round sends this node's state to every node that is due.
 func (g *Gossip) round(conn net.PacketConn) {
-	live, others := g.due()
-	if len(live) > 0 {
-		g.send(conn, live, g.briefly())
-	}
-	// A node that does not know this one's addresses yet can do nothing with less.
-	g.send(conn, others, false)
+	to := g.due()
+	g.send(conn, to.brief, func(s *exchangev1.NodeState) { shorten(s) })
+	g.send(conn, to.whole, func(s *exchangev1.NodeState) { s.Known = g.known(fewKnown) })
+	g.send(conn, to.found, func(s *exchangev1.NodeState) { s.Known = g.known(maxKnown) })
 }
 
-func (g *Gossip) send(conn net.PacketConn, targets []string, brief bool) {
+func (g *Gossip) send(conn net.PacketConn, targets []string, shape func(*exchangev1.NodeState)) {
 	if len(targets) == 0 {
 		return
 	}
-	data := g.encode(brief)
+	data := g.encode(shape)
 	for _, address := range targets {
 		to := &net.UDPAddr{IP: net.ParseIP(address), Port: g.o.Port}
 		if _, err := conn.WriteTo(data, to); err != nil {
@@ -213,60 +262,74 @@
 	}
 }
 
-// briefly tells whether live nodes are told of loads only this time.
-func (g *Gossip) briefly() bool {
+// due lists the nodes to send to and drops those that are given up.
+func (g *Gossip) due() recipients {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Now()
-	if g.full == 0 || now-g.full >= fullEvery {
-		g.full = now
-		return false
+	heard := g.audience
+	g.audience = audience{}
+	if now-g.regular >= g.periodLocked() {
+		g.regular = now
+		heard.all = true
 	}
-	return true
-}
-
-// due lists the nodes to send to, those that are live and others, and drops those that
-// are given up.
-func (g *Gossip) due() (live, others []string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.o.Now()
+	var to recipients
 	for address, p := range g.peers {
 		quiet := now - max(p.heard, p.added)
 		if p.live && quiet >= g.liveTimeLocked() {
-			p.live = false
+			p.live, p.full = false, 0
 			g.o.Log.Info("node lost", zap.String("node", address), zap.Duration("quiet", quiet))
 			g.o.Lost(address)
 		}
-		if quiet >= forgetAfter {
+		switch {
+		case quiet >= forgetAfter:
 			delete(g.peers, address)
-			continue
-		}
-		if p.live {
-			live = append(live, address)
-			continue
-		}
-		if p.sent == 0 || now-p.sent >= probeEvery {
+		case p.live:
+			if heard.includes(p.DataCentre) || p.DataCentre == g.o.DataCentre || p.full == 0 {
+				to.addLive(address, p, now)
+			}
+		case p.sent == 0 || now-p.sent >= probeEvery:
 			p.sent = now
-			others = append(others, address)
+			// A node that does not know this one's addresses yet can do nothing with less.
+			to.found = append(to.found, address)
 		}
 	}
-	return live, others
+	return to
 }
 
-func (g *Gossip) encode(brief bool) []byte {
-	state := g.o.State()
-	g.mu.Lock()
-	g.sequence++
-	state.Sequence = g.sequence
-	if brief {
-		shorten(state)
+func (r *recipients) addLive(address string, p *peer, now time.Duration) {
+	switch {
+	case p.full == 0:
+		r.found = append(r.found, address)
+	case now-p.full >= fullEvery:
+		r.whole = append(r.whole, address)
+	default:
+		r.brief = append(r.brief, address)
+		return
 	}
+	p.full = now
+}
+
+// known returns addresses of live nodes, at most the given number. A map's order is
+// random, so that others come at other times.
+func (g *Gossip) known(most int) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var known []string
 	for address, p := range g.peers {
-		if !brief && p.live && len(state.Known) < maxKnown {
-			state.Known = append(state.Known, address)
+		if p.live && len(known) < most {
+			known = append(known, address)
 		}
 	}
+	return known
+}
+
+func (g *Gossip) encode(shape func(*exchangev1.NodeState)) []byte {
+	state := g.o.State()
+	shape(state)
+	g.mu.Lock()
+	g.sequence++
+	state.Sequence = g.sequence
 	g.mu.Unlock()
 	data, err := proto.Marshal(state)
 	for err == nil && len(data) > maxDatagram && len(state.GetLoads()) > 0 {
@@ -287,74 +350,3 @@
 	s.Brief = true
 	s.CallerAddress, s.PeerAddress, s.DataCentre = "", "", ""
 }
-
-func (g *Gossip) receive(ctx context.Context, conn net.PacketConn) {
-	buf := make([]byte, 64<<10)
-	for {
-		n, _, err := conn.ReadFrom(buf)
-		if err != nil {
-			if ctx.Err() != nil {
-				return
-			}
-			metrics.Count("gossip_receive_failed")
-			time.Sleep(time.Millisecond)
-			continue
-		}
-		state := &exchangev1.NodeState{}
-		if err := proto.Unmarshal(buf[:n], state); err != nil {
-			metrics.Count("gossip_malformed")
-			continue
-		}
-		if g.take(state) {
-			g.o.Heard(state)
-		}
-	}
-}
-
-// take records a state; it returns false for one that is not newer than the last.
-func (g *Gossip) take(s *exchangev1.NodeState) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	p := g.addLocked(s.GetAddress())
-	if p == nil {
-		return false
-	}
-	stale := s.GetIncarnation() == p.incarnation && s.GetSequence() <= p.sequence
-	if s.GetIncarnation() < p.incarnation || stale {
-		metrics.Count("gossip_stale")
-		return false
-	}
-	if s.GetBrief() && s.GetIncarnation() != p.incarnation {
-		// Its addresses come with the next whole datagram; it is asked for by telling
-		// the node of this one.
-		p.live, p.sent = false, 0
-		return false
-	}
-	p.incarnation, p.sequence = s.GetIncarnation(), s.GetSequence()
-	p.heard = g.o.Now()
-	if !p.live || p.Ready != s.GetReady() || p.Leaving != s.GetLeaving() {
-		g.o.Log.Info("node heard", zap.String("node", s.GetAddress()), zap.Bool("ready", s.GetReady()),
-			zap.Bool("leaving", s.GetLeaving()), zap.Uint64("incarnation", s.GetIncarnation()))
-	}
-	if !p.live {
-		// A node that was not live may have missed the addresses.
-		g.full = 0
-	}
-	p.live = true
-	p.Ready, p.Leaving = s.GetReady(), s.GetLeaving()
-	if s.GetBrief() {
-		return true
-	}
-	p.Peer = Peer{
-		Address:       s.GetAddress(),
-		CallerAddress: s.GetCallerAddress(),
-		PeerAddress:   s.GetPeerAddress(),
-		DataCentre:    s.GetDataCentre(),
-		Ready:         s.GetReady(),
-		Leaving:       s.GetLeaving(),
-	}
-	for _, address := range s.GetKnown() {
-		g.addLocked(address)
-	}
-	return true
-}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -29,15 +29,17 @@
 // port is one that is below the ports of outgoing connections.
 const port = 23117
 
-func start(ip string, incarnation uint64) *node {
+func start(ip string, incarnation uint64) *node { return startIn("dc", ip, incarnation) }
+
+func startIn(dataCentre, ip string, incarnation uint64) *node {
 	n := &node{ip: ip, ready: true}
 	n.Gossip = gossip.New(gossip.Options{
-		IP: ip, Port: port, Now: boottime.Now, Log: zap.NewNop(),
+		IP: ip, Port: port, DataCentre: dataCentre, Now: boottime.Now, Log: zap.NewNop(),
 		State: func() *exchangev1.NodeState {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			return &exchangev1.NodeState{
-				Address: ip, CallerAddress: ip + ":1", PeerAddress: ip + ":2", DataCentre: "dc", Incarnation: incarnation, Ready: n.ready,
+				Address: ip, CallerAddress: ip + ":1", PeerAddress: ip + ":2", DataCentre: dataCentre, Incarnation: incarnation, Ready: n.ready,
 				Loads: []*exchangev1.EndpointLoad{{Key: 7, Count: 1}},
 			}
 		},
@@ -87,6 +89,12 @@
 	return len(n.heard)
 }
 
+func (n *node) heardSince(count int) []*exchangev1.NodeState {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]*exchangev1.NodeState(nil), n.heard[count:]...)
+}
+
 var _ = Describe("nodes that gossip", func() {
 	// A new node knows one other node only, as after a start with one good seed.
 	It("learn of all through one, and tell what has changed", func() {
@@ -125,6 +133,45 @@
 		Eventually(a.live, 3*time.Second).Should(Equal([]string{again.ip}))
 	})
 
+	// With some sixty nodes, addresses were two thirds of all bytes between data centres.
+	// They are told to a node that was just found, and then hardly ever.
+	It("tell addresses once, and loads in each round", func() {
+		a, b := start("127.0.0.51", 1), start("127.0.0.52", 1)
+		a.Add(b.ip)
+		Eventually(a.live, 2*time.Second).ShouldNot(BeEmpty())
+		Eventually(b.live, 2*time.Second).ShouldNot(BeEmpty())
+		time.Sleep(time.Second)
+		from := b.heardCount()
+		time.Sleep(2 * time.Second)
+		whole := 0
+		for _, s := range b.heardSince(from) {
+			if !s.GetBrief() {
+				whole++
+			}
+			Expect(s.GetLoads()).NotTo(BeEmpty())
+		}
+		Expect(b.heardCount() - from).To(BeNumerically(">", 5))
+		Expect(whole).To(BeNumerically("<=", 1))
+	})
+
+	// New work on an engine is told at once to the nodes that choose it first, those of its
+	// data centre. To tell all nodes of each request costs bytes that grow with the square
+	// of their number.
+	It("tell of new work where it matters, and elsewhere with the next round", func() {
+		a, near, far := start("127.0.0.61", 1), start("127.0.0.62", 1), startIn("far", "127.0.0.63", 1)
+		a.Add(near.ip, far.ip)
+		Eventually(a.live, 2*time.Second).Should(HaveLen(2))
+		Eventually(far.live, 2*time.Second).Should(HaveLen(2))
+		nearBefore, farBefore := near.heardCount(), far.heardCount()
+		for range 20 {
+			a.Tell("dc")
+			time.Sleep(15 * time.Millisecond)
+		}
+		Expect(near.heardCount() - nearBefore).To(BeNumerically(">=", 15))
+		Expect(far.heardCount() - farBefore).To(BeNumerically("<=", 8))
+		Expect(far.heardCount()).To(BeNumerically(">", farBefore))
+	})
+
 	// New work is told at once: a node that learns of it a round later chooses the same
 	// engine meanwhile.
 	It("tell of new work before the next round", func() {
@@ -134,7 +181,7 @@
 		Eventually(b.live, 2*time.Second).ShouldNot(BeEmpty())
 		before := b.heardCount()
 		for range 5 {
-			a.Tell()
+			a.TellAll()
 			time.Sleep(15 * time.Millisecond)
 		}
 		Expect(b.heardCount() - before).To(BeNumerically(">=", 3))
--- /dev/null
+++ b/gossip/receive.go
@@ -0,0 +1,84 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/crocusreel/crocusreel/exchange/exchangev1"
+	"github.com/crocusreel/crocusreel/internal/metrics"
+)
+
+func (g *Gossip) receive(ctx context.Context, conn net.PacketConn) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, _, err := conn.ReadFrom(buf)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			metrics.Count("gossip_receive_failed")
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		state := &exchangev1.NodeState{}
+		if err := proto.Unmarshal(buf[:n], state); err != nil {
+			metrics.Count("gossip_malformed")
+			continue
+		}
+		if g.take(state) {
+			g.o.Heard(state)
+		}
+	}
+}
+
+// take records a state; it returns false for one that is not newer than the last.
+func (g *Gossip) take(s *exchangev1.NodeState) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.addLocked(s.GetAddress())
+	if p == nil {
+		return false
+	}
+	stale := s.GetIncarnation() == p.incarnation && s.GetSequence() <= p.sequence
+	if s.GetIncarnation() < p.incarnation || stale {
+		metrics.Count("gossip_stale")
+		return false
+	}
+	if s.GetBrief() && s.GetIncarnation() != p.incarnation {
+		// Its addresses come with the next whole datagram; it is asked for by telling
+		// the node of this one.
+		p.live, p.sent, p.full = false, 0, 0
+		return false
+	}
+	p.incarnation, p.sequence = s.GetIncarnation(), s.GetSequence()
+	p.heard = g.o.Now()
+	if !p.live || p.Ready != s.GetReady() || p.Leaving != s.GetLeaving() {
+		g.o.Log.Info("node heard", zap.String("node", s.GetAddress()), zap.Bool("ready", s.GetReady()),
+			zap.Bool("leaving", s.GetLeaving()), zap.Uint64("incarnation", s.GetIncarnation()))
+	}
+	if !p.live {
+		// A node that was not live may have missed the addresses.
+		p.full = 0
+	}
+	p.live = true
+	p.Ready, p.Leaving = s.GetReady(), s.GetLeaving()
+	if s.GetBrief() {
+		return true
+	}
+	p.Peer = Peer{
+		Address:       s.GetAddress(),
+		CallerAddress: s.GetCallerAddress(),
+		PeerAddress:   s.GetPeerAddress(),
+		DataCentre:    s.GetDataCentre(),
+		Ready:         s.GetReady(),
+		Leaving:       s.GetLeaving(),
+	}
+	for _, address := range s.GetKnown() {
+		g.addLocked(address)
+	}
+	return true
+}
--- a/node/health.go
+++ b/node/health.go
@@ -73,6 +73,6 @@
 	}
 	if n.fleet.Unhealthy(fleet.KeyOf(in.ID)) {
 		n.log.Info("endpoint leaves by its health check", zap.String("endpoint", in.ID), zap.String("address", in.Address))
-		n.gossip.Tell()
+		n.gossip.TellAll()
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -97,16 +97,18 @@
 	n.engines = platform.NewEngines(n.client)
 	n.client.Opened = func() { metrics.Count("endpoint_connections") }
 	n.gossip = gossip.New(gossip.Options{
-		IP:    s.IP,
-		Port:  s.GossipPort,
-		Now:   boottime.Now,
-		State: n.state,
-		Heard: n.heard,
-		Lost:  n.lost,
-		Log:   log,
+		IP:          s.IP,
+		Port:        s.GossipPort,
+		DataCentre:  s.DataCentre,
+		TellAllUpTo: gossip.TellAllUpTo,
+		Now:         boottime.Now,
+		State:       n.state,
+		Heard:       n.heard,
+		Lost:        n.lost,
+		Log:         log,
 	})
 	n.fleet.Name = s.IP
-	n.fleet.Changed = n.gossip.Tell
+	n.fleet.Changed = n.tell
 	n.fleet.Wake = func(after time.Duration) { time.AfterFunc(after, n.fleet.Tick) }
 	n.relay = &relay.Relay{
 		Fleet:    n.fleet,
--- a/node/peers.go
+++ b/node/peers.go
@@ -48,6 +48,15 @@
 	return s
 }
 
+// tell makes the nodes of a data centre hear of this one's state at once, or all nodes.
+func (n *Node) tell(dataCentre string) {
+	if dataCentre == "" {
+		n.gossip.TellAll()
+		return
+	}
+	n.gossip.Tell(dataCentre)
+}
+
 // strikesTold is how long each strike is told to the other nodes: several datagrams,
 // any of which may be lost.
 const strikesTold = 2 * time.Second
