Bound the reading of a table by the page, not as a whole

Cause: a table was read within 1.5 s or begun anew. At 300 machines the list of 3,000 endpoints is a megabyte in six pages; over the 10 Mbit/s of a small VM that takes about a second while nothing else is read (computed), and all nodes read it together after they were killed at once.

Test: a table of three pages from a store that takes 0.6 s a call was never read (timed out), and now is.

--- a/node/export_test.go
+++ b/node/export_test.go
@@ -18,6 +18,13 @@
 	return &feed{store: store, table: "t", wait: time.Second, log: zap.NewNop(), direct: direct, listed: drop, changed: drop}
 }
 
+// NewListingFeed returns a feed that tells of each reading of the whole table.
+func NewListingFeed(store *platform.Store, listed func(platform.Listing)) *Feed {
+	f := NewFeed(store, func() bool { return true })
+	f.listed = func(l platform.Listing, _ knowledge.Seen) { listed(l) }
+	return f
+}
+
 // Run follows the table; Unsteady tells whether the store counts as lost.
 var (
 	Run      = (*feed).run
--- a/node/watch.go
+++ b/node/watch.go
@@ -32,8 +32,6 @@
 	gather = 40 * time.Millisecond
 	// directCheck is how often a feed that rests looks whether it is needed.
 	directCheck = 50 * time.Millisecond
-	// listTimeout bounds the read of a whole table.
-	listTimeout = 1500 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed question. All
 	// nodes ask together after an outage, so the pause grows and has jitter.
 	firstBackoff   = 50 * time.Millisecond
@@ -96,8 +94,9 @@
 func (f *feed) ask(ctx context.Context) error {
 	asked := boottime.Now()
 	if f.version == 0 {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
+		// Each page has the time of one call. A bound on the whole would, with thousands of
+		// endpoints over a slow link, end every reading before its last page, and a node
+		// that starts would never come to serve.
 		listing, err := f.store.List(ctx, f.table)
 		if err != nil {
 			return err
--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -2,17 +2,45 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	standin "github.com/crocusreel/crocusreel/internal/standin/platform"
 	"github.com/crocusreel/crocusreel/node"
 	"github.com/crocusreel/crocusreel/platform"
 )
 
 var _ = Describe("a feed", func() {
+	// All nodes start at once, the store is slow with them, and thousands of endpoints come
+	// in several pages. A reading that is given up before its last page and begun anew is
+	// never done: the node would not serve until the store is quick again.
+	It("reads a table of several pages from a slow store", func() {
+		const rows, pages = 1100, 3
+		server := httptest.NewServer(standin.New(standin.Options{Latency: 600 * time.Millisecond}).Handler())
+		DeferCleanup(server.Close)
+		store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), 3*time.Second)
+		for from := 0; from < rows; from += 100 {
+			var txn platform.Txn
+			for i := from; i < from+100; i++ {
+				txn.Writes = append(txn.Writes, platform.Write{Table: "t", Key: fmt.Sprintf("%04d", i), Value: []byte("{}")})
+			}
+			_, err := store.Commit(context.Background(), txn)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		listed := make(chan int, 1)
+		f := node.NewListingFeed(store, func(l platform.Listing) { listed <- len(l.Rows) })
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go func() { _ = node.Run(f, ctx) }()
+		Eventually(listed, (pages+2)*600*time.Millisecond).Should(Receive(Equal(rows)))
+	})
+
 	// A node is cut off from the store for a while and then follows another node, which
 	// has the store. Were its own feed to count as lost for ever, it would take every
 	// removal of an endpoint for a passing one, and send work to endpoints that are gone.
