Log when an endpoint is left out and when it is taken back

Cause: the fleet left endpoints out for their failures without a word, so that an engineer could not see why work went elsewhere; health.failed returned a verdict that nobody read. Now one line tells the endpoint, the cause, for how long and the failures that led to it, and one line that it is taken back; what lies between is not logged, so that the volume stays bounded. Test: eight failures give one line, two whole answers one more.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,6 +23,8 @@
 	// what waits on it: the nodes of the given data centre, or all if it is empty. It
 	// must not block.
 	Changed func(dataCentre string)
+	// Believed is told of each endpoint that is left out or taken back; it must not block.
+	Believed func(Exclusion)
 	// Wake is asked to call Tick after the given time; it must not block.
 	Wake func(after time.Duration)
 }
@@ -38,6 +40,7 @@
 		queues:     make(map[line]*queue),
 		remote:     make(map[string]remoteNode),
 		Changed:    func(string) {},
+		Believed:   func(Exclusion) {},
 		Wake:       func(time.Duration) {},
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -264,6 +264,28 @@
 		Expect(seen).To(HaveKey("grey"))
 	})
 
+	// An engineer on call asks why an endpoint got no work. One line tells when it was left
+	// out and why, one when it was taken back; a line for each failure would be a flood.
+	It("are told of when they are left out, and when they are taken back", func() {
+		w := newWorld()
+		var told []fleet.Exclusion
+		w.Believed = func(e fleet.Exclusion) { told = append(told, e) }
+		w.plain("grey")
+		for range 8 {
+			w.place(call).Release(fleet.Failed)
+		}
+		Expect(told).To(HaveLen(1))
+		Expect(told[0].Excluded).To(BeTrue())
+		Expect(told[0].Instance.ID).To(Equal("grey"))
+		Expect(told[0].Cause.String()).To(Equal("failed"))
+		Expect(told[0].For).To(BeNumerically(">", time.Second))
+		w.now += 10 * time.Second
+		w.place(call).Release(fleet.Good)
+		w.place(call).Release(fleet.Good)
+		Expect(told).To(HaveLen(2))
+		Expect(told[1].Excluded).To(BeFalse())
+	})
+
 	// All endpoints of a service fail at once. Leaving all of them out would refuse
 	// every call although some would succeed.
 	It("stay in use when no other is left", func() {
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -34,6 +34,13 @@
 	Silent
 )
 
+var resultNames = map[Result]string{
+	Neutral: "neutral", Good: "good", Failed: "failed", Busy: "busy", Unreachable: "unreachable", Silent: "silent",
+}
+
+// String implements fmt.Stringer.
+func (r Result) String() string { return resultNames[r] }
+
 // Weights of results in health, in failures.
 const (
 	busyWeight   = 0.3
@@ -125,19 +132,48 @@
 
 func (f *Fleet) recordLocked(e *Endpoint, r Result) {
 	now := f.now()
+	h := &e.health
 	switch r {
 	case Good:
-		e.health.succeeded(now)
+		h.succeeded(now)
 	case Failed:
-		e.health.failed(now, 1)
+		h.failed(now, 1)
 	case Busy:
-		e.health.failed(now, busyWeight)
+		h.failed(now, busyWeight)
 	case Silent:
-		e.health.failed(now, silentWeight)
-		e.health.ejectedUntil = max(e.health.ejectedUntil, now+silentFor)
+		h.failed(now, silentWeight)
+		h.avoid(now, silentFor)
 	case Unreachable:
-		e.health.failed(now, 1)
-		e.health.ejectedUntil = max(e.health.ejectedUntil, now+unreachableFor)
+		h.failed(now, 1)
+		h.avoid(now, unreachableFor)
 	case Neutral:
 	}
+	f.tellOfHealthLocked(e, r, now)
+}
+
+// Exclusion is a change of what this node believes of an endpoint's health.
+type Exclusion struct {
+	Instance Instance
+	// Excluded is set if the endpoint gets no new work for a while, and not if it is
+	// taken back after a whole answer.
+	Excluded bool
+	// Cause is the result that led to it, For the time for which work is kept away.
+	Cause Result
+	For   time.Duration
+	// Failures is the number of recent failures, as they are weighed.
+	Failures float64
+}
+
+// tellOfHealthLocked tells of an endpoint that is left out from now on, and of one that is
+// good again; what lies between would be a line for each request.
+func (f *Fleet) tellOfHealthLocked(e *Endpoint, r Result, now time.Duration) {
+	h := &e.health
+	excluded := now < h.ejectedUntil
+	back := r == Good && !excluded
+	if (excluded && !h.told) || (back && h.told) {
+		h.told = excluded
+		f.Believed(Exclusion{
+			Instance: e.Instance, Excluded: excluded, Cause: r, For: max(h.ejectedUntil-now, 0), Failures: h.failures,
+		})
+	}
 }
--- a/node/health.go
+++ b/node/health.go
@@ -76,3 +76,17 @@
 		n.gossip.TellAll()
 	}
 }
+
+// believed logs that an endpoint is left out or taken back.
+func (n *Node) believed(e fleet.Exclusion) {
+	fields := []zap.Field{
+		zap.String("endpoint", e.Instance.ID), zap.String("service", e.Instance.Service),
+		zap.String("address", e.Instance.Address), zap.Stringer("cause", e.Cause),
+	}
+	if !e.Excluded {
+		n.log.Info("endpoint taken back", fields...)
+		return
+	}
+	metrics.Count("endpoint_left_out")
+	n.log.Info("endpoint left out", append(fields, zap.Duration("for", e.For), zap.Float64("failures", e.Failures))...)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -109,6 +109,7 @@
 	})
 	n.fleet.Name = s.IP
 	n.fleet.Changed = n.tell
+	n.fleet.Believed = n.believed
 	n.fleet.Wake = func(after time.Duration) { time.AfterFunc(after, n.fleet.Tick) }
 	n.relay = &relay.Relay{
 		Fleet:    n.fleet,
