Count strikes at plain endpoints that died of a request

Cause: nodes counted a strike only where an engine broke a stream. A call that kills plain endpoints could take down a whole service, six of six in the test. An endpoint that only loses answers must not look the same; so the node asks whether the address refuses connections, which one that has died does at once. Strikes are told to the other nodes like those at engines. Tests: a call that kills is stopped after three endpoints (six before); calls whose answers are lost are not held against their work.

--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -118,6 +118,17 @@
 	return resp, nil
 }
 
+// Refuses tells whether nothing listens at the address any more. It is false where that
+// is not certain, as for an endpoint that cannot be reached.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		c.Opened()
+		_ = raw.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (c *Client) connection(ctx context.Context, address string) (*conn, error) {
 	if kept := c.takeIdle(address); kept != nil {
 		return kept, nil
--- a/relay/call.go
+++ b/relay/call.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/fleet"
@@ -67,13 +69,39 @@
 			runs++
 			j.ran = true
 		}
-		if ctx.Err() != nil || !j.mayRepeat(got, runs) {
+		if got.cause == causeLost {
+			j.strikeIfDead(ctx, p.Instance())
+		}
+		if ctx.Err() != nil || !j.mayRepeat(got, runs) || j.Strikes.Count(j.r.Fingerprint) >= strikeLimit {
 			return j.exhausted(ctx, held, j.failure(got))
 		}
 		j.verdict.Detail = got.cause
 	}
 }
 
+const (
+	// causeLost is a connection that broke before an answer.
+	causeLost = "connection_lost"
+	// deathCheck bounds the look at an endpoint that broke a connection; one that has died
+	// refuses within a round trip.
+	deathCheck = 50 * time.Millisecond
+)
+
+// strikeIfDead counts a strike against the request if the endpoint died while it ran it.
+// Plain services lose single answers, too; held against the request, three of those would
+// refuse work that harms nobody. An endpoint that has died refuses connections.
+func (j *job) strikeIfDead(ctx context.Context, in fleet.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, deathCheck)
+	defer cancel()
+	if !j.Client.Refuses(ctx, in.Address) {
+		return
+	}
+	j.Strikes.Add(j.r.Fingerprint, uint32(fleet.KeyOf(in.ID)))
+	metrics.Count("endpoint_died")
+	j.Log.Warn("endpoint died of a request", zap.String("request", j.r.ID), zap.String("endpoint", in.ID),
+		zap.String("address", in.Address), zap.Int("strikes", j.Strikes.Count(j.r.Fingerprint)))
+}
+
 // worthRepeating tells whether another endpoint may do better than this answer.
 func (j *job) worthRepeating(status int) bool {
 	return j.r.Route.Kind.Repeatable() && status >= http.StatusInternalServerError
@@ -175,7 +203,7 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return result{health: fleet.Silent, cause: "endpoint_silent"}
 	}
-	return result{health: fleet.Failed, cause: "connection_lost"}
+	return result{health: fleet.Failed, cause: causeLost}
 }
 
 // refused handles an answer by which the endpoint says that it did not run the
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -433,6 +433,38 @@
 		Expect(v.Refusal.Outcome).To(Equal(crocusreel.OutcomeNotRun))
 	})
 
+	// A call kills each plain endpoint that runs it, and its caller sends it again. Without
+	// strikes it would take down the whole service, one endpoint after another.
+	It("is stopped once three plain endpoints died of it", func() {
+		r := newRig()
+		var apps []*worker.Worker
+		for i := range 6 {
+			apps = append(apps, r.service(fmt.Sprintf("a%d", i), worker.Crash))
+		}
+		for range 4 {
+			r.serve(r.request(routing.Idempotent))
+		}
+		runs := 0
+		for _, a := range apps {
+			runs += len(a.Runs())
+		}
+		Expect(runs).To(Equal(relay.StrikeLimit))
+		v, _ := r.serve(r.request(routing.Idempotent))
+		Expect(v.Refusal.Reason).To(Equal(crocusreel.ReasonSuspect))
+	})
+
+	// An endpoint loses the answers to many calls and lives. Their work is harmless: it must
+	// not be refused as work that kills.
+	It("is not held to kill endpoints that only lose its answers", func() {
+		r := newRig()
+		r.service("a1", worker.LoseAnswer)
+		r.service("a2", worker.LoseAnswer)
+		for range 4 {
+			v, _ := r.serve(r.request(routing.Idempotent))
+			Expect(v.Refusal.Reason).To(Equal(crocusreel.ReasonEndpointLost))
+		}
+	})
+
 	// The key of a waiting request is taken away while it waits, or its machine sleeps.
 	It("does not run when it may no longer be admitted", func() {
 		r := newRig()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -102,7 +102,7 @@
 		j.tried = append(j.tried, p.Instance().ID)
 		j.verdict.Detail = got.cause
 		j.ran = j.ran || !got.notRun
-		if got.cause == "connection_lost" {
+		if got.cause == causeLost {
 			j.Strikes.Add(j.r.Fingerprint, uint32(fleet.KeyOf(p.Instance().ID)))
 		}
 		if ctx.Err() != nil || !j.mayRepeat(got, maxSends) {
