--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -56,6 +56,21 @@
 	return p
 }
 
+// waits makes a request wait. Its name comes on order once it has a place, which it then
+// gives back.
+func (w *world) waits(order chan<- string, name string, want fleet.Want) {
+	GinkgoHelper()
+	waiting := w.Waiting("pool")
+	go func() {
+		defer GinkgoRecover()
+		p, refusal := w.Acquire(context.Background(), want, 5*time.Second)
+		Expect(refusal).To(BeNil())
+		order <- name
+		p.Release(fleet.Good)
+	}()
+	Eventually(func() int { return w.Waiting("pool") }).Should(Equal(waiting + 1))
+}
+
 func (w *world) refused(want fleet.Want) *crocusreel.Refusal {
 	GinkgoHelper()
 	p, refusal := w.Acquire(context.Background(), want, 0)
@@ -152,15 +167,7 @@
 		wait := func(name string, rank int) {
 			want := generation(25_000, 1000)
 			want.Rank = rank
-			waiting := w.Waiting("pool")
-			go func() {
-				defer GinkgoRecover()
-				p, refusal := w.Acquire(context.Background(), want, 5*time.Second)
-				Expect(refusal).To(BeNil())
-				order <- name
-				p.Release(fleet.Good)
-			}()
-			Eventually(func() int { return w.Waiting("pool") }).Should(Equal(waiting + 1))
+			w.waits(order, name, want)
 		}
 		wait("second", 2)
 		wait("first", 1)
@@ -189,15 +196,7 @@
 		wait := func(name string, within time.Duration) {
 			want := generation(15_000, 1000)
 			want.StartWithin = within
-			waiting := w.Waiting("pool")
-			go func() {
-				defer GinkgoRecover()
-				p, refusal := w.Acquire(context.Background(), want, 5*time.Second)
-				Expect(refusal).To(BeNil())
-				order <- name
-				p.Release(fleet.Good)
-			}()
-			Eventually(func() int { return w.Waiting("pool") }).Should(Equal(waiting + 1))
+			w.waits(order, name, want)
 		}
 		wait("late", time.Second)
 		w.now += 2 * time.Second
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -22,9 +22,14 @@
 // in which every answer is late. Work that is late is served when nothing else waits.
 const lateRank = 1 << 16
 
+// late tells whether the work can no longer start in time.
+func (w *waiter) late(now time.Duration) bool {
+	return w.want.StartWithin > 0 && now-w.since > w.want.StartWithin
+}
+
+// rank is the work's rank among all that waits.
 func (w *waiter) rank(now time.Duration) int {
-	if w.want.StartWithin > 0 && now-w.since > w.want.StartWithin {
-		w.want.late = true
+	if w.late(now) {
 		return w.want.Rank + lateRank
 	}
 	return w.want.Rank
@@ -39,7 +44,7 @@
 func (q *queue) first(now time.Duration, n int) []*waiter {
 	var inTime, late []*waiter
 	for _, w := range q.waiting {
-		if w.rank(now) >= lateRank {
+		if w.late(now) {
 			late = append(late, w)
 		} else if inTime = append(inTime, w); len(inTime) == n {
 			return inTime
@@ -172,7 +177,9 @@
 	if q == nil {
 		return
 	}
-	for _, w := range q.first(f.now(), lookAhead) {
+	now := f.now()
+	for _, w := range q.first(now, lookAhead) {
+		w.want.late = w.late(now)
 		e := f.pickLocked(w.want)
 		if e == nil {
 			w.turn.sees = false
