--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -32,8 +32,12 @@
 	gossipPort  = 23720
 )
 
-// sites numbers the sites, so that no two specs use the same addresses.
-var sites atomic.Int32
+// sites numbers the sites, so that no two specs use the same addresses; ownNet keeps apart
+// two runs of the suite at the same time, which would not get each other's ports.
+var (
+	sites  atomic.Int32
+	ownNet = 1 + os.Getpid()%250
+)
 
 // site is a small deployment.
 type site struct {
@@ -147,13 +151,13 @@
 // start starts so many nodes and waits until they are ready and know each other.
 func (s *site) start(count int) {
 	GinkgoHelper()
-	number := sites.Add(1)
+	network := fmt.Sprintf("127.%d.%d", ownNet, 100+sites.Add(1))
 	var seeds []string
 	for i := range count {
-		seeds = append(seeds, fmt.Sprintf("127.0.%d.%d:%d", 100+number, i+1, peerPort))
+		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", network, i+1, peerPort))
 	}
 	for i := range count {
-		s.nodes = append(s.nodes, s.node(fmt.Sprintf("127.0.%d.%d", 100+number, i+1), strings.Join(seeds, ",")))
+		s.nodes = append(s.nodes, s.node(fmt.Sprintf("%s.%d", network, i+1), strings.Join(seeds, ",")))
 	}
 	for _, n := range s.nodes {
 		Expect(n.Start()).To(Succeed())
