--- a/fleet/turn_test.go
+++ b/fleet/turn_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -31,7 +32,8 @@
 
 // crowd is many nodes with one clock and datagrams that take their time.
 type crowd struct {
-	now    time.Duration
+	// clock is read by the waiting requests as well.
+	clock  atomic.Int64
 	nodes  []*crowdNode
 	events []crowdEvent
 }
@@ -49,10 +51,11 @@
 }
 
 func newCrowd(size int) *crowd {
-	c := &crowd{now: time.Hour}
+	c := &crowd{}
+	c.clock.Store(int64(time.Hour))
 	for i := range size {
 		n := &crowdNode{name: fmt.Sprintf("node%d", i), told: -time.Hour}
-		n.Fleet = fleet.New("dc1", func() time.Duration { return c.now })
+		n.Fleet = fleet.New("dc1", c.now)
 		n.Name = n.name
 		n.Changed = func(string) { c.tell(n) }
 		n.Wake = func(after time.Duration) { c.after(after, n.Tick) }
@@ -70,8 +73,10 @@
 	})
 }
 
+func (c *crowd) now() time.Duration { return time.Duration(c.clock.Load()) }
+
 func (c *crowd) after(d time.Duration, do func()) {
-	c.events = append(c.events, crowdEvent{at: c.now + d, do: do})
+	c.events = append(c.events, crowdEvent{at: c.now() + d, do: do})
 }
 
 // tell sends the state of a node to all others, at most once in roundGap.
@@ -80,8 +85,8 @@
 		return
 	}
 	n.promised = true
-	c.after(max(0, n.told+roundGap-c.now), func() {
-		n.promised, n.told = false, c.now
+	c.after(max(0, n.told+roundGap-c.now()), func() {
+		n.promised, n.told = false, c.now()
 		loads, waiting := n.OwnLoads(), n.OwnWaiting()
 		c.after(way, func() {
 			for _, other := range c.nodes {
@@ -95,16 +100,16 @@
 
 // run plays events in their order until the given time has passed.
 func (c *crowd) run(d time.Duration) {
-	end := c.now + d
+	end := c.now() + d
 	for {
 		slices.SortStableFunc(c.events, func(a, b crowdEvent) int { return int(a.at - b.at) })
 		if len(c.events) == 0 || c.events[0].at > end {
-			c.now = end
+			c.clock.Store(int64(end))
 			return
 		}
 		next := c.events[0]
 		c.events = c.events[1:]
-		c.now = next.at
+		c.clock.Store(int64(next.at))
 		next.do()
 	}
 }
