Count the deaths of a request as a set, and let losses travel with each request

A request that kills engines was once given a fourth engine at a bound of three, beside three busy processes. Two ways lead there. Schedulers overlap while one is not reached, and the larger of two counts left out what only the other had seen; and a scheduler that took over heard of a loss with a later report than the next try, or saw only the new incarnation of an engine that had died, and took the loss for a broken link.

Strikes are now deaths, identified by the permit that was lost, and merged as a set. Each request for a permit carries the losses and strikes that its gateway knows of its fingerprint, and a permit names the incarnation that it was granted under. No round trip.

Two tests of the scheduler failed before (the second needs the new field): 'lost between two deaths' and 'only seen the new incarnation'.

--- a/gateway/strikes.go
+++ b/gateway/strikes.go
@@ -18,6 +18,8 @@
 	mu       sync.Mutex
 	began    time.Time
 	suspects *policy.Suspects
+	// deaths numbers the deaths that were seen here.
+	deaths uint64
 	// struck is when a content last got a strike at a service.
 	struck map[struckKey]time.Time
 }
@@ -46,7 +48,8 @@
 		clear(s.struck)
 	}
 	s.struck[key] = time.Now()
-	s.suspects.Strike(content, time.Since(s.began))
+	s.deaths++
+	s.suspects.Strike(policy.Strike{Fingerprint: content, Death: s.deaths, At: time.Since(s.began)})
 }
 
 func (s *strikes) clear(content uint64) {
--- a/policy/suspects.go
+++ b/policy/suspects.go
@@ -5,94 +5,122 @@
 const (
 	// maxSuspects bounds the fingerprints remembered.
 	maxSuspects = 4096
+	// maxDeaths bounds the deaths remembered of one fingerprint: more than any bound
+	// on them that an operator would set.
+	maxDeaths = 16
 	// strikeLife is how long a strike counts.
 	strikeLife = 10 * time.Minute
 )
 
-// Strikes counts the endpoint deaths at which one request was running.
-type Strikes struct {
+// Strike is one endpoint death at which a request was running.
+type Strike struct {
 	Fingerprint uint64
-	Count       int
-	// Last is the time of the last death.
-	Last time.Duration
+	// Death identifies the death together with the fingerprint. Two schedulers that
+	// both hear of it give it the same value.
+	Death uint64
+	// At is the time of the death.
+	At time.Duration
 }
 
 // Suspects remembers which requests were running when endpoints died. Callers
 // send a deadly request again under new keys, so it is known by its fingerprint.
+//
+// Deaths are kept as a set and not as a number: two schedulers of a pool, as there are
+// while gateways disagree on who schedules, each see some of the deaths, and the larger
+// of two numbers would leave out what only the other one saw. A request would then kill
+// more endpoints than the bound allows.
 type Suspects struct {
-	strikes map[uint64]Strikes
+	deaths map[uint64]map[uint64]time.Duration
 }
 
 // NewSuspects returns an empty memory.
-func NewSuspects() *Suspects { return &Suspects{strikes: make(map[uint64]Strikes)} }
+func NewSuspects() *Suspects { return &Suspects{deaths: make(map[uint64]map[uint64]time.Duration)} }
 
-// Strike records that an endpoint died while the request was running there.
-func (s *Suspects) Strike(fingerprint uint64, now time.Duration) {
-	n := s.Count(fingerprint, now)
-	s.put(Strikes{Fingerprint: fingerprint, Count: n + 1, Last: now})
+// Strike records that an endpoint died while the request was running there. It is
+// idempotent for each death.
+func (s *Suspects) Strike(k Strike) {
+	known := s.deaths[k.Fingerprint]
+	if known == nil {
+		if len(s.deaths) >= maxSuspects {
+			s.evict()
+		}
+		known = make(map[uint64]time.Duration)
+		s.deaths[k.Fingerprint] = known
+	}
+	if _, counted := known[k.Death]; !counted && len(known) < maxDeaths {
+		known[k.Death] = k.At
+	}
 }
 
 // Clear forgets a request that has run to its end: it did not kill its endpoint.
-func (s *Suspects) Clear(fingerprint uint64) { delete(s.strikes, fingerprint) }
+func (s *Suspects) Clear(fingerprint uint64) { delete(s.deaths, fingerprint) }
 
-// Merge takes over strikes that another scheduler recorded.
-func (s *Suspects) Merge(o Strikes, now time.Duration) {
-	if now-o.Last > strikeLife || o.Count <= s.Count(o.Fingerprint, now) {
-		return
+// Merge takes over a strike that another scheduler recorded.
+func (s *Suspects) Merge(k Strike, now time.Duration) {
+	if now-k.At <= strikeLife {
+		s.Strike(k)
 	}
-	s.put(o)
 }
 
 // Count returns the strikes against the request that still count.
 func (s *Suspects) Count(fingerprint uint64, now time.Duration) int {
-	k, ok := s.strikes[fingerprint]
-	if !ok {
-		return 0
+	s.forget(fingerprint, now)
+	return len(s.deaths[fingerprint])
+}
+
+// forget drops the strikes against a request that no longer count.
+func (s *Suspects) forget(fingerprint uint64, now time.Duration) {
+	known := s.deaths[fingerprint]
+	for death, at := range known {
+		if now-at > strikeLife {
+			delete(known, death)
+		}
 	}
-	if now-k.Last > strikeLife {
-		delete(s.strikes, fingerprint)
-		return 0
+	if len(known) == 0 {
+		delete(s.deaths, fingerprint)
 	}
-	return k.Count
 }
 
-// ExpiresIn returns how long the strikes against the request still count.
+// ExpiresIn returns how long the last strike against the request still counts.
 func (s *Suspects) ExpiresIn(fingerprint uint64, now time.Duration) time.Duration {
-	k, ok := s.strikes[fingerprint]
-	if !ok {
+	if len(s.deaths[fingerprint]) == 0 {
 		return 0
 	}
-	return max(strikeLife-(now-k.Last), 0)
+	return max(strikeLife-(now-s.last(fingerprint)), 0)
 }
 
-// All appends every strike that still counts to dst, at most limit of them.
-func (s *Suspects) All(dst []Strikes, limit int, now time.Duration) []Strikes {
-	for _, k := range s.strikes {
-		if len(dst) >= limit {
-			break
-		}
-		if now-k.Last <= strikeLife {
-			dst = append(dst, k)
-		}
+func (s *Suspects) last(fingerprint uint64) time.Duration {
+	var last time.Duration
+	for _, at := range s.deaths[fingerprint] {
+		last = max(last, at)
 	}
-	return dst
+	return last
 }
 
-func (s *Suspects) put(k Strikes) {
-	if _, known := s.strikes[k.Fingerprint]; !known && len(s.strikes) >= maxSuspects {
-		s.evict()
+// All appends every strike that still counts to dst, at most limit of them.
+func (s *Suspects) All(dst []Strike, limit int, now time.Duration) []Strike {
+	for fingerprint, known := range s.deaths {
+		for death, at := range known {
+			if len(dst) >= limit {
+				return dst
+			}
+			if now-at <= strikeLife {
+				dst = append(dst, Strike{Fingerprint: fingerprint, Death: death, At: at})
+			}
+		}
 	}
-	s.strikes[k.Fingerprint] = k
+	return dst
 }
 
-// evict drops the oldest strike.
+// evict drops the request whose last strike is the oldest.
 func (s *Suspects) evict() {
-	var oldest Strikes
+	var oldest uint64
+	var oldestAt time.Duration
 	found := false
-	for _, k := range s.strikes {
-		if !found || k.Last < oldest.Last {
-			oldest, found = k, true
+	for fingerprint := range s.deaths {
+		if at := s.last(fingerprint); !found || at < oldestAt {
+			oldest, oldestAt, found = fingerprint, at, true
 		}
 	}
-	delete(s.strikes, oldest.Fingerprint)
+	delete(s.deaths, oldest)
 }
--- a/policy/suspects_test.go
+++ b/policy/suspects_test.go
@@ -10,8 +10,8 @@
 func TestStrikesAddUpAndFade(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := NewSuspects()
-	s.Strike(7, 0)
-	s.Strike(7, time.Minute)
+	s.Strike(Strike{Fingerprint: 7, Death: 1, At: 0})
+	s.Strike(Strike{Fingerprint: 7, Death: 2, At: time.Minute})
 	g.Expect(s.Count(7, time.Minute)).To(gomega.Equal(2))
 	g.Expect(s.ExpiresIn(7, time.Minute)).To(gomega.Equal(strikeLife))
 	g.Expect(s.Count(7, time.Minute+strikeLife+1)).To(gomega.BeZero())
@@ -20,29 +20,38 @@
 func TestFinishedRequestIsCleared(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := NewSuspects()
-	s.Strike(7, 0)
+	s.Strike(Strike{Fingerprint: 7, Death: 1})
 	s.Clear(7)
 	g.Expect(s.Count(7, 0)).To(gomega.BeZero())
 }
 
+// Two gateways take themselves for the scheduler for a while, and each sees some of the
+// deaths of one request. Whoever hears of both must count them all, and each once:
+// otherwise the request kills one engine more, and all answers beside it are lost.
 func TestStrikesOfAnotherSchedulerAreTakenOver(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := NewSuspects()
-	s.Merge(Strikes{Fingerprint: 7, Count: 2, Last: time.Minute}, time.Minute)
-	s.Merge(Strikes{Fingerprint: 7, Count: 1, Last: time.Minute}, time.Minute)
-	s.Merge(Strikes{Fingerprint: 8, Count: 2, Last: 0}, strikeLife+time.Second)
+	s.Strike(Strike{Fingerprint: 7, Death: 1, At: time.Minute})
+	s.Merge(Strike{Fingerprint: 7, Death: 1, At: time.Minute}, time.Minute)
+	s.Merge(Strike{Fingerprint: 7, Death: 2, At: time.Minute}, time.Minute)
+	s.Merge(Strike{Fingerprint: 8, Death: 3, At: 0}, strikeLife+time.Second)
 	g.Expect(s.Count(7, time.Minute)).To(gomega.Equal(2))
 	g.Expect(s.Count(8, strikeLife+time.Second)).To(gomega.BeZero())
+	g.Expect(s.All(nil, 10, time.Minute)).To(gomega.HaveLen(2))
 }
 
 func TestSuspectsAreBounded(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := NewSuspects()
 	for n := range uint64(maxSuspects + 10) {
-		s.Strike(n+1, time.Duration(n))
+		s.Strike(Strike{Fingerprint: n + 1, Death: 1, At: time.Duration(n)})
 	}
-	g.Expect(s.strikes).To(gomega.HaveLen(maxSuspects))
-	g.Expect(s.strikes).NotTo(gomega.HaveKey(uint64(1)))
+	g.Expect(s.deaths).To(gomega.HaveLen(maxSuspects))
+	g.Expect(s.deaths).NotTo(gomega.HaveKey(uint64(1)))
+	for n := range uint64(maxDeaths + 10) {
+		s.Strike(Strike{Fingerprint: maxSuspects, Death: n})
+	}
+	g.Expect(s.Count(maxSuspects, 0)).To(gomega.Equal(maxDeaths))
 }
 
 func TestPrefixesFadeAndAreBounded(t *testing.T) {
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -58,6 +58,7 @@
 	if refusal != nil {
 		return Permit{}, refusal
 	}
+	req.Losses, req.Strikes = m.ledger.against(req.Fingerprint, pv.key, m.now())
 	p, err := m.try(ctx, pv, req)
 	if err == nil {
 		m.ledger.add(p, pv.key, false)
@@ -94,7 +95,7 @@
 		return Permit{}, errUnreachable
 	}
 	defer context.AfterFunc(up, cancel)()
-	return pv.remote.acquire(call, &req, pv.key)
+	return pv.remote.acquire(call, &req, pv.key, m.now())
 }
 
 var errUnreachable = errors.New("the scheduler does not answer reports")
@@ -107,9 +108,7 @@
 		return Permit{}, refusal
 	}
 	metrics.Count("spare_scheduler")
-	if strikes := m.ledger.known(pv.key); len(strikes) > 0 {
-		pv.spare.send(reportEvent{report: &gatewayReport{Gateway: m.opts.VMID, Partial: true, Strikes: strikes}})
-	}
+	req.Losses, req.Strikes = m.ledger.against(req.Fingerprint, pv.key, m.now())
 	wait, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// No deadline: the pool would take it for the caller's and refuse for good.
@@ -162,6 +161,9 @@
 	if r.Permit.Produced == 0 {
 		r.Permit.Produced = int(h.produced.Load())
 	}
+	if r.End == EndEndpointLost {
+		m.ledger.lose(r.Permit, m.now())
+	}
 	if r.End != EndEndpointLost || !m.reportLoss(h.pool, r) {
 		m.ledger.give(h.pool, r)
 		signal(m.wake)
--- a/scheduler/convert.go
+++ b/scheduler/convert.go
@@ -8,17 +8,18 @@
 	"github.com/crocusreel/crocusreel/policy"
 )
 
-func requestToWire(r *Request, pool string, left time.Duration) *peerv1.AcquireRequest {
+func requestToWire(r *Request, pool string, left, now time.Duration) *peerv1.AcquireRequest {
 	return &peerv1.AcquireRequest{
 		RequestId: r.RequestID, Gateway: r.Gateway, Model: r.Model, Adapter: r.Adapter,
 		Workspace: r.Workspace, Class: string(r.Class), Priority: int32(r.Priority),
 		PromptTokens: uint32(r.PromptTokens), MaxTokens: uint32(r.MaxTokens),
 		DeadlineMs: uint32(left.Milliseconds()), Prefixes: r.Prefixes, Excluded: r.Excluded,
 		Fingerprint: r.Fingerprint, LengthHint: uint32(r.LengthHint), Pool: pool,
+		Losses: permitsToWire(r.Losses), Strikes: strikesToWire(r.Strikes, now),
 	}
 }
 
-func requestFromWire(m *peerv1.AcquireRequest) Request {
+func requestFromWire(m *peerv1.AcquireRequest, now time.Duration) Request {
 	return Request{
 		RequestID: m.GetRequestId(), Gateway: m.GetGateway(), Model: m.GetModel(),
 		Adapter: m.GetAdapter(), Workspace: m.GetWorkspace(),
@@ -26,15 +27,32 @@
 		PromptTokens: int(m.GetPromptTokens()), MaxTokens: int(m.GetMaxTokens()),
 		Prefixes: m.GetPrefixes(), Excluded: m.GetExcluded(),
 		Fingerprint: m.GetFingerprint(), LengthHint: int(m.GetLengthHint()),
+		Losses: permitsFromWire(m.GetLosses()), Strikes: strikesFromWire(m.GetStrikes(), now),
 	}
 }
 
+func permitsToWire(permits []Permit) []*peerv1.Permit {
+	out := make([]*peerv1.Permit, len(permits))
+	for i := range permits {
+		out[i] = permitToWire(&permits[i])
+	}
+	return out
+}
+
+func permitsFromWire(in []*peerv1.Permit) []Permit {
+	out := make([]Permit, len(in))
+	for i, p := range in {
+		out[i] = permitFromWire(p)
+	}
+	return out
+}
+
 func permitToWire(p *Permit) *peerv1.Permit {
 	return &peerv1.Permit{
 		Id: p.ID, Endpoint: p.Endpoint, Workspace: p.Workspace, Class: string(p.Class),
 		Model: p.Model, PromptTokens: uint32(p.PromptTokens), Produced: uint32(p.Produced),
 		EnginePriority: int32(p.EnginePriority), Fingerprint: p.Fingerprint,
-		MaxTokens: uint32(p.MaxTokens), LengthHint: uint32(p.LengthHint),
+		MaxTokens: uint32(p.MaxTokens), LengthHint: uint32(p.LengthHint), Incarnation: p.Incarnation,
 	}
 }
 
@@ -44,7 +62,7 @@
 		Class: crocusreel.Class(m.GetClass()), Model: m.GetModel(),
 		PromptTokens: int(m.GetPromptTokens()), Produced: int(m.GetProduced()),
 		EnginePriority: int(m.GetEnginePriority()), Fingerprint: m.GetFingerprint(),
-		MaxTokens: int(m.GetMaxTokens()), LengthHint: int(m.GetLengthHint()),
+		MaxTokens: int(m.GetMaxTokens()), LengthHint: int(m.GetLengthHint()), Incarnation: m.GetIncarnation(),
 	}
 }
 
@@ -64,20 +82,20 @@
 
 // Strikes travel with their age, since processes share no clock.
 
-func strikesToWire(strikes []policy.Strikes, now time.Duration) []*peerv1.Strike {
+func strikesToWire(strikes []policy.Strike, now time.Duration) []*peerv1.Strike {
 	out := make([]*peerv1.Strike, len(strikes))
 	for i, s := range strikes {
-		age := max(now-s.Last, 0)
-		out[i] = &peerv1.Strike{Fingerprint: s.Fingerprint, Count: uint32(s.Count), AgeMs: uint32(age.Milliseconds())}
+		age := max(now-s.At, 0)
+		out[i] = &peerv1.Strike{Fingerprint: s.Fingerprint, Death: s.Death, AgeMs: uint32(age.Milliseconds())}
 	}
 	return out
 }
 
-func strikesFromWire(in []*peerv1.Strike, now time.Duration) []policy.Strikes {
-	out := make([]policy.Strikes, len(in))
+func strikesFromWire(in []*peerv1.Strike, now time.Duration) []policy.Strike {
+	out := make([]policy.Strike, len(in))
 	for i, s := range in {
 		age := time.Duration(s.GetAgeMs()) * time.Millisecond
-		out[i] = policy.Strikes{Fingerprint: s.GetFingerprint(), Count: int(s.GetCount()), Last: now - age}
+		out[i] = policy.Strike{Fingerprint: s.GetFingerprint(), Death: s.GetDeath(), At: now - age}
 	}
 	return out
 }
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -31,8 +31,8 @@
 
 // loss is an answer that ended because the engine died or the link to it broke.
 type loss struct {
-	fingerprint uint64
-	at          time.Duration
+	permit Permit
+	at     time.Duration
 }
 
 func newEngine(s config.EndpointSpec) *engine {
@@ -84,7 +84,7 @@
 	c.preempted(e, r.report)
 	e.incarnation = r.report.Incarnation
 	e.leaving = r.report.Leaving
-	e.refute(r.begun)
+	c.judgeLosses(e, r.begun, now)
 	v := e.view
 	v.Capacity = r.report.KVCapacity
 	v.ReportedUsed = r.report.KVUsed
@@ -124,13 +124,19 @@
 	c.hooks.count("engine_preemptions", n)
 }
 
-// refute drops losses that the engine has outlived: a poll that began after them
-// was answered by the same incarnation, so that only the link had broken.
-func (e *engine) refute(begun time.Duration) {
+// judgeLosses explains the losses of an earlier incarnation by its death, and drops
+// those that the engine has outlived: a poll that began after them was answered by the
+// same incarnation, so that only the link had broken. A scheduler that took over while
+// the engine started again has seen no change of incarnation; it goes by the one under
+// which the permit was granted, or the death would count for nothing.
+func (c *core) judgeLosses(e *engine, begun, now time.Duration) {
 	kept := e.losses[:0]
 	for _, l := range e.losses {
-		if l.at >= begun {
+		switch {
+		case l.at >= begun:
 			kept = append(kept, l)
+		case l.permit.Incarnation != "" && l.permit.Incarnation != e.incarnation:
+			c.strike(e, &l.permit, now)
 		}
 	}
 	e.losses = kept
@@ -146,7 +152,7 @@
 		c.drop(id)
 		c.ended[id] = now
 		if g != nil {
-			c.strike(e, g.Fingerprint, now)
+			c.strike(e, &g.Permit, now)
 		}
 	}
 	e.incarnation = ""
@@ -158,28 +164,28 @@
 // explain takes the losses at an engine as caused by its death.
 func (c *core) explain(e *engine, now time.Duration) {
 	for _, l := range e.losses {
-		c.strike(e, l.fingerprint, now)
+		c.strike(e, &l.permit, now)
 	}
 	e.losses = nil
 }
 
-func (c *core) strike(e *engine, fingerprint uint64, now time.Duration) {
-	if e.leaving || e.spec.Leaving || fingerprint == 0 {
+func (c *core) strike(e *engine, p *Permit, now time.Duration) {
+	if e.leaving || e.spec.Leaving || p.Fingerprint == 0 {
 		return
 	}
-	c.suspects.Strike(fingerprint, now)
+	c.suspects.Strike(policy.Strike{Fingerprint: p.Fingerprint, Death: p.death(), At: now})
 	c.hooks.count("strikes", 1)
 }
 
 // lost notes that a gateway lost an answer. Whether the engine died is told by the
 // next poll; until then the request is held back, so that a deadly one does not
 // reach the next engine unrecognised.
-func (c *core) lost(e *engine, fingerprint uint64, now time.Duration) {
+func (c *core) lost(e *engine, p *Permit, now time.Duration) {
 	if e.view.State == policy.StateFailed {
-		c.strike(e, fingerprint, now)
+		c.strike(e, p, now)
 		return
 	}
-	e.losses = append(e.losses, loss{fingerprint: fingerprint, at: now})
+	e.losses = append(e.losses, loss{permit: *p, at: now})
 	c.hooks.poll(e.spec.Name)
 }
 
@@ -187,7 +193,7 @@
 func (c *core) unexplained(fingerprint uint64, now time.Duration) bool {
 	for _, e := range c.order {
 		for _, l := range e.losses {
-			if l.fingerprint == fingerprint && now-l.at < lossResolveLimit {
+			if l.permit.Fingerprint == fingerprint && now-l.at < lossResolveLimit {
 				return true
 			}
 		}
--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -43,7 +43,7 @@
 		&peerv1.AcquireRequest{Model: "m", Gateway: "g2", Workspace: "w", PromptTokens: math.MaxUint32, MaxTokens: math.MaxUint32},
 		&peerv1.AcquireRequest{Model: "m", Gateway: "g2", Workspace: "w", Class: "\x00", Priority: math.MinInt32},
 		&peerv1.ReportRequest{Gateway: "g2", Pool: "m", Open: []*peerv1.Permit{{Id: "x", Endpoint: "e1", PromptTokens: math.MaxUint32, Produced: math.MaxUint32}}},
-		&peerv1.ReportRequest{Gateway: "g2", Pool: "m", Strikes: []*peerv1.Strike{{Fingerprint: 1, Count: math.MaxUint32}}, Releases: []*peerv1.Release{{}}},
+		&peerv1.ReportRequest{Gateway: "g2", Pool: "m", Strikes: []*peerv1.Strike{{Fingerprint: 1, Death: math.MaxUint64, AgeMs: math.MaxUint32}}, Releases: []*peerv1.Release{{}}},
 		&peerv1.ReportRequest{Pool: "m", Partial: true},
 	} {
 		data, err := proto.Marshal(seed)
--- a/scheduler/handler.go
+++ b/scheduler/handler.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := pv.main.acquire(ctx, requestFromWire(r.Msg))
+	p, err := pv.main.acquire(ctx, requestFromWire(r.Msg, s.m.now()))
 	var refusal *crocusreel.Refusal
 	switch {
 	case errors.As(err, &refusal) && refusal.Reason == crocusreel.ReasonSchedulerLost:
@@ -57,9 +57,7 @@
 		Gateway: r.Msg.GetGateway(), Partial: r.Msg.GetPartial(),
 		Strikes: strikesFromWire(r.Msg.GetStrikes(), now),
 	}
-	for _, p := range r.Msg.GetOpen() {
-		rep.Open = append(rep.Open, permitFromWire(p))
-	}
+	rep.Open = permitsFromWire(r.Msg.GetOpen())
 	for _, x := range r.Msg.GetReleases() {
 		rep.Releases = append(rep.Releases, Release{Permit: permitFromWire(x.GetPermit()), End: End(x.GetEnd())})
 	}
--- a/scheduler/holdings.go
+++ b/scheduler/holdings.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/crocusreel/crocusreel/policy"
 )
@@ -34,22 +35,93 @@
 	mu       sync.Mutex
 	releases map[string][]Release // by pool
 	// strikes are those last learned from each pool's scheduler.
-	strikes map[string][]policy.Strikes
+	strikes map[string][]policy.Strike
+	// losses are the answers that this gateway lost, by fingerprint.
+	losses map[uint64][]lostPermit
 }
 
+// lostPermit is a permit whose answer was lost.
+type lostPermit struct {
+	Permit
+	at time.Duration
+}
+
+const (
+	// lossLife is how long a loss travels with the requests of its fingerprint: as long
+	// as schedulers remember that a permit has ended, so that none counts it twice.
+	lossLife = tombstoneLife
+	// maxLosses bounds the fingerprints with losses. The death of an engine loses some
+	// tens of answers.
+	maxLosses = 1024
+	// maxLossesEach bounds those of one fingerprint.
+	maxLossesEach = 8
+)
+
 func newHoldings() *holdings {
-	return &holdings{releases: make(map[string][]Release), strikes: make(map[string][]policy.Strikes)}
+	return &holdings{
+		releases: make(map[string][]Release), strikes: make(map[string][]policy.Strike),
+		losses: make(map[uint64][]lostPermit),
+	}
+}
+
+// lose records an answer that was lost together with its endpoint.
+func (h *holdings) lose(p Permit, now time.Duration) {
+	if p.Fingerprint == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.losses) >= maxLosses {
+		h.forgetLossesLocked(now)
+	}
+	all := append(h.losses[p.Fingerprint], lostPermit{Permit: p, at: now})
+	h.losses[p.Fingerprint] = all[max(len(all)-maxLossesEach, 0):]
+}
+
+// forgetLossesLocked drops old losses, and all of them if that frees nothing.
+func (h *holdings) forgetLossesLocked(now time.Duration) {
+	for fingerprint, all := range h.losses {
+		if now-all[len(all)-1].at > lossLife {
+			delete(h.losses, fingerprint)
+		}
+	}
+	if len(h.losses) >= maxLosses {
+		clear(h.losses)
+	}
+}
+
+// against returns the losses of a fingerprint, and the strikes that a pool's scheduler
+// told of it.
+func (h *holdings) against(fingerprint uint64, pool string, now time.Duration) ([]Permit, []policy.Strike) {
+	if fingerprint == 0 {
+		return nil, nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var losses []Permit
+	for _, l := range h.losses[fingerprint] {
+		if now-l.at <= lossLife {
+			losses = append(losses, l.Permit)
+		}
+	}
+	var strikes []policy.Strike
+	for _, s := range h.strikes[pool] {
+		if s.Fingerprint == fingerprint {
+			strikes = append(strikes, s)
+		}
+	}
+	return losses, strikes
 }
 
 // learn replaces the strikes known of a pool.
-func (h *holdings) learn(pool string, s []policy.Strikes) {
+func (h *holdings) learn(pool string, s []policy.Strike) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.strikes[pool] = s
 }
 
 // known returns the strikes known of a pool.
-func (h *holdings) known(pool string) []policy.Strikes {
+func (h *holdings) known(pool string) []policy.Strike {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.strikes[pool]
--- a/scheduler/permits.go
+++ b/scheduler/permits.go
@@ -22,7 +22,7 @@
 		ID:       c.hooks.id + strconv.FormatUint(c.sequence, 36),
 		Endpoint: e.spec.Name, Model: w.req.Model, Workspace: w.req.Workspace, Class: w.req.Class,
 		PromptTokens: w.req.PromptTokens, MaxTokens: w.req.MaxTokens,
-		Fingerprint: w.req.Fingerprint, LengthHint: w.req.LengthHint,
+		Fingerprint: w.req.Fingerprint, LengthHint: w.req.LengthHint, Incarnation: e.incarnation,
 	}
 	p.EnginePriority = policy.EnginePriority(now, c.duration(e, w.expected), w.req.Class, w.req.Priority)
 	c.open(&grant{Permit: p, gateway: w.req.Gateway, grantedAt: now, reportedAt: now, expected: w.expected}, &w.place.Demand, now)
@@ -99,7 +99,7 @@
 	case EndEndpointLost:
 		c.est.ObserveCensored(lengthKey(p), p.Produced)
 		if known {
-			c.lost(e, p.Fingerprint, now)
+			c.lost(e, p, now)
 		}
 	case EndNotStarted:
 		if known {
@@ -122,7 +122,7 @@
 }
 
 // report takes over what a gateway holds, and returns the strikes to remember.
-func (c *core) report(r *gatewayReport, now time.Duration) []policy.Strikes {
+func (c *core) report(r *gatewayReport, now time.Duration) []policy.Strike {
 	for i := range r.Releases {
 		c.release(&r.Releases[i], now)
 	}
--- a/scheduler/permits_test.go
+++ b/scheduler/permits_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/endpoint"
-	"github.com/crocusreel/crocusreel/policy"
 )
 
 func refusalOf(err error) crocusreel.Reason {
@@ -198,10 +197,10 @@
 
 		// The scheduler leaves within the second. Its successor must know the strikes,
 		// or the request takes down as many engines again.
-		Eventually(func() int { return firstCount(m.ledger.known("m")) }, "800ms").Should(Equal(r.cfg.Limits.Strikes))
+		Eventually(func() int { return len(m.ledger.known("m")) }, "800ms").Should(Equal(r.cfg.Limits.Strikes))
 		r.leave(r.scheduler())
 		Eventually(func() (n int) {
-			m.view.Load().pools["m"].main.stats(func(c *core) { n = firstCount(c.suspects.All(nil, 1, m.now())) })
+			m.view.Load().pools["m"].main.stats(func(c *core) { n = c.suspects.Count(7, m.now()) })
 			return n
 		}, patience).Should(Equal(r.cfg.Limits.Strikes))
 	})
@@ -227,10 +226,3 @@
 		Eventually(share, patience).Should(BeZero())
 	})
 })
-
-func firstCount(all []policy.Strikes) int {
-	if len(all) == 0 {
-		return 0
-	}
-	return all[0].Count
-}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -174,7 +174,7 @@
 type reportEvent struct {
 	report *gatewayReport
 	// reply gets the strikes to remember; nil if nobody wants them.
-	reply chan []policy.Strikes
+	reply chan []policy.Strike
 }
 
 func (e reportEvent) apply(p *pool, now time.Duration) {
@@ -248,8 +248,8 @@
 	"the scheduler has stopped")
 
 // report passes a gateway's report on and returns the strikes to remember.
-func (p *pool) report(ctx context.Context, r *gatewayReport) ([]policy.Strikes, error) {
-	reply := make(chan []policy.Strikes, 1)
+func (p *pool) report(ctx context.Context, r *gatewayReport) ([]policy.Strike, error) {
+	reply := make(chan []policy.Strike, 1)
 	if !p.send(reportEvent{report: r, reply: reply}) {
 		return nil, errPoolClosed
 	}
--- a/scheduler/queueing.go
+++ b/scheduler/queueing.go
@@ -21,6 +21,7 @@
 
 // enqueue takes in a request: it is queued or refused.
 func (c *core) enqueue(w *waiting, now time.Duration) {
+	c.hold(&w.req, now)
 	if r := c.refuseAtOnce(w, now); r != nil {
 		c.refuse(w, r)
 		return
@@ -43,6 +44,17 @@
 	c.shed(w, now)
 }
 
+// hold takes in what the gateway holds against a request. The reports that tell the same
+// go to the scheduler of the moment, and may come late or to another one than this.
+func (c *core) hold(r *Request, now time.Duration) {
+	for _, s := range r.Strikes {
+		c.suspects.Merge(s, now)
+	}
+	for _, p := range r.Losses {
+		c.release(&Release{Permit: p, End: EndEndpointLost}, now)
+	}
+}
+
 // refuseAtOnce returns the refusal of a request that must not wait.
 func (c *core) refuseAtOnce(w *waiting, now time.Duration) *crocusreel.Refusal {
 	if r := c.refuseSuspect(w, now); r != nil {
--- a/scheduler/remote.go
+++ b/scheduler/remote.go
@@ -64,12 +64,12 @@
 }
 
 // acquire asks the scheduler for a permit and waits in its queue.
-func (r *remote) acquire(ctx context.Context, req *Request, pool string) (Permit, error) {
+func (r *remote) acquire(ctx context.Context, req *Request, pool string, now time.Duration) (Permit, error) {
 	var left time.Duration
 	if deadline, ok := ctx.Deadline(); ok {
 		left = time.Until(deadline)
 	}
-	resp, err := r.client.Acquire(ctx, connect.NewRequest(requestToWire(req, pool, left)))
+	resp, err := r.client.Acquire(ctx, connect.NewRequest(requestToWire(req, pool, left, now)))
 	if err != nil {
 		return Permit{}, eris.Wrapf(err, "scheduler %s", r.id)
 	}
@@ -83,11 +83,9 @@
 }
 
 // report sends a report and returns the strikes to remember.
-func (r *remote) report(ctx context.Context, rep *gatewayReport, pool string, now time.Duration) ([]policy.Strikes, error) {
+func (r *remote) report(ctx context.Context, rep *gatewayReport, pool string, now time.Duration) ([]policy.Strike, error) {
 	msg := &peerv1.ReportRequest{Gateway: rep.Gateway, Pool: pool, Partial: rep.Partial}
-	for i := range rep.Open {
-		msg.Open = append(msg.Open, permitToWire(&rep.Open[i]))
-	}
+	msg.Open = permitsToWire(rep.Open)
 	for i := range rep.Releases {
 		x := &rep.Releases[i]
 		msg.Releases = append(msg.Releases, &peerv1.Release{Permit: permitToWire(&x.Permit), End: string(x.End)})
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -11,5 +11,5 @@
 	Partial  bool
 	Releases []Release
 	// Strikes are those that the gateway learned from an earlier scheduler.
-	Strikes []policy.Strikes
+	Strikes []policy.Strike
 }
--- a/scheduler/reporting.go
+++ b/scheduler/reporting.go
@@ -166,7 +166,7 @@
 	return before != nil && before.moved == pv.moved
 }
 
-func (s *reporter) deliver(ctx context.Context, pv *poolView, r *gatewayReport) ([]policy.Strikes, error) {
+func (s *reporter) deliver(ctx context.Context, pv *poolView, r *gatewayReport) ([]policy.Strike, error) {
 	metrics.Count("reports_sent")
 	if pv.remote == nil {
 		return pv.main.report(ctx, r)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -7,8 +7,10 @@
 
 import (
 	"context"
+	"hash/fnv"
 
 	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/policy"
 )
 
 // Request asks for a permit to run one generation.
@@ -33,6 +35,11 @@
 	// LengthHint is the length in tokens that the caller expects, 0 if it does not
 	// tell; only the oracle policy reads it.
 	LengthHint int
+	// Losses are permits for this fingerprint whose answers the gateway lost lately,
+	// and Strikes what it knows against the fingerprint. Whichever scheduler is asked
+	// learns of them before it grants another engine.
+	Losses  []Permit
+	Strikes []policy.Strike
 }
 
 // Permit allows one generation at one endpoint.
@@ -50,6 +57,15 @@
 	EnginePriority int
 	Fingerprint    uint64
 	LengthHint     int
+	// Incarnation is the engine's when the permit was granted; empty if it was not known.
+	Incarnation string
+}
+
+// death identifies the death of the permit's engine among those of its fingerprint.
+func (p *Permit) death() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(p.ID))
+	return h.Sum64()
 }
 
 // End tells how a permit ended.
--- a/scheduler/suspects_test.go
+++ b/scheduler/suspects_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"context"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -105,8 +107,7 @@
 			die(m, e, p)
 			Eventually(strikesOf(r.managers[r.scheduler()], deadly), patience).Should(Equal(n + 1))
 		}
-		Eventually(func() int { return len(m.ledger.known("m")) }, patience).Should(Equal(1))
-		Eventually(func() int { return m.ledger.known("m")[0].Count }, patience).Should(Equal(3))
+		Eventually(func() int { return len(m.ledger.known("m")) }, patience).Should(Equal(3))
 		dead := r.scheduler()
 		r.servers[dead].CloseClientConnections()
 		r.servers[dead].Close()
@@ -117,4 +118,42 @@
 		_, err := acquire(r.managers[r.scheduler()], request(deadly))
 		Expect(refusalOf(err)).To(Equal(crocusreel.ReasonSuspect))
 	})
+
+	// The scheduler can't be reached right after the first death, before it told the
+	// gateway of a strike. The gateway decides alone, and would begin to count anew: the
+	// request would kill one engine more than the bound.
+	It("is refused at the bound where the scheduler is lost between two deaths", func() {
+		var engines []*fakeEngine
+		for _, name := range []string{"e1", "e2", "e3", "e4", "e5", "e6"} {
+			engines = append(engines, newFakeEngine(name, 100000))
+		}
+		r := newRegion([]string{"a", "b"}, engines...)
+		m := r.other()
+		for n := range r.cfg.Limits.Strikes {
+			p, err := acquire(m, request(deadly))
+			Expect(err).NotTo(HaveOccurred(), "attempt %d", n)
+			die(m, r.engines[p.Endpoint], p)
+			if n == 0 {
+				r.servers[r.scheduler()].CloseClientConnections()
+				r.servers[r.scheduler()].Close()
+			}
+		}
+		_, err := acquire(m, request(deadly))
+		Expect(refusalOf(err)).To(Equal(crocusreel.ReasonSuspect))
+	})
+
+	// A gateway takes over as scheduler while an engine that died is starting again. It
+	// has never seen the engine before, so that the new incarnation is nothing new to it.
+	It("gets its strike from a scheduler that has only seen the engine's new incarnation", func() {
+		e := newFakeEngine("e1", 100000)
+		r := newRegion([]string{"a"}, e)
+		m := r.managers["a"]
+		req := request(deadly)
+		req.Losses = []Permit{{ID: "granted elsewhere", Endpoint: "e1", Model: "m", Fingerprint: deadly, Incarnation: "e1-0"}}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		_, err := m.view.Load().pools["m"].main.acquire(ctx, req)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strikesOf(m, deadly)()).To(Equal(1))
+	})
 })
