--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -33,6 +33,9 @@
 	// Mine tells whether an answer with this header belongs to the request. Endpoints
 	// at fault send answers to earlier requests late; they are skipped. Nil accepts all.
 	Mine func(http.Header) bool
+	// Life ends the exchange once the endpoint is known to have died: a connection whose
+	// other end is gone may stay silent until it times out. Nil if that is not known.
+	Life context.Context
 }
 
 // Error is a failed exchange.
@@ -106,18 +109,35 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	resp := &Response{client: c, conn: conn, address: address, stop: stop}
+	resp := &Response{client: c, conn: conn, address: address, stop: closeAfter(conn, ctx, r.Life)}
 	if err := resp.exchange(r); err != nil {
 		resp.Close()
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			err.Cause = ctx.Err()
+		case r.Life != nil && r.Life.Err() != nil:
+			err.Cause = context.Cause(r.Life)
 		}
 		return nil, err
 	}
 	return resp, nil
 }
 
+// closeAfter closes the connection once one of the contexts ends, until it is stopped.
+// stop returns false if the connection was closed, or is about to be.
+func closeAfter(c *conn, ctx, life context.Context) (stop func() bool) {
+	closeConn := func() { _ = c.Close() }
+	stopCtx := context.AfterFunc(ctx, closeConn)
+	if life == nil {
+		return stopCtx
+	}
+	stopLife := context.AfterFunc(life, closeConn)
+	return func() bool {
+		alive := stopLife()
+		return stopCtx() && alive
+	}
+}
+
 // Refuses tells whether nothing listens at the address any more. It is false where that
 // is not certain, as for an endpoint that cannot be reached.
 func (c *Client) Refuses(ctx context.Context, address string) bool {
--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // While the store is away, no entry tells that an endpoint is about to leave. Its health
 // check does, and what one node learns by it the others are told. An entry that is
@@ -20,6 +23,22 @@
 	return busy
 }
 
+// Reinstate takes back that endpoints leave which said so at their health check longer ago
+// than the given time, and returns their IDs. Their entries do not say that they leave.
+func (f *Fleet) Reinstate(after time.Duration) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var stayed []string
+	for id, e := range f.byID {
+		if e.byHealth && f.now()-e.left >= after {
+			e.stay()
+			stayed = append(stayed, id)
+			f.dispatchLocked(e.Service)
+		}
+	}
+	return stayed
+}
+
 // Unhealthy records that an endpoint said at its health check that it leaves.
 func (f *Fleet) Unhealthy(key EndpointKey) bool {
 	f.mu.Lock()
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -3,14 +3,27 @@
 package fleet
 
 import (
+	"context"
+	"encoding/binary"
+	"errors"
 	"hash/fnv"
 	"time"
 )
 
+// Incarnation is one start of an endpoint. An endpoint that crashed may start again
+// under the ID that it had; what ran there, was held there or was measured there belongs
+// to the start before.
+type Incarnation struct {
+	ID string
+	// Born is the Unix millisecond of the start; 0 if the endpoint does not tell.
+	Born int64
+}
+
 // Instance is one start of an endpoint, as it registered itself.
 type Instance struct {
-	// ID is new with each start.
+	// ID and Born are those of the Incarnation.
 	ID         string
+	Born       int64
 	Service    string
 	Address    string
 	DataCentre string
@@ -22,17 +35,26 @@
 	Warming time.Duration
 }
 
-// EndpointKey identifies an instance in messages between nodes.
+// Incarnation tells which start of the endpoint this is.
+func (in Instance) Incarnation() Incarnation { return Incarnation{ID: in.ID, Born: in.Born} }
+
+// EndpointKey identifies an incarnation in messages between nodes.
 type EndpointKey uint32
 
-// KeyOf returns the key of an instance ID. Two live instances share a key with a
-// chance of one in millions; their loads are then counted together.
-func KeyOf(id string) EndpointKey {
+// Key returns the key of an incarnation. Two live ones share a key with a chance of one
+// in millions; their loads are then counted together.
+func (i Incarnation) Key() EndpointKey {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(id))
+	_, _ = h.Write([]byte(i.ID))
+	if i.Born != 0 {
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(i.Born)))
+	}
 	return EndpointKey(h.Sum32())
 }
 
+// ErrRestarted is why the life of an incarnation ended: its endpoint has started again.
+var ErrRestarted = errors.New("the endpoint has started again")
+
 // Load is what one node runs on one endpoint.
 type Load struct {
 	Key   EndpointKey
@@ -49,6 +71,9 @@
 	Instance
 	key       EndpointKey
 	warmUntil time.Duration
+	// life ends once the instance has certainly died; end ends it.
+	life context.Context
+	end  context.CancelCauseFunc
 	// leaving is closed once the instance is about to stop or was removed.
 	leaving   chan struct{}
 	isLeaving bool
@@ -67,12 +92,14 @@
 }
 
 func newEndpoint(in Instance) *Endpoint {
-	return &Endpoint{
+	e := &Endpoint{
 		Instance: in,
-		key:      KeyOf(in.ID),
+		key:      in.Incarnation().Key(),
 		leaving:  make(chan struct{}),
 		remote:   make(map[string]Load),
 	}
+	e.life, e.end = context.WithCancelCause(context.Background())
+	return e
 }
 
 func (e *Endpoint) total() Load {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -52,7 +52,7 @@
 	present := make(map[string]bool, len(listing))
 	for _, in := range listing {
 		present[in.ID] = true
-		if f.Update(in) {
+		if change := f.Update(in); change == Added || change == Restarted {
 			added = append(added, in.ID)
 		}
 	}
@@ -71,11 +71,43 @@
 	return added, removed
 }
 
-// Update takes an entry; it tells whether the instance is new.
-func (f *Fleet) Update(in Instance) bool {
+// Change is what an entry told of an endpoint.
+type Change int
+
+const (
+	// Known is an entry of an incarnation that was there before.
+	Known Change = iota
+	// Added is a new endpoint.
+	Added
+	// Restarted is a known endpoint that has started again.
+	Restarted
+	// Outdated is an entry of an earlier incarnation than the known one; it is not taken.
+	Outdated
+)
+
+var changeNames = map[Change]string{Known: "known", Added: "added", Restarted: "restarted", Outdated: "outdated"}
+
+// String implements fmt.Stringer.
+func (c Change) String() string { return changeNames[c] }
+
+// Update takes an entry. The entry of a later incarnation ends the one before at once,
+// also where no removal came in between: its runs are over, and what was counted,
+// measured and believed of it says nothing of the new one.
+func (f *Fleet) Update(in Instance) Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, known := f.byID[in.ID]
+	if known && in.Born < e.Born {
+		return Outdated
+	}
+	change := Known
+	if known && in.Born > e.Born {
+		f.dropLocked(e)
+		e.end(ErrRestarted)
+		known, change = false, Restarted
+	} else if !known {
+		change = Added
+	}
 	if !known {
 		e = newEndpoint(in)
 		// Other nodes may have used it before this one heard of it.
@@ -97,7 +129,7 @@
 		e.stay()
 	}
 	f.dispatchLocked(in.Service)
-	return !known
+	return change
 }
 
 // Remove takes the removal of an entry. A tentative removal, as after an outage of
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -84,7 +84,7 @@
 	It("promises no more memory than an engine has, of all nodes together", func() {
 		w := newWorld()
 		w.engine("e1", "dc1")
-		w.SetRemote("node2", []fleet.Load{{Key: fleet.KeyOf("e1"), Count: 3, Tokens: 20_000}}, nil)
+		w.SetRemote("node2", []fleet.Load{{Key: fleet.Incarnation{ID: "e1"}.Key(), Count: 3, Tokens: 20_000}}, nil)
 		w.running(generation(3000, 2000))
 		w.running(generation(3000, 2000))
 		refusal := w.refused(generation(3000, 4000))
@@ -104,8 +104,8 @@
 			w.engine(id, "dc1")
 		}
 		w.SetRemote("node2", []fleet.Load{
-			{Key: fleet.KeyOf("e1"), Count: 1, Tokens: 3000, Unread: 3000},
-			{Key: fleet.KeyOf("e2"), Count: 1, Tokens: 3000, Unread: 3000},
+			{Key: fleet.Incarnation{ID: "e1"}.Key(), Count: 1, Tokens: 3000, Unread: 3000},
+			{Key: fleet.Incarnation{ID: "e2"}.Key(), Count: 1, Tokens: 3000, Unread: 3000},
 		}, nil)
 		Expect(w.place(generation(3000, 500)).Instance().ID).To(Equal("e3"))
 	})
@@ -115,7 +115,7 @@
 		w.engine("near", "dc1")
 		w.engine("far", "dc2")
 		Expect(w.place(generation(1000, 100)).Instance().ID).To(Equal("near"))
-		w.SetRemote("node2", []fleet.Load{{Key: fleet.KeyOf("near"), Count: 4, Tokens: 16_000}}, nil)
+		w.SetRemote("node2", []fleet.Load{{Key: fleet.Incarnation{ID: "near"}.Key(), Count: 4, Tokens: 16_000}}, nil)
 		Expect(w.place(generation(1000, 100)).Instance().ID).To(Equal("far"))
 	})
 
@@ -358,12 +358,12 @@
 		p := w.place(generation(3000, 500))
 		w.engine("near", "dc2")
 		w.engine("far", "dc1")
-		w.SetRemote("node2", []fleet.Load{{Key: fleet.KeyOf("near"), Count: 5, Tokens: 20_000}}, nil)
+		w.SetRemote("node2", []fleet.Load{{Key: fleet.Incarnation{ID: "near"}.Key(), Count: 5, Tokens: 20_000}}, nil)
 		t := w.Target(p, generation(3000, 500))
 		Expect(t.Instance().ID).To(Equal("near"))
 		t.Arrived()
 		t.Release(fleet.Neutral)
-		w.SetRemote("node2", []fleet.Load{{Key: fleet.KeyOf("near"), Count: 8, Tokens: 35_000}}, nil)
+		w.SetRemote("node2", []fleet.Load{{Key: fleet.Incarnation{ID: "near"}.Key(), Count: 8, Tokens: 35_000}}, nil)
 		Expect(w.Target(p, generation(3000, 500)).Instance().ID).To(Equal("far"))
 	})
 
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Placement is the right to run one piece of work on one endpoint. It must be
 // released exactly once.
@@ -61,6 +64,10 @@
 // Instance returns the endpoint as it registered itself.
 func (p *Placement) Instance() Instance { return p.endpoint.Instance }
 
+// Life ends, with its cause, once the incarnation has certainly died. What still seems to
+// run there is lost.
+func (p *Placement) Life() context.Context { return p.endpoint.life }
+
 // Leaving is closed once the endpoint is about to stop.
 func (p *Placement) Leaving() <-chan struct{} {
 	p.fleet.mu.Lock()
--- /dev/null
+++ b/fleet/restart_test.go
@@ -0,0 +1,106 @@
+package fleet_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/fleet"
+)
+
+// start is the entry of an engine that says when it started.
+func start(born int64) fleet.Instance {
+	return fleet.Instance{ID: "e1", Born: born, Service: "pool", Address: "10.0.0.1:80", DataCentre: "dc1", Slots: 24}
+}
+
+var _ = Describe("an endpoint that starts again under its ID", func() {
+	// An engine crashes and is back within its heartbeat: no removal comes in between. What
+	// ran there is lost. Callers would wait for it until the connection times out, and the
+	// new engine would count as full, or as failing, for what the old one did.
+	It("ends what ran there and begins with nothing", func() {
+		w := newWorld()
+		Expect(w.Update(start(1000))).To(Equal(fleet.Added))
+		p := w.running(generation(20_000, 8000))
+		p.Report(fleet.Failed)
+		p.Report(fleet.Failed)
+		p.Report(fleet.Failed)
+		Expect(w.Update(start(2000))).To(Equal(fleet.Restarted))
+		Expect(context.Cause(p.Life())).To(MatchError(fleet.ErrRestarted))
+		Expect(p.Leaving()).To(BeClosed())
+		fresh := w.place(generation(20_000, 8000))
+		Expect(fresh.Instance().Born).To(BeEquivalentTo(2000))
+		Expect(fresh.Life().Err()).NotTo(HaveOccurred())
+		p.Release(fleet.Failed)
+		Expect(w.OwnLoads()).To(HaveLen(1))
+	})
+
+	It("is not ended by what its earlier start still has to say", func() {
+		w := newWorld()
+		w.Update(start(2000))
+		p := w.running(generation(1000, 100))
+		late := start(1000)
+		late.Leaving = true
+		Expect(w.Update(late)).To(Equal(fleet.Outdated))
+		Expect(w.Update(start(0))).To(Equal(fleet.Outdated))
+		Expect(p.Life().Err()).NotTo(HaveOccurred())
+		Expect(p.Leaving()).NotTo(BeClosed())
+		Expect(w.Update(start(2000))).To(Equal(fleet.Known))
+	})
+
+	// A node tells of its work on the new start before the entry has come here. It counts
+	// for that start, and what was told of the one before does not.
+	It("takes the load that other nodes told of that start alone", func() {
+		w := newWorld()
+		w.Update(start(1000))
+		w.SetRemote("node2", []fleet.Load{{Key: start(1000).Incarnation().Key(), Count: 20, Tokens: 30_000}}, nil)
+		w.SetRemote("node3", []fleet.Load{{Key: start(2000).Incarnation().Key(), Count: 1, Tokens: 10_000}}, nil)
+		w.Update(start(2000))
+		w.place(generation(15_000, 5000)).Produced(1)
+		w.refused(generation(10_000, 1000))
+	})
+
+	It("may come with another address, and leaves no place at the old one", func() {
+		w := newWorld()
+		w.Update(start(1000))
+		moved := start(2000)
+		moved.Address = "10.0.0.2:80"
+		w.Update(moved)
+		for range 5 {
+			Expect(w.place(generation(100, 10)).Instance().Address).To(Equal("10.0.0.2:80"))
+		}
+	})
+
+	// The store is away, entries expire, and the endpoint's entry comes back as that of a
+	// new start.
+	It("is no longer missing", func() {
+		w := newWorld()
+		w.Update(start(1000))
+		w.Remove("e1", true)
+		w.now += time.Second
+		Expect(w.Update(start(2000))).To(Equal(fleet.Restarted))
+		w.now += time.Minute
+		Expect(w.Expire(time.Second)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("an endpoint that leaves by its health check", func() {
+	// A health check says that an engine leaves, and its entry never does: the answer was
+	// false. The engine would get no work again for as long as it lives.
+	It("is taken back after a while, unless its entry says so too", func() {
+		w := newWorld()
+		w.engine("e1", "dc1")
+		w.engine("e2", "dc1")
+		Expect(w.Unhealthy(fleet.Incarnation{ID: "e1"}.Key())).To(BeTrue())
+		Expect(w.Unhealthy(fleet.Incarnation{ID: "e2"}.Key())).To(BeTrue())
+		leaving := fleet.Instance{ID: "e2", Service: "pool", Address: "e2", DataCentre: "dc1", Slots: 24, Leaving: true}
+		w.Update(leaving)
+		w.refused(generation(1000, 100))
+		w.now += 3 * time.Second
+		Expect(w.Reinstate(4 * time.Second)).To(BeEmpty())
+		w.now += 2 * time.Second
+		Expect(w.Reinstate(4 * time.Second)).To(Equal([]string{"e1"}))
+		Expect(w.place(generation(1000, 100)).Instance().ID).To(Equal("e1"))
+	})
+})
--- a/fleet/turn_test.go
+++ b/fleet/turn_test.go
@@ -136,7 +136,7 @@
 	sum := 0
 	for _, n := range c.nodes {
 		for _, l := range n.OwnLoads() {
-			if l.Key == fleet.KeyOf(engine) {
+			if l.Key == (fleet.Incarnation{ID: engine}).Key() {
 				sum += l.Tokens
 			}
 		}
@@ -232,7 +232,7 @@
 	// it. The other must count that work once it hears of the engine.
 	It("is known to be taken before the engine is known", func() {
 		c := newCrowd(2)
-		c.nodes[0].SetRemote("node1", []fleet.Load{{Key: fleet.KeyOf("new"), Count: 5, Tokens: 20_000}}, nil)
+		c.nodes[0].SetRemote("node1", []fleet.Load{{Key: fleet.Incarnation{ID: "new"}.Key(), Count: 5, Tokens: 20_000}}, nil)
 		c.nodes[0].Update(fleet.Instance{ID: "new", Service: "pool", DataCentre: "dc1", Slots: 24})
 		_, refusal := c.nodes[0].Acquire(context.Background(), fleet.Want{
 			Service: crowdPool, Demand: fleet.Demand{Prompt: 4000, Output: 600},
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -64,6 +64,8 @@
 	DataCentre    string
 	Ready         bool
 	Leaving       bool
+	// Store is the node's own way to the store.
+	Store exchangev1.StoreLink
 }
 
 type peer struct {
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -65,7 +65,7 @@
 		p.full = 0
 	}
 	p.live = true
-	p.Ready, p.Leaving = s.GetReady(), s.GetLeaving()
+	p.Ready, p.Leaving, p.Store = s.GetReady(), s.GetLeaving(), s.GetStore()
 	if s.GetBrief() {
 		return true
 	}
@@ -76,6 +76,7 @@
 		DataCentre:    s.GetDataCentre(),
 		Ready:         s.GetReady(),
 		Leaving:       s.GetLeaving(),
+		Store:         s.GetStore(),
 	}
 	for _, address := range s.GetKnown() {
 		g.addLocked(address)
--- /dev/null
+++ b/node/endpoints.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/internal/boottime"
+	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/knowledge"
+	"github.com/crocusreel/crocusreel/platform"
+)
+
+// missingGrace is how long an endpoint stays in use whose entry vanished around an
+// outage of the store: entries expire while heartbeats cannot be written, and come back
+// within two seconds if their endpoints live. One that is missing longer is gone.
+const missingGrace = 2100 * time.Millisecond
+
+// outageShadow is the time after an outage in which entries may still vanish by it.
+const outageShadow = 2 * time.Second
+
+// registry takes the endpoints' entries one listing at a time: the store's answers and
+// those of other nodes come in goroutines of their own, and the newer one must win.
+type registry struct {
+	mu sync.Mutex
+	// faulty holds the version of each entry that names no endpoint, so that it is logged
+	// once and not at each reading.
+	faulty map[string]int64
+}
+
+// maxFaulty bounds the remembered faulty entries; beyond, some are logged again.
+const maxFaulty = 1024
+
+// ownEndpoints takes what the store itself says: whether the node that was followed before
+// had lost the store no longer matters.
+func (n *Node) ownEndpoints(take func(platform.Listing, knowledge.Seen)) func(platform.Listing, knowledge.Seen) {
+	return func(l platform.Listing, seen knowledge.Seen) {
+		n.unsteadyPeer.Store(false)
+		take(l, seen)
+	}
+}
+
+// tentative tells whether entries may be missing although their endpoints live.
+func (n *Node) tentative() bool {
+	return n.endpointFeed.unsteady(outageShadow) || n.unsteadyPeer.Load()
+}
+
+func (n *Node) endpointsListed(l platform.Listing, seen knowledge.Seen) {
+	n.registry.mu.Lock()
+	defer n.registry.mu.Unlock()
+	if !n.entries.replace(l, seen.Answered) {
+		metrics.Count("endpoints_outdated")
+		return
+	}
+	instances := make([]fleet.Instance, 0, len(l.Rows))
+	for _, row := range l.Rows {
+		if in, ok := n.readEndpoint(row); ok {
+			instances = append(instances, in)
+		}
+	}
+	tentative := n.tentative()
+	added, removed := n.fleet.Replace(instances, tentative)
+	n.log.Info("endpoints listed", zap.Int("count", len(instances)), zap.Strings("added", added),
+		zap.Strings("removed", removed), zap.Bool("tentative", tentative), zap.Int64("version", l.Version))
+	n.news.tell()
+}
+
+func (n *Node) endpointsChanged(l platform.Listing, seen knowledge.Seen) {
+	n.registry.mu.Lock()
+	defer n.registry.mu.Unlock()
+	fresh := n.entries.update(l, seen.Answered)
+	for _, row := range fresh {
+		n.endpointChanged(row, seen)
+	}
+	n.news.tell()
+}
+
+func (n *Node) endpointChanged(row platform.Row, seen knowledge.Seen) {
+	if row.Deleted {
+		tentative := n.tentative()
+		n.fleet.Remove(row.Key, tentative)
+		n.log.Info("endpoint removed", zap.String("endpoint", row.Key), zap.Int64("version", row.Version),
+			zap.Bool("tentative", tentative))
+		return
+	}
+	in, ok := n.readEndpoint(row)
+	if !ok {
+		// As in a listing, where it would be missing.
+		n.fleet.Remove(row.Key, false)
+		return
+	}
+	change := n.fleet.Update(in)
+	if change == fleet.Known && !in.Leaving {
+		return
+	}
+	n.log.Info("endpoint known", zap.String("endpoint", in.ID), zap.Int64("born", in.Born), zap.String("service", in.Service),
+		zap.String("address", in.Address), zap.Stringer("change", change), zap.Bool("leaving", in.Leaving),
+		zap.Int64("version", row.Version), zap.Duration("age", boottime.Now()-seen.Answered))
+}
+
+// readEndpoint reads an entry; ok is false for one that names no endpoint.
+func (n *Node) readEndpoint(row platform.Row) (in fleet.Instance, ok bool) {
+	entry := platform.ReadEndpoint(row.Key, row.Value)
+	if entry.Fault == platform.FaultNone {
+		return entry.Instance, true
+	}
+	r := &n.registry
+	if version, told := r.faulty[row.Key]; told && version == row.Version {
+		return in, false
+	}
+	if r.faulty == nil || len(r.faulty) >= maxFaulty {
+		r.faulty = make(map[string]int64)
+	}
+	r.faulty[row.Key] = row.Version
+	metrics.Count("endpoint_entry_" + string(entry.Fault))
+	n.log.Warn("entry names no endpoint", zap.String("endpoint", row.Key), zap.Int64("version", row.Version),
+		zap.String("fault", string(entry.Fault)), zap.String("detail", entry.Detail))
+	return in, false
+}
--- a/node/entries.go
+++ b/node/entries.go
@@ -9,7 +9,9 @@
 	"github.com/crocusreel/crocusreel/platform"
 )
 
-// entries keeps the endpoints' rows for the nodes that follow this one.
+// entries keeps the endpoints' rows for the nodes that follow this one. Rows come from the
+// store and from other nodes, at times from both at once, so that an answer may be behind
+// what is known: only rows that are newer than the known ones are taken.
 type entries struct {
 	mu   sync.Mutex
 	rows map[string]platform.Row
@@ -26,31 +28,44 @@
 // maxRemoved bounds the remembered removals: followers are a second behind at most.
 const maxRemoved = 256
 
-func (e *entries) replace(l platform.Listing, at time.Duration) {
+// replace takes a whole listing; it returns false for one that is behind what is known.
+func (e *entries) replace(l platform.Listing, at time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if l.Version < e.version {
+		return false
+	}
 	e.rows = make(map[string]platform.Row, len(l.Rows))
 	for _, row := range l.Rows {
 		e.rows[row.Key] = row
 	}
 	e.removed = make(map[string]int64)
 	e.version, e.floor, e.at = l.Version, l.Version, max(e.at, at)
+	return true
 }
 
-func (e *entries) update(l platform.Listing, at time.Duration) {
+// update takes changed rows and returns those that are newer than the known ones.
+func (e *entries) update(l platform.Listing, at time.Duration) []platform.Row {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.at = max(e.at, at)
+	if l.Version >= e.version {
+		e.at = max(e.at, at)
+	}
 	if len(l.Rows) == 0 {
-		return
+		return nil
 	}
 	if e.rows == nil {
 		e.rows, e.removed = make(map[string]platform.Row), make(map[string]int64)
 	}
+	var fresh []platform.Row
 	for _, row := range l.Rows {
+		if row.Version <= max(e.rows[row.Key].Version, e.removed[row.Key]) {
+			continue
+		}
+		fresh = append(fresh, row)
 		if row.Deleted {
 			delete(e.rows, row.Key)
-			e.removed[row.Key] = l.Version
+			e.removed[row.Key] = row.Version
 		} else {
 			e.rows[row.Key] = row
 			delete(e.removed, row.Key)
@@ -60,6 +75,7 @@
 	if len(e.removed) > maxRemoved {
 		e.removed, e.floor = make(map[string]int64), e.version
 	}
+	return fresh
 }
 
 // age is the time since the rows were known to be current.
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -15,7 +15,11 @@
 // NewFeed returns a feed that drops what it learns.
 func NewFeed(store *platform.Store, direct func() bool) *Feed {
 	drop := func(platform.Listing, knowledge.Seen) {}
-	return &feed{store: store, table: "t", wait: time.Second, log: zap.NewNop(), direct: direct, listed: drop, changed: drop}
+	return &feed{
+		store: store, table: "t", wait: time.Second, log: zap.NewNop(), direct: direct, listed: drop, changed: drop,
+		learned:  func() int64 { return 0 },
+		patience: func() time.Duration { return longestBackoff },
+	}
 }
 
 // NewListingFeed returns a feed that tells of each reading of the whole table.
@@ -31,6 +35,15 @@
 	Unsteady = (*feed).unsteady
 )
 
+// Entries gives tests the record of the endpoints' rows.
+type Entries = entries
+
+// Replace takes a whole listing, Update changed rows.
+var (
+	Replace = (*entries).replace
+	Update  = (*entries).update
+)
+
 // Absences gives tests the record of nodes that are not live.
 type Absences = absences
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/crocusreel/crocusreel/exchange/exchangev1"
+	"github.com/crocusreel/crocusreel/gossip"
 	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/knowledge"
@@ -17,24 +19,27 @@
 )
 
 // One node of each data centre, the reader, follows the store; the others follow the
-// reader. The store's calls then grow with the data centres and not with the nodes. A
-// follower whose reader is frozen, cut off or gone notices by the age of what it knows
-// and follows the store itself until a reader is better.
+// reader. The store's calls then grow with the data centres and not with the nodes. Each
+// node tells the others whether the store answers it, so that a node is followed only if
+// it reads the store itself: one that was turned away learns from others, with a delay,
+// and whoever followed it would hear of a leaving endpoint seconds late. The reader is the
+// first node of the data centre that has not lost the store. Where all have lost it, they
+// follow any node that reads it.
 const (
-	// readerWait is how long a reader holds a follower's question. It is short, since
-	// a follower of a frozen reader learns nothing meanwhile.
-	readerWait = 400 * time.Millisecond
-	// readerTimeout bounds the question.
-	readerTimeout = readerWait + 250*time.Millisecond
-	// readerStale is the time since the store's last answer to the reader from which a
-	// node follows the store itself: an answer is then missing.
-	readerStale = changesWait + readerWait + 200*time.Millisecond
-	// endpointsStale is that for the list of endpoints.
-	endpointsStale = endpointsWait + readerWait + 400*time.Millisecond
-	// directFor is how long a node then stays with the store at least.
-	directFor = 3 * time.Second
-	// shunFor is how long a reader that did not answer is passed over.
+	// readerWait is how long a reader holds a follower's question. It answers sooner when
+	// the store has answered it, about once a second.
+	readerWait = changesWait + 200*time.Millisecond
+	// staleAfter is the age of the list of endpoints from which a follower looks for
+	// another reader: the reader's own question of a second has then failed, or the reader
+	// is frozen or cut off. News is delayed by that and by one call, 1.65 s together.
+	staleAfter = endpointsWait + answerSlack + 50*time.Millisecond
+	// shortestQuestion bounds a question to a reader from below.
+	shortestQuestion = 50 * time.Millisecond
+	// shunFor is how long a reader that was stale or did not answer is passed over.
 	shunFor = 3 * time.Second
+	// endpointsStale is the age from which a list of endpoints tells nothing of those that
+	// leave.
+	endpointsStale = 2 * staleAfter
 	// peersStale is the age from which a node that follows the store asks other nodes
 	// as well: the store does not answer it.
 	peersStale = changesWait + 600*time.Millisecond
@@ -43,57 +48,113 @@
 	askTimeout = 400 * time.Millisecond
 )
 
-// follower decides from whom this node learns.
+// follower remembers readers that failed this node.
 type follower struct {
-	mu          sync.Mutex
-	shunned     map[string]time.Duration
-	directUntil time.Duration
+	mu      sync.Mutex
+	shunned map[string]time.Duration
+	// reader is the address of the last one, for the log.
+	reader string
 }
 
-// reader returns the node to follow; ok is false if this node follows the store itself.
-func (n *Node) reader() (address string, ok bool) {
-	now := boottime.Now()
-	f := &n.follower
+func (f *follower) shun(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known, ages := n.config.Current()
-	if known.Table == nil || n.entries.known() == 0 {
-		return "", false
+	if f.shunned == nil {
+		f.shunned = make(map[string]time.Duration)
 	}
-	if ages.Answered > readerStale || n.entries.age() > endpointsStale {
-		if now >= f.directUntil {
-			n.log.Info("following the store", zap.Duration("answered_age", ages.Answered), zap.Duration("endpoints_age", n.entries.age()))
-		}
-		f.directUntil = now + directFor
+	f.shunned[address] = boottime.Now() + shunFor
+}
+
+func (f *follower) shuns(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return boottime.Now() < f.shunned[address]
+}
+
+// follows records whom this node follows, empty for the store, and returns whether that
+// has changed.
+func (f *follower) follows(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := f.reader != address
+	f.reader = address
+	return changed
+}
+
+// storeLink is this node's own way to the store, for the others.
+func (n *Node) storeLink() exchangev1.StoreLink {
+	config, endpoints := n.configFeed.link(), n.endpointFeed.link()
+	lost := exchangev1.StoreLink_STORE_LINK_LOST
+	switch {
+	case config == lost || endpoints == lost:
+		return lost
+	case config == endpoints:
+		return config
+	default:
+		return exchangev1.StoreLink_STORE_LINK_UNSPECIFIED
+	}
+}
+
+// reader returns the node to follow; ok is false if this node follows the store itself.
+func (n *Node) reader() (reader gossip.Peer, ok bool) {
+	if known, _ := n.config.Current(); known.Table == nil || n.entries.known() == 0 {
+		return reader, false
 	}
-	if now < f.directUntil {
-		return "", false
+	live := n.gossip.Live()
+	own := n.storeLink() != exchangev1.StoreLink_STORE_LINK_LOST
+	if p, found := n.nearReader(live, own); found {
+		return p, true
 	}
-	for _, p := range n.gossip.Live() {
-		if p.DataCentre != n.settings.DataCentre || p.Leaving || now < f.shunned[p.Address] {
-			continue
+	if own {
+		return reader, false
+	}
+	return n.farReader(live)
+}
+
+// nearReader returns the first node of this data centre that has not lost the store, if
+// that is not this one. Own tells whether this one has it.
+func (n *Node) nearReader(live []gossip.Peer, own bool) (gossip.Peer, bool) {
+	for _, p := range live {
+		if own && n.settings.IP < p.Address {
+			break
 		}
-		if n.settings.IP < p.Address {
-			return "", false
+		lost := p.Store == exchangev1.StoreLink_STORE_LINK_LOST
+		if p.DataCentre == n.settings.DataCentre && !p.Leaving && !lost && !n.follower.shuns(p.Address) {
+			return p, true
 		}
-		return p.PeerAddress, true
 	}
-	return "", false
+	return gossip.Peer{}, false
 }
 
-// followsStore tells whether this node asks the store.
-func (n *Node) followsStore() bool {
+// farReader returns a node of another data centre that reads the store. Nodes choose by
+// their own address, so that not all go to the same one.
+func (n *Node) farReader(live []gossip.Peer) (gossip.Peer, bool) {
+	var readers []gossip.Peer
+	for _, p := range live {
+		if p.Store == exchangev1.StoreLink_STORE_LINK_READS && !p.Leaving && !n.follower.shuns(p.Address) {
+			readers = append(readers, p)
+		}
+	}
+	if len(readers) == 0 {
+		return gossip.Peer{}, false
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(n.settings.IP))
+	return readers[int(h.Sum32()%uint32(len(readers)))], true
+}
+
+// asksStore returns whether a feed is to ask the store.
+func (n *Node) asksStore(f *feed) bool {
 	_, follows := n.reader()
-	return !follows
+	return !follows || f.retryDue()
 }
 
-func (f *follower) shun(address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.shunned == nil {
-		f.shunned = make(map[string]time.Duration)
+// storePatience bounds the pause between two questions while the store does not answer.
+func (n *Node) storePatience() time.Duration {
+	if n.firstInDataCentre() {
+		return longestBackoff
 	}
-	f.shunned[address] = boottime.Now() + shunFor
+	return lostRetry
 }
 
 // follow learns from other nodes while this one does not follow the store, or while the
@@ -102,11 +163,13 @@
 	next := 0
 	for ctx.Err() == nil {
 		n.expireEndpoints()
-		if address, ok := n.reader(); ok {
-			if err := n.askPeer(ctx, address, readerWait, readerTimeout); err != nil && ctx.Err() == nil {
-				n.log.Info("reader lost", zap.String("reader", address), zap.Error(err))
-				n.follower.shun(hostOf(address))
-			}
+		p, ok := n.reader()
+		if n.follower.follows(p.Address) {
+			n.log.Info("follows", zap.String("reader", p.Address), zap.Bool("store", !ok),
+				zap.Duration("endpoints_age", n.entries.age()), zap.Stringer("own_link", n.storeLink()))
+		}
+		if ok {
+			n.ask(ctx, p)
 			continue
 		}
 		pause(ctx, askEvery)
@@ -124,10 +187,29 @@
 	return nil
 }
 
+// ask learns from the reader, and looks for another one if it is behind.
+func (n *Node) ask(ctx context.Context, reader gossip.Peer) {
+	timeout := max(staleAfter-n.entries.age(), shortestQuestion)
+	err := n.askPeer(ctx, reader.PeerAddress, readerWait, timeout)
+	age := n.entries.age()
+	if ctx.Err() != nil || (err == nil && age < staleAfter) {
+		return
+	}
+	metrics.Count("reader_passed_over")
+	n.log.Info("reader passed over", zap.String("reader", reader.Address), zap.Duration("endpoints_age", age), zap.Error(err))
+	n.follower.shun(reader.Address)
+}
+
 func (n *Node) expireEndpoints() {
 	for _, id := range n.fleet.Expire(missingGrace) {
 		n.log.Info("endpoint gone", zap.String("endpoint", id), zap.Duration("missing", missingGrace))
 	}
+	if n.storeAway() {
+		return
+	}
+	for _, id := range n.fleet.Reinstate(healthDoubt) {
+		n.log.Info("endpoint stays after all, its entry does not say that it leaves", zap.String("endpoint", id))
+	}
 }
 
 // askPeer takes over what another node knows.
@@ -188,21 +270,17 @@
 	n := s.n
 	timer := time.NewTimer(time.Duration(req.Msg.GetWaitMs()) * time.Millisecond)
 	defer timer.Stop()
-	for waiting := true; waiting; {
-		changed := n.news.wait()
-		known, _ := n.config.Current()
-		if known.Row > req.Msg.GetConfigVersion() || n.entries.known() > req.Msg.GetEndpointsVersion() {
-			break
-		}
+	changed := n.news.wait()
+	known, ages := n.config.Current()
+	if known.Row <= req.Msg.GetConfigVersion() && n.entries.known() <= req.Msg.GetEndpointsVersion() {
 		select {
 		case <-changed:
 		case <-timer.C:
-			waiting = false
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
+		known, ages = n.config.Current()
 	}
-	known, ages := n.config.Current()
 	if known.Table == nil {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoConfiguration)
 	}
@@ -219,7 +297,8 @@
 	return connect.NewResponse(resp), nil
 }
 
-// news wakes those who wait for a change.
+// news wakes those who wait for a change, or for the store's next answer: a follower knows
+// by it that nothing has changed.
 type news struct {
 	mu sync.Mutex
 	ch chan struct{}
--- a/node/health.go
+++ b/node/health.go
@@ -12,10 +12,14 @@
 )
 
 const (
-	// healthEvery is the time between two rounds of health checks while the store is
-	// away. Engines are gone 1.5 s after their notice; a round costs one check for each
+	// healthEvery is the time between two rounds of health checks while the store is away
+	// or slow. Engines are gone 1.5 s after their notice; a round costs one check for each
 	// busy engine, so there are none while the store tells who leaves.
 	healthEvery = 300 * time.Millisecond
+	// healthDoubt is the time after which a health check that said that an endpoint leaves
+	// is doubted, if the store is there and the endpoint's entry does not say so: longer
+	// than the notice of any endpoint and the way of its entry. Health answers may be false.
+	healthDoubt = 4 * time.Second
 	// healthTimeout bounds a check, which takes milliseconds.
 	healthTimeout = 250 * time.Millisecond
 )
@@ -41,9 +45,11 @@
 	return nil
 }
 
-// storeAway tells whether the list of endpoints cannot be followed.
+// storeAway tells whether the store does not tell in time which endpoints leave: it cannot
+// be followed, or it is so slow that the endpoints' own writes come late.
 func (n *Node) storeAway() bool {
-	return n.configFeed.unsteady(0) || n.endpointFeed.unsteady(0) || n.entries.age() > endpointsStale
+	return n.configFeed.unsteady(0) || n.endpointFeed.unsteady(0) || n.entries.age() > endpointsStale ||
+		n.configFeed.slow() || n.endpointFeed.slow()
 }
 
 func (n *Node) firstInDataCentre() bool {
@@ -71,7 +77,7 @@
 	if err != nil || goesOn {
 		return
 	}
-	if n.fleet.Unhealthy(fleet.KeyOf(in.ID)) {
+	if n.fleet.Unhealthy(in.Incarnation().Key()) {
 		n.log.Info("endpoint leaves by its health check", zap.String("endpoint", in.ID), zap.String("address", in.Address))
 		n.gossip.TellAll()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,7 @@
 	engines  *platform.Engines
 	gate     *entry.Gate
 	entries  entries
+	registry registry
 	follower follower
 	news     news
 	// unsteadyPeer is set while the node that this one follows has the store back only
@@ -127,13 +128,21 @@
 		Log:     log,
 	}
 	n.configFeed = &feed{
-		store: n.store, table: platform.TableOperator, wait: changesWait, log: log, direct: n.followsStore,
+		store: n.store, table: platform.TableOperator, wait: changesWait, log: log,
 		listed: n.configurationListed, changed: n.configurationChanged,
+		learned: func() int64 {
+			known, _ := n.config.Current()
+			return known.Row
+		},
+		patience: n.storePatience,
 	}
+	n.configFeed.direct = func() bool { return n.asksStore(n.configFeed) }
 	n.endpointFeed = &feed{
-		store: n.store, table: platform.TableEndpoints, wait: endpointsWait, log: log, direct: n.followsStore,
+		store: n.store, table: platform.TableEndpoints, wait: endpointsWait, log: log,
 		listed: n.ownEndpoints(n.endpointsListed), changed: n.ownEndpoints(n.endpointsChanged),
+		learned: n.entries.known, patience: n.storePatience,
 	}
+	n.endpointFeed.direct = func() bool { return n.asksStore(n.endpointFeed) }
 	return n
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -23,6 +23,7 @@
 		Incarnation:   n.incarnation,
 		Ready:         n.ready(),
 		Leaving:       n.gate.Leaving(),
+		Store:         n.storeLink(),
 	}
 	for _, l := range n.fleet.OwnLoads() {
 		s.Loads = append(s.Loads, &exchangev1.EndpointLoad{
@@ -87,12 +88,8 @@
 	}
 }
 
-// heardLeaving takes over which endpoints leave by their health check. A node that the
-// store tells itself goes by that.
+// heardLeaving takes over which endpoints leave by their health check.
 func (n *Node) heardLeaving(s *exchangev1.NodeState) {
-	if len(s.GetLeavingEndpoints()) == 0 || !n.storeAway() {
-		return
-	}
 	for _, key := range s.GetLeavingEndpoints() {
 		if n.fleet.Unhealthy(fleet.EndpointKey(key)) {
 			n.log.Info("endpoint leaves by another node's health check", zap.Uint32("endpoint_key", key),
--- a/node/watch.go
+++ b/node/watch.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/exchange/exchangev1"
 	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/knowledge"
@@ -22,8 +22,9 @@
 	// under the time after which keys must not be served, at a cost of less than one
 	// call a second.
 	changesWait = time.Second
-	// endpointsWait may be longer, since nothing expires by the age of the list.
-	endpointsWait = 2 * time.Second
+	// endpointsWait is as short: an answer that is missing is noticed after it, and the news
+	// that an endpoint leaves must be everywhere within two seconds.
+	endpointsWait = time.Second
 	// answerSlack is the time beyond the wait after which a question is given up: the
 	// store's slowest answers are some hundred times slower than its usual 4 ms.
 	answerSlack = 500 * time.Millisecond
@@ -36,6 +37,15 @@
 	// nodes ask together after an outage, so the pause grows and has jitter.
 	firstBackoff   = 50 * time.Millisecond
 	longestBackoff = 500 * time.Millisecond
+	// lostRetry is the pause between two questions of a node to which the store was lost
+	// and that is not the first of its data centre: the first looks more often, and the
+	// others learn from it that the store is back.
+	lostRetry = 2 * time.Second
+	// slowAnswer is the delay of an answer, beyond the time that the store was asked to
+	// wait, from which the store counts as slow: 25 times its usual one. Endpoints write
+	// their entries there too, and a store that is that slow tells of those that leave
+	// when they are gone.
+	slowAnswer = 100 * time.Millisecond
 )
 
 // feed follows one table of the store.
@@ -50,13 +60,31 @@
 	listed  func(l platform.Listing, seen knowledge.Seen)
 	changed func(l platform.Listing, seen knowledge.Seen)
 
+	// learned returns the version up to which the table is known by other nodes' answers.
+	learned func() int64
+	// patience bounds the pause after a failed question.
+	patience func() time.Duration
+
 	// version is the store's version up to which changes are known; 0 if the table
 	// must be read as a whole.
 	version int64
+	// relist is set when the store no longer has the changes since then.
+	relist bool
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// lost is when a question failed, 0 once one was answered; back is when a loss ended.
 	lost time.Duration
 	back time.Duration
+	// retryAt is when a lost store is asked again while another node is followed.
+	retryAt time.Duration
+	// answered is set once the store has answered.
+	answered bool
+	// rests is set while another node is followed: a loss then says nothing of what is known.
+	rests bool
+	// asked is when the question under way was sent, 0 if there is none.
+	asked time.Duration
+	// delay is that of the last answer beyond the wait that was asked for.
+	delay time.Duration
 }
 
 // run follows the table until ctx ends.
@@ -64,9 +92,7 @@
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		if !f.direct() {
-			// What changes meanwhile is read as a whole later.
-			f.version = 0
-			f.reached()
+			f.rest()
 			pause(ctx, directCheck)
 			continue
 		}
@@ -81,19 +107,22 @@
 		}
 		if errors.Is(err, platform.ErrHistoryGone) {
 			f.log.Info("history gone, table is read again", zap.String("table", f.table))
-			f.version = 0
+			f.relist = true
 			continue
 		}
 		f.failed(err)
 		pause(ctx, jitter(backoff))
-		backoff = min(2*backoff, longestBackoff)
+		backoff = min(2*backoff, f.patience())
 	}
 	return nil
 }
 
 func (f *feed) ask(ctx context.Context) error {
-	asked := boottime.Now()
-	if f.version == 0 {
+	asked := f.begin()
+	defer f.done()
+	// What other nodes told meanwhile need not be read again.
+	f.version = max(f.version, f.learned())
+	if f.version == 0 || f.relist {
 		// Each page has the time of one call. A bound on the whole would, with thousands of
 		// endpoints over a slow link, end every reading before its last page, and a node
 		// that starts would never come to serve.
@@ -102,7 +131,7 @@
 			return err
 		}
 		f.listed(listing, knowledge.Seen{Certain: asked, Answered: boottime.Now()})
-		f.version = listing.Version
+		f.version, f.relist = listing.Version, false
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.wait+answerSlack)
@@ -111,7 +140,11 @@
 	if err != nil {
 		return err
 	}
-	f.changed(listing, knowledge.Seen{Certain: asked, Answered: boottime.Now()})
+	answered := boottime.Now()
+	if len(listing.Rows) == 0 {
+		f.delayed(answered - asked - f.wait)
+	}
+	f.changed(listing, knowledge.Seen{Certain: asked, Answered: answered})
 	f.version = max(f.version, listing.Version)
 	if len(listing.Rows) > 0 {
 		pause(ctx, gather)
@@ -119,9 +152,42 @@
 	return nil
 }
 
+// begin records that a question is under way and returns the time.
+func (f *feed) begin() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = boottime.Now()
+	return f.asked
+}
+
+func (f *feed) done() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = 0
+}
+
+func (f *feed) delayed(by time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if (by >= slowAnswer) != (f.delay >= slowAnswer) {
+		f.log.Info("store's pace changed", zap.String("table", f.table), zap.Duration("delay", by), zap.Duration("before", f.delay))
+	}
+	f.delay = by
+}
+
+// slow tells whether the store answers late: the last time, or now.
+func (f *feed) slow() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	late := f.asked != 0 && boottime.Now()-f.asked-f.wait >= slowAnswer
+	return !f.rests && (late || f.delay >= slowAnswer)
+}
+
 func (f *feed) failed(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.rests = false
+	f.retryAt = boottime.Now() + jitter(lostRetry)
 	if f.lost == 0 {
 		f.lost = boottime.Now()
 		f.log.Warn("store lost", zap.String("table", f.table), zap.Error(err))
@@ -129,10 +195,11 @@
 	metrics.Count("store_call_failed")
 }
 
-// reached ends a loss of the store: it answered, or another node is followed that has it.
+// reached ends a loss of the store: it has answered.
 func (f *feed) reached() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.rests, f.answered = false, true
 	if f.lost == 0 {
 		return
 	}
@@ -141,11 +208,44 @@
 	f.lost = 0
 }
 
+// rest is called while another node is followed, which has the store.
+func (f *feed) rest() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.rests && f.lost != 0 {
+		f.back = boottime.Now()
+	}
+	f.rests = true
+	f.delay = 0
+}
+
+// link is this node's own way to the store, as far as the table's questions tell.
+func (f *feed) link() exchangev1.StoreLink {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.lost != 0:
+		return exchangev1.StoreLink_STORE_LINK_LOST
+	case f.rests || !f.answered:
+		return exchangev1.StoreLink_STORE_LINK_UNSPECIFIED
+	default:
+		return exchangev1.StoreLink_STORE_LINK_READS
+	}
+}
+
+// retryDue tells whether a store that was lost is to be asked again by a node that
+// follows another one meanwhile.
+func (f *feed) retryDue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost != 0 && boottime.Now() >= f.retryAt
+}
+
 // unsteady tells whether the store is lost or came back less than the given time ago.
 func (f *feed) unsteady(within time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lost != 0 || (f.back != 0 && boottime.Now()-f.back < within)
+	return (f.lost != 0 && !f.rests) || (f.back != 0 && boottime.Now()-f.back < within)
 }
 
 // configurationListed takes the operator's table.
@@ -190,68 +290,3 @@
 		n.news.tell()
 	}
 }
-
-// missingGrace is how long an endpoint stays in use whose entry vanished around an
-// outage of the store: entries expire while heartbeats cannot be written, and come back
-// within two seconds if their endpoints live. One that is missing longer is gone.
-const missingGrace = 2100 * time.Millisecond
-
-// outageShadow is the time after an outage in which entries may still vanish by it.
-const outageShadow = 2 * time.Second
-
-// ownEndpoints takes what the store itself says: whether the node that was followed before
-// had lost the store no longer matters.
-func (n *Node) ownEndpoints(take func(platform.Listing, knowledge.Seen)) func(platform.Listing, knowledge.Seen) {
-	return func(l platform.Listing, seen knowledge.Seen) {
-		n.unsteadyPeer.Store(false)
-		take(l, seen)
-	}
-}
-
-func (n *Node) endpointsListed(l platform.Listing, seen knowledge.Seen) {
-	instances := make([]fleet.Instance, 0, len(l.Rows))
-	for _, row := range l.Rows {
-		if in, ok := n.decodeEndpoint(row); ok {
-			instances = append(instances, in)
-		}
-	}
-	tentative := n.endpointFeed.unsteady(outageShadow) || n.unsteadyPeer.Load()
-	added, removed := n.fleet.Replace(instances, tentative)
-	n.log.Info("endpoints listed", zap.Int("count", len(instances)), zap.Strings("added", added),
-		zap.Strings("removed", removed), zap.Bool("tentative", tentative), zap.Int64("version", l.Version))
-	n.entries.replace(l, seen.Answered)
-	n.news.tell()
-}
-
-func (n *Node) endpointsChanged(l platform.Listing, seen knowledge.Seen) {
-	tentative := n.endpointFeed.unsteady(outageShadow) || n.unsteadyPeer.Load()
-	for _, row := range l.Rows {
-		if row.Deleted {
-			n.fleet.Remove(row.Key, tentative)
-			n.log.Info("endpoint removed", zap.String("endpoint", row.Key), zap.Int64("version", row.Version),
-				zap.Bool("tentative", tentative))
-			continue
-		}
-		in, ok := n.decodeEndpoint(row)
-		if !ok {
-			continue
-		}
-		if n.fleet.Update(in) || in.Leaving {
-			n.log.Info("endpoint known", zap.String("endpoint", in.ID), zap.String("service", in.Service),
-				zap.String("address", in.Address), zap.Bool("leaving", in.Leaving), zap.Int64("version", row.Version))
-		}
-	}
-	n.entries.update(l, seen.Answered)
-	if len(l.Rows) > 0 {
-		n.news.tell()
-	}
-}
-
-func (n *Node) decodeEndpoint(row platform.Row) (fleet.Instance, bool) {
-	in, err := platform.DecodeEndpoint(row.Key, row.Value)
-	if err != nil {
-		n.log.Error("endpoint entry not readable", zap.String("endpoint", row.Key), zap.Error(err))
-		return in, false
-	}
-	return in, true
-}
--- a/relay/call.go
+++ b/relay/call.go
@@ -96,7 +96,7 @@
 	if !j.Client.Refuses(ctx, in.Address) {
 		return
 	}
-	j.Strikes.Add(j.r.Fingerprint, uint32(fleet.KeyOf(in.ID)))
+	j.Strikes.Add(j.r.Fingerprint, uint32(in.Incarnation().Key()))
 	metrics.Count("endpoint_died")
 	j.Log.Warn("endpoint died of a request", zap.String("request", j.r.ID), zap.String("endpoint", in.ID),
 		zap.String("address", in.Address), zap.Int("strikes", j.Strikes.Count(j.r.Fingerprint)))
@@ -197,6 +197,9 @@
 	if errors.As(err, &failed) && !failed.Sent {
 		return result{notRun: true, health: fleet.Unreachable, cause: "endpoint_unreachable"}
 	}
+	if errors.Is(err, fleet.ErrRestarted) {
+		return result{health: fleet.Neutral, cause: causeLost}
+	}
 	if errors.Is(err, context.Canceled) {
 		return result{health: fleet.Neutral, cause: "caller_gone"}
 	}
--- a/relay/evacuation.go
+++ b/relay/evacuation.go
@@ -16,6 +16,8 @@
 
 // EngineReport is what an engine tells of itself, as of some hundred milliseconds ago.
 type EngineReport struct {
+	// Born is the Unix millisecond of the engine's start; 0 if it does not tell.
+	Born int64
 	// LeavesIn is the time until the engine stops; 0 if it does not know.
 	LeavesIn time.Duration
 	Runs     []EngineRun
@@ -88,7 +90,7 @@
 // evacuations are the departures under way, by endpoint.
 type evacuations struct {
 	mu  sync.Mutex
-	all map[string]*evacuation
+	all map[fleet.Incarnation]*evacuation
 }
 
 // maxEvacuations bounds the remembered departures; a node's runs leave few at a time.
@@ -96,7 +98,7 @@
 
 // evacuation returns the order in which the runs of the leaving endpoint move.
 func (l *Relay) evacuation(ctx context.Context, p *fleet.Placement, spec *routing.EngineSpec) *evacuation {
-	id := p.Instance().ID
+	id := p.Instance().Incarnation()
 	l.departures.mu.Lock()
 	e, known := l.departures.all[id]
 	if known && time.Since(e.began) > orderLifetime {
@@ -105,7 +107,7 @@
 	}
 	if !known {
 		if l.departures.all == nil || len(l.departures.all) >= maxEvacuations {
-			l.departures.all = make(map[string]*evacuation)
+			l.departures.all = make(map[fleet.Incarnation]*evacuation)
 		}
 		e = &evacuation{ready: make(chan struct{}), began: time.Now()}
 		l.departures.all[id] = e
@@ -133,6 +135,12 @@
 		l.Log.Warn("runs of a leaving endpoint not known", zap.String("endpoint", p.Instance().ID), zap.Error(err))
 		return
 	}
+	if born := p.Instance().Born; report.Born != 0 && report.Born != born {
+		metrics.Count("report_of_another_start")
+		l.Log.Warn("leaving endpoint has started again, its runs are lost", zap.String("endpoint", p.Instance().ID),
+			zap.Int64("born", born), zap.Int64("reported_born", report.Born))
+		return
+	}
 	if report.LeavesIn > 0 {
 		e.leavesAt = time.Now().Add(report.LeavesIn)
 	}
--- a/relay/mover.go
+++ b/relay/mover.go
@@ -94,6 +94,10 @@
 		return
 	case <-m.leg.p.Leaving():
 	}
+	if m.leg.p.Life().Err() != nil {
+		// The engine has started again and holds nothing of the run.
+		return
+	}
 	select {
 	case <-ctx.Done():
 		return
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -272,6 +272,7 @@
 		Header: j.Protocol.AttemptHeader(j.r, &attempt),
 		Body:   j.r.Body,
 		Mine:   func(h http.Header) bool { return j.Protocol.Mine(j.r, h) },
+		Life:   p.Life(),
 	})
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -103,7 +103,7 @@
 		j.verdict.Detail = got.cause
 		j.ran = j.ran || !got.notRun
 		if got.cause == causeLost {
-			j.Strikes.Add(j.r.Fingerprint, uint32(fleet.KeyOf(p.Instance().ID)))
+			j.Strikes.Add(j.r.Fingerprint, uint32(p.Instance().Incarnation().Key()))
 		}
 		if ctx.Err() != nil || !j.mayRepeat(got, maxSends) {
 			return nil, nil, j.exhausted(ctx, nil, j.failure(got))
@@ -190,15 +190,23 @@
 // cutHealth blames an endpoint for a cut stream unless it was leaving. Only a death
 // that was not announced is a strike against the request.
 func (l *leg) cutHealth() fleet.Result {
+	if l.p.Life().Err() != nil {
+		l.strike()
+		return fleet.Neutral
+	}
 	select {
 	case <-l.p.Leaving():
 		return fleet.Neutral
 	default:
-		l.Strikes.Add(l.r.Fingerprint, uint32(fleet.KeyOf(l.p.Instance().ID)))
+		l.strike()
 		return fleet.Failed
 	}
 }
 
+func (l *leg) strike() {
+	l.Strikes.Add(l.r.Fingerprint, uint32(l.p.Instance().Incarnation().Key()))
+}
+
 func (l *leg) finish(r fleet.Result) {
 	l.resp.Close()
 	l.p.Release(r)
--- /dev/null
+++ b/tests/node/news_test.go
@@ -0,0 +1,139 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/internal/rig"
+	"github.com/crocusreel/crocusreel/platform"
+)
+
+// knows tells whether the node has logged that it knows the endpoint with the text.
+func (s *site) knows(n *member, endpoint, text string) func() bool {
+	return func() bool {
+		log, err := os.ReadFile(filepath.Join(s.dir, n.ip+".log"))
+		if err != nil {
+			return false
+		}
+		for line := range strings.Lines(string(log)) {
+			if strings.Contains(line, "endpoint="+endpoint+" ") && strings.Contains(line, text) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// storeLink returns the link between a node and the store.
+func (s *site) storeLink(index int) *rig.Link {
+	// The first links are those in front of endpoints.
+	return s.links[len(s.links)-len(s.nodes)+index]
+}
+
+var _ = Describe("news that an endpoint leaves", func() {
+	// The node that reads the store for its data centre is cut off from it. The others must
+	// not follow it any more, however long the cut lasts: what it still knows it has from
+	// others, seconds late, and work would be sent to endpoints that have left.
+	It("reaches nodes in time whose reader is cut off from the store", func() {
+		const limit = time.Second
+		s := newSite()
+		s.linked = true
+		s.app("i1")
+		s.start(3)
+		s.storeLink(0).Cut()
+		time.Sleep(2 * time.Second)
+		for i := range 14 {
+			id := fmt.Sprintf("x%d", i)
+			s.register(id, "pool", "127.0.0.1:9", "draining")
+			for _, n := range s.nodes[1:] {
+				Eventually(s.knows(n, id, "leaving=true"), limit, 10*time.Millisecond).Should(BeTrue(), "%s at %s", id, n.ip)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		Expect(s.knows(s.nodes[0], "x5", "leaving=true")()).To(BeTrue())
+	})
+
+	// The connections between the reader and the store go silent without an end. Nobody
+	// hears anything until the reader's question is given up.
+	It("reaches nodes in time when the reader's connections go silent", func() {
+		s := newSite()
+		s.linked = true
+		s.app("i1")
+		s.start(3)
+		Expect(s.storeLink(0).Stall(rig.Downstream)).To(Succeed())
+		s.register("x", "pool", "127.0.0.1:9", "draining")
+		for _, n := range s.nodes[1:] {
+			Eventually(s.knows(n, "x", "leaving=true"), 1900*time.Millisecond, 10*time.Millisecond).Should(BeTrue(), n.ip)
+		}
+	})
+
+	// The reader stands still. Its followers wait for an answer that does not come.
+	It("reaches nodes in time whose reader is frozen", func() {
+		s := newSite()
+		s.app("i1")
+		s.start(3)
+		s.nodes[0].Freeze()
+		s.register("x", "pool", "127.0.0.1:9", "draining")
+		for _, n := range s.nodes[1:] {
+			Eventually(s.knows(n, "x", "leaving=true"), 1900*time.Millisecond, 10*time.Millisecond).Should(BeTrue(), n.ip)
+		}
+	})
+})
+
+var _ = Describe("an endpoint that starts again under its ID", func() {
+	// An engine dies without a word and starts again at another address before its entry
+	// has expired. The caller's draft is lost; it must hear so at once, and not after the
+	// seconds in which a silent connection times out.
+	It("ends the streams of its earlier start at once", func() {
+		s := newSite()
+		s.linked = true
+		s.app("i1")
+		first := s.engine("e1", 400)
+		link := s.links[len(s.links)-1]
+		s.registerBorn("e1", "pool", s.addresses["e1"], "ready", 1000)
+		s.start(2)
+		done := make(chan reply, 1)
+		go func() { done <- s.send(s.nodes[0], "/drafts/1", "key") }()
+		Eventually(first.Runs, 2*time.Second).Should(HaveLen(1))
+		time.Sleep(200 * time.Millisecond)
+		Expect(link.Stall(rig.Downstream)).To(Succeed())
+		second := s.engine("e1", 30)
+		s.registerBorn("e1", "pool", s.addresses["e1"], "ready", 2000)
+		var r reply
+		Eventually(done, 800*time.Millisecond).Should(Receive(&r))
+		Expect(r.whole).To(BeFalse())
+		Eventually(func() int { return s.send(s.nodes[1], "/drafts/2", "key").status }, 2*time.Second).Should(Equal(http.StatusOK))
+		Expect(second.Runs()).NotTo(BeEmpty())
+	})
+})
+
+var _ = Describe("an entry that no endpoint wrote", func() {
+	// Somebody else writes to the endpoints' table. Work must not go by it, and the other
+	// endpoints must go on serving.
+	It("is not used, and costs no other its place", func() {
+		s := newSite()
+		for id, text := range map[string]string{
+			"a": "{", "b": `{"service":"app"}`, "c": `{"service":"app","address":7}`, "d": "\xff",
+			"e": `{"service":"app","address":"127.0.0.1:9","zone":"dc1","version":"v1","batch_size":1e9,"phase":"ready","cold_remaining_ms":0,"sequence":1}`,
+			"f": `{"service":"app","address":"127.0.0.1:9","zone":"dc1","version":"v1","batch_size":6,"phase":"asleep","cold_remaining_ms":0,"sequence":1}`,
+		} {
+			s.write(platform.Write{Table: platform.TableEndpoints, Key: id, Value: []byte(text)})
+		}
+		s.app("i1")
+		s.start(1)
+		for range 30 {
+			Expect(s.send(s.nodes[0], "/calls/1", "key").status).To(Equal(http.StatusOK))
+		}
+		s.write(platform.Write{Table: platform.TableEndpoints, Key: "g", Value: []byte("null")})
+		s.app("i2")
+		Eventually(s.knows(s.nodes[0], "i2", "endpoint known"), 2*time.Second).Should(BeTrue())
+		Expect(s.knows(s.nodes[0], "g", "field_missing")()).To(BeTrue())
+	})
+})
--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -109,7 +109,20 @@
 // register writes the entry of an endpoint.
 func (s *site) register(id, service, address, phase string) {
 	GinkgoHelper()
-	data, err := json.Marshal(map[string]any{"service": service, "address": address, "zone": "dc1", "batch_size": 24, "phase": phase})
+	s.registerBorn(id, service, address, phase, 0)
+}
+
+// registerBorn writes the entry of an endpoint that tells when it started; 0 if it does not.
+func (s *site) registerBorn(id, service, address, phase string, born int64) {
+	GinkgoHelper()
+	entry := map[string]any{
+		"service": service, "address": address, "zone": "dc1", "version": "v1", "batch_size": 24, "phase": phase,
+		"cold_remaining_ms": 0, "sequence": 1,
+	}
+	if born != 0 {
+		entry["born"] = born
+	}
+	data, err := json.Marshal(entry)
 	Expect(err).NotTo(HaveOccurred())
 	s.write(platform.Write{Table: platform.TableEndpoints, Key: id, Value: data})
 }
