Move the runs of a leaving engine strictly in turn, told by gossip

Found: whole engines left with none of their six runs moved. Each run had been copied whole and then waited for a quiet link before it stopped, while the next whole copy was always queued; the planned times of the nodes differed by what each had been told of the runs.

Each run is now copied, stopped and its rest copied before the next begins. The nodes tell each other which runs have left an engine, work out the same order from what does not grow (the prompt), and wait no longer than 2.2 times the expected copy for a silent node. Copies under way are told, so that two engines that leave at once do not choose the same target.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -63,6 +63,8 @@
 	Tokens int
 	// Unread is the number of prompt tokens that wait to be read.
 	Unread int
+	// Arriving is the memory, in tokens, of runs whose copies are on their way there.
+	Arriving int
 }
 
 // Endpoint is an instance with its load and health. Its fields belong to the Fleet's
@@ -83,8 +85,6 @@
 	own       Load
 	remote    map[string]Load
 	health    health
-	// arriving is the number of moves of this node that copy memory to the endpoint.
-	arriving int
 	// byHealth is set while it counts as leaving by its health check alone.
 	byHealth bool
 	// left is when the endpoint was found to be leaving.
@@ -108,6 +108,7 @@
 		sum.Count += l.Count
 		sum.Tokens += l.Tokens
 		sum.Unread += l.Unread
+		sum.Arriving += l.Arriving
 	}
 	return sum
 }
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -8,7 +8,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w.Exclude = append(w.Exclude, p.endpoint.ID)
-	w.from = p.endpoint
+	w.from, w.moving = p.endpoint, p.tokensNow()
 	w.Demand = Demand{Prompt: p.demand.Prompt, Output: p.tokens() - p.demand.Prompt}
 	e := f.pickLocked(&w)
 	if e == nil {
@@ -18,7 +18,8 @@
 	e.own.Unread -= target.unread()
 	target.reading = false
 	target.produced = p.produced
-	e.arriving++
+	target.arriving = target.tokensNow()
+	e.own.Arriving += target.arriving
 	return target
 }
 
@@ -26,7 +27,8 @@
 func (p *Placement) Arrived() {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	p.endpoint.arriving--
+	p.endpoint.own.Arriving -= p.arriving
+	p.arriving = 0
 }
 
 // Departure is what is known of an endpoint that is leaving.
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -41,14 +41,15 @@
 	// spread is the range of a random addition that keeps nodes, which choose from
 	// the same reports, from all choosing the same endpoint.
 	spread = 0.04
-	// moveFarCost is the cost of moving a run's memory to another data centre: such a
-	// move takes twice as long, and others wait behind it on the source's link. It is
-	// more than a full engine costs, so that runs leave their data centre only if it has
-	// no room; with 0.35, 1 stream in 30 was lost or stalled, with 1.5 one in 50.
-	moveFarCost = 1.5
-	// moveQueueCost is for each move of this node that is on its way to an endpoint:
-	// moves queue on the target's link, too.
-	moveQueueCost = 0.2
+	// copyCost is for each second that a copy takes to a target, with those that are on
+	// their way there already: moves queue on the target's link, too. Copies of all nodes
+	// count, since two engines that leave at once would else send everything to the
+	// emptiest third. It is so much that a near engine is taken while it has room and no
+	// other copy: with a tenth of it, twice as many streams were lost at departures, since
+	// a far copy holds up all others of its engine.
+	copyCost = 10.0
+	// farCopy is how many times longer a copy to another data centre takes.
+	farCopy = 2.0
 	// moveSpread replaces spread for moves: the nodes whose runs leave the same endpoint
 	// choose at the same moment, and see each other's choices too late.
 	moveSpread = 0.25
@@ -88,8 +89,10 @@
 	Exclude []string
 	// late is set once StartWithin is over.
 	late bool
-	// from is the endpoint that a move leaves; nil for new work.
-	from *Endpoint
+	// from is the endpoint that a move leaves; nil for new work. moving is the memory that
+	// is moved, in tokens.
+	from   *Endpoint
+	moving int
 }
 
 // pickLocked returns the best endpoint with room, nil if there is none.
@@ -159,11 +162,12 @@
 		}
 		return cost
 	}
-	cost := f.random.Float64()*moveSpread + moveQueueCost*float64(e.arriving)
+	copying := w.Service.Engine.CopyTime(w.moving).Seconds()
 	if e.DataCentre != w.from.DataCentre {
-		cost += moveFarCost
+		copying *= farCopy
 	}
-	return cost
+	queued := w.Service.Engine.CopyTime(e.total().Arriving).Seconds()
+	return f.random.Float64()*moveSpread + copyCost*(queued+copying)
 }
 
 func (w *Want) memoryShare() float64 {
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -15,6 +15,8 @@
 	// reading is set until the first event.
 	reading  bool
 	released bool
+	// arriving is the memory that is being copied here, in tokens.
+	arriving int
 	// Waited is the time that the work waited for its place.
 	Waited time.Duration
 }
@@ -86,6 +88,16 @@
 	return p.demand.Prompt + int(output)
 }
 
+// Memory is the number of tokens that the run has in memory by now.
+func (p *Placement) Memory() int {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.tokensNow()
+}
+
+// tokensNow is the memory that the run has by now.
+func (p *Placement) tokensNow() int { return p.demand.Prompt + p.produced }
+
 func (p *Placement) unread() int {
 	if p.reading {
 		return p.demand.Prompt
--- a/node/node.go
+++ b/node/node.go
@@ -125,8 +125,10 @@
 			Nodes:  func() int { return len(n.gossip.Live()) + 1 },
 		},
 		Strikes: relay.NewStrikes(boottime.Now),
+		Vacated: relay.NewVacated(boottime.Now),
 		Log:     log,
 	}
+	n.relay.Vacated.Tell = n.gossip.TellAll
 	n.configFeed = &feed{
 		store: n.store, table: platform.TableOperator, wait: changesWait, log: log,
 		listed: n.configurationListed, changed: n.configurationChanged,
--- a/node/peers.go
+++ b/node/peers.go
@@ -27,10 +27,11 @@
 	}
 	for _, l := range n.fleet.OwnLoads() {
 		s.Loads = append(s.Loads, &exchangev1.EndpointLoad{
-			Key:    uint32(l.Key),
-			Count:  uint32(max(l.Count, 0)),
-			Tokens: uint32(max(l.Tokens, 0)),
-			Unread: uint32(max(l.Unread, 0)),
+			Key:      uint32(l.Key),
+			Count:    uint32(max(l.Count, 0)),
+			Tokens:   uint32(max(l.Tokens, 0)),
+			Unread:   uint32(max(l.Unread, 0)),
+			Arriving: uint32(max(l.Arriving, 0)),
 		})
 	}
 	for _, w := range n.fleet.OwnWaiting() {
@@ -46,6 +47,9 @@
 	for _, k := range n.relay.Strikes.Fresh(strikesTold) {
 		s.Strikes = append(s.Strikes, &exchangev1.Strike{Work: uint64(k.Work), Endpoint: k.Endpoint})
 	}
+	for _, run := range n.relay.Vacated.Fresh(vacatedTold) {
+		s.Vacated = append(s.Vacated, uint32(run))
+	}
 	return s
 }
 
@@ -58,6 +62,9 @@
 	n.gossip.Tell(dataCentre)
 }
 
+// vacatedTold is how long it is told that a run has left its engine: several datagrams.
+const vacatedTold = 600 * time.Millisecond
+
 // strikesTold is how long each strike is told to the other nodes: several datagrams,
 // any of which may be lost.
 const strikesTold = 2 * time.Second
@@ -67,10 +74,11 @@
 	loads := make([]fleet.Load, 0, len(s.GetLoads()))
 	for _, l := range s.GetLoads() {
 		loads = append(loads, fleet.Load{
-			Key:    fleet.EndpointKey(l.GetKey()),
-			Count:  int(l.GetCount()),
-			Tokens: int(l.GetTokens()),
-			Unread: int(l.GetUnread()),
+			Key:      fleet.EndpointKey(l.GetKey()),
+			Count:    int(l.GetCount()),
+			Tokens:   int(l.GetTokens()),
+			Unread:   int(l.GetUnread()),
+			Arriving: int(l.GetArriving()),
 		})
 	}
 	waiting := make([]fleet.WaitingWork, 0, len(s.GetWaiting()))
@@ -83,6 +91,13 @@
 	}
 	n.fleet.SetRemote(s.GetAddress(), loads, waiting)
 	n.heardLeaving(s)
+	if len(s.GetVacated()) > 0 {
+		runs := make([]relay.RunKey, 0, len(s.GetVacated()))
+		for _, run := range s.GetVacated() {
+			runs = append(runs, relay.RunKey(run))
+		}
+		n.relay.Vacated.Merge(runs)
+	}
 	for _, k := range s.GetStrikes() {
 		n.relay.Strikes.Merge(relay.Fingerprint(k.GetWork()), k.GetEndpoint())
 	}
--- a/relay/evacuation.go
+++ b/relay/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -31,9 +32,12 @@
 }
 
 // Runs of an engine that leaves are moved one after another: their copies share the
-// engine's link, and copies that are made at the same time all end late, or too late.
-// Each node asks the engine once for its runs and works out the same order, so that the
-// nodes need not agree on it.
+// engine's link in the order in which they are asked for. Were the next copy asked for
+// before the last part of a run, its caller would wait for both; and where every run
+// waits for a quiet link before it stops, none stops in time: engines were seen to leave
+// with all of six runs copied three times and none moved. So each run is copied, stopped
+// and its rest copied before the next one begins. Each node asks the engine once for its
+// runs, works out the same order, and tells the others when it is done with one.
 const (
 	// defaultNotice is the time that an engine has left if it does not tell: the
 	// shortest notice of engines that are reclaimed.
@@ -43,38 +47,36 @@
 	reportTimeout = 150 * time.Millisecond
 	// orderLifetime is how long an order holds: longer than any notice.
 	orderLifetime = 10 * time.Second
-	// moveOverhead is the time of a move beside its copy: the last copy and the way of
-	// three calls.
+	// moveOverhead is the time of a move beside its copy: three calls, and the way of the
+	// news that it is done.
 	moveOverhead = 25 * time.Millisecond
-	// copySlack is for queues at targets and the few copies to other data centres, which
-	// take twice as long. With 1.0 moves overlap, and of 200 streams 7 stall; from 1.3 on
-	// the last runs of a full engine have no time left.
-	copySlack      = 1.15
-	bitsPerByte    = 8
-	bitsPerMegabit = 1e6
+	// turnSlack is by how much a run may take longer than expected before the next one
+	// no longer waits for it: its copy may go to another data centre, which takes twice
+	// as long, or its node may be gone.
+	turnSlack = 2.2
 )
 
-// evacuationOrder returns for each run the time from now at which its move may begin.
-// Small runs go first: with little time, more of them are saved.
-func evacuationOrder(runs []EngineRun, spec *routing.EngineSpec) map[string]time.Duration {
+// evacuationOrder returns the runs in the order in which they move. Small runs go first:
+// with little time, more of them are saved. Nodes ask at slightly different moments, and
+// must find the same order all the same, so a run counts by its prompt, which does not grow.
+// A prompt that is still being read comes last.
+func evacuationOrder(runs []EngineRun, spec *routing.EngineSpec) []EngineRun {
 	ordered := slices.Clone(runs)
+	size := func(r EngineRun) int {
+		if r.Events == 0 {
+			return math.MaxInt
+		}
+		return r.Tokens - r.Events*spec.TokensPerEvent
+	}
 	slices.SortFunc(ordered, func(a, b EngineRun) int {
-		return cmp.Or(cmp.Compare(a.Tokens, b.Tokens), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(size(a), size(b)), cmp.Compare(a.ID, b.ID))
 	})
-	starts := make(map[string]time.Duration, len(ordered))
-	at := time.Duration(0)
-	for _, run := range ordered {
-		starts[run.ID] = at
-		at += copyTime(run.Tokens, spec) + moveOverhead
-	}
-	return starts
+	return ordered
 }
 
-// copyTime is the time in which the memory of so many tokens passes an engine's link.
-func copyTime(tokens int, spec *routing.EngineSpec) time.Duration {
-	bits := float64(tokens) * spec.BytesPerToken * bitsPerByte
-	seconds := bits / (max(spec.LinkMbps, 1) * bitsPerMegabit)
-	return time.Duration(copySlack * seconds * float64(time.Second))
+// moveTime is the time in which a run of so many tokens is expected to move.
+func moveTime(tokens int, spec *routing.EngineSpec) time.Duration {
+	return spec.CopyTime(tokens) + moveOverhead
 }
 
 // evacuation is the departure of one engine.
@@ -82,9 +84,23 @@
 	ready chan struct{}
 	// began is when the first run asked for the order.
 	began time.Time
-	// leavesAt is when the engine stops; starts when the move of each run may begin.
+	// leavesAt is when the engine stops.
 	leavesAt time.Time
-	starts   map[string]time.Time
+	// order holds the engine's runs in the order in which they move; spec is the engine's.
+	order  []EngineRun
+	spec   *routing.EngineSpec
+	engine fleet.EndpointKey
+}
+
+// ahead returns the runs that move before the given one; all for a run that the engine
+// did not name.
+func (e *evacuation) ahead(runID string) []EngineRun {
+	for i, run := range e.order {
+		if run.ID == runID {
+			return e.order[:i]
+		}
+	}
+	return e.order
 }
 
 // evacuations are the departures under way, by endpoint.
@@ -126,7 +142,7 @@
 
 func (l *Relay) planEvacuation(e *evacuation, p *fleet.Placement, spec *routing.EngineSpec) {
 	notice := time.Now().Add(-p.Departure().Since)
-	e.leavesAt = notice.Add(defaultNotice)
+	e.leavesAt, e.spec = notice.Add(defaultNotice), spec
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	report, err := l.Mover.Report(ctx, p.Instance().Address)
@@ -144,11 +160,44 @@
 	if report.LeavesIn > 0 {
 		e.leavesAt = time.Now().Add(report.LeavesIn)
 	}
-	e.starts = make(map[string]time.Time, len(report.Runs))
-	now := time.Now()
-	for id, after := range evacuationOrder(report.Runs, spec) {
-		e.starts[id] = now.Add(after)
-	}
+	e.order = evacuationOrder(report.Runs, spec)
+	e.engine = p.Instance().Incarnation().Key()
+	l.Vacated.endedAmong(e.order, e.engine)
 	l.Log.Info("endpoint is evacuated", zap.String("endpoint", p.Instance().ID), zap.Int("runs", len(report.Runs)),
-		zap.Duration("leaves_in", report.LeavesIn), zap.Duration("since_notice", now.Sub(notice)))
+		zap.Duration("leaves_in", report.LeavesIn), zap.Duration("since_notice", time.Since(notice)))
+}
+
+// awaitTurn waits until the runs before the given one have moved, or have had their time.
+func (l *Relay) awaitTurn(ctx context.Context, e *evacuation, runID string) {
+	since := time.Now()
+	pending := len(e.order) + 1
+	for ctx.Err() == nil {
+		changed := l.Vacated.changes()
+		var left time.Duration
+		count := 0
+		for _, run := range e.ahead(runID) {
+			if !l.Vacated.has(runKey(run.ID, e.engine)) {
+				count++
+				left += moveTime(run.Tokens, e.spec)
+			}
+		}
+		if count == 0 {
+			return
+		}
+		if count < pending {
+			pending, since = count, time.Now()
+		}
+		wait := time.Until(since.Add(time.Duration(turnSlack * float64(left))))
+		if wait <= 0 {
+			metrics.Count("move_turn_overdue")
+			return
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
 }
--- a/relay/mover.go
+++ b/relay/mover.go
@@ -16,8 +16,8 @@
 //
 // Copies of one engine queue on its link, and those of other nodes do, too. A run that
 // is stopped while whole copies are still queued waits behind them, half a second and
-// more, which its caller sees as a stall. So small copies are made until one is quick,
-// and only then the run is stopped.
+// more, which its caller sees as a stall. So runs move in turn, and where
+// a copy took long all the same, another small one is made before the run is stopped.
 type mover struct {
 	leg    *leg
 	cancel context.CancelFunc
@@ -64,6 +64,15 @@
 
 func (m *mover) stop() { m.cancel() }
 
+func (m *mover) hasBegun() bool {
+	select {
+	case <-m.begun:
+		return true
+	default:
+		return false
+	}
+}
+
 func (m *mover) eventSeen() { m.beginOnce.Do(func() { close(m.begun) }) }
 
 // stopping tells whether the run was told to stop for its move.
@@ -98,13 +107,18 @@
 		// The engine has started again and holds nothing of the run.
 		return
 	}
+	if !m.hasBegun() {
+		// Others need not wait for a run whose prompt is still being read.
+		m.leg.Vacated.leave(m.leg.runKey())
+	}
 	select {
 	case <-ctx.Done():
 		return
 	case <-m.begun:
 	}
 	m.evacuation = m.leg.evacuation(ctx, m.leg.p, m.leg.r.Service.Engine)
-	sleep(ctx, time.Until(m.evacuation.starts[m.leg.r.ID]))
+	defer m.leg.Vacated.leave(m.leg.runKey())
+	m.leg.awaitTurn(ctx, m.evacuation, m.leg.r.ID)
 	for range moveTries {
 		if m.try(ctx) || ctx.Err() != nil {
 			return
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -153,6 +153,7 @@
 	Mover    Mover
 	Budgets  *retry.Windows
 	Strikes  *Strikes
+	Vacated  *Vacated
 	Log      *zap.Logger
 	// Admit is asked right before each new run; a refusal stops the request. It
 	// guards against work of keys that were taken away while the request waited.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -42,6 +42,7 @@
 			Ratio: 0.2, Slack: 100, Length: 10 * time.Second, Now: boottime.Now, Nodes: func() int { return 1 },
 		},
 		Strikes: relay.NewStrikes(boottime.Now),
+		Vacated: relay.NewVacated(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
 		Log:     zap.NewNop(),
 		Admit:   func(*relay.Request) *crocusreel.Refusal { return nil },
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -141,6 +141,7 @@
 	l.mover.start(ctx)
 	defer l.mover.stop()
 	end, next := l.pass(ctx, at)
+	l.Vacated.end(l.runKey())
 	if next == nil {
 		go l.mover.discard()
 	}
@@ -203,6 +204,8 @@
 	}
 }
 
+func (l *leg) runKey() RunKey { return runKey(l.r.ID, l.p.Instance().Incarnation().Key()) }
+
 func (l *leg) strike() {
 	l.Strikes.Add(l.r.Fingerprint, uint32(l.p.Instance().Incarnation().Key()))
 }
--- a/relay/transfer.go
+++ b/relay/transfer.go
@@ -22,6 +22,8 @@
 	// quickCopy is the time in which a copy of some steps' tokens ends while nothing else
 	// is queued: two round trips and some milliseconds on the link.
 	quickCopy = 40 * time.Millisecond
+	// farCopies is how many times longer a copy to another data centre takes.
+	farCopies = 2
 	// freeTimeout bounds the order to free a copy.
 	freeTimeout = 500 * time.Millisecond
 	// copyLifetime is how long an engine keeps a copy that nobody uses: the lifetime of
@@ -35,6 +37,8 @@
 	target *fleet.Placement
 	// handle names the copy once there is one.
 	handle string
+	// took is the time that the last copy took.
+	took time.Duration
 	// doubtful is set when a copy may have been made without an answer.
 	doubtful bool
 }
@@ -44,7 +48,9 @@
 func (t *transfer) copy(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
 	defer cancel()
+	started := time.Now()
 	got, err := t.move(call, false)
+	t.took = time.Since(started)
 	if got.Handle != "" {
 		t.handle = got.Handle
 	}
@@ -52,20 +58,17 @@
 	return err == nil && !got.Refused && ctx.Err() == nil
 }
 
-// awaitIdleLinks copies what is new again and again until a copy is quick: no whole copy
-// is then queued on the links of source and target, and the last copy will be quick as
-// well. It ends before the engine is gone, in any case.
+// awaitIdleLinks makes further small copies while the last one had to wait: a whole copy
+// of another run was then queued on the link of source or target, and the last part of
+// this one would wait behind it while its caller waits for events. It gives up waiting
+// when that would cost the run its move.
 func (t *transfer) awaitIdleLinks(ctx context.Context, leavesAt time.Time) bool {
-	for time.Until(leavesAt) > lastStop {
-		started := time.Now()
+	expected := farCopies * t.r.Service.Engine.CopyTime(t.target.Memory())
+	for t.took > expected+quickCopy && time.Until(leavesAt) > lastStop+t.took {
 		if !t.copy(ctx) {
 			return false
 		}
-		took := time.Since(started)
-		if took < quickCopy {
-			return true
-		}
-		sleep(ctx, quickCopy-took)
+		expected = 0
 	}
 	return ctx.Err() == nil
 }
@@ -97,7 +100,8 @@
 	source, target := t.p.Instance(), t.target.Instance()
 	got, err := t.Mover.Move(ctx, source.Address, t.r.ID, target.Address, stop)
 	t.Log.Info("memory moved", zap.String("request", t.r.ID), zap.String("endpoint", source.ID),
-		zap.String("target", target.ID), zap.Bool("stopped", stop), zap.Int("events", got.Events),
+		zap.String("target", target.ID), zap.Bool("far", source.DataCentre != target.DataCentre), zap.Bool("stopped", stop),
+		zap.Int("tokens", t.p.Memory()), zap.Int("events", got.Events),
 		zap.Bool("refused", got.Refused), zap.Duration("took", time.Since(started)), zap.NamedError("cause", err))
 	return got, err
 }
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -73,6 +73,18 @@
 	TokensPerEvent int
 }
 
+const (
+	bitsPerByte    = 8
+	bitsPerMegabit = 1e6
+)
+
+// CopyTime is the time in which the memory of so many tokens passes an engine's link.
+func (e *EngineSpec) CopyTime(tokens int) time.Duration {
+	bits := float64(tokens) * e.BytesPerToken * bitsPerByte
+	seconds := bits / (max(e.LinkMbps, 1) * bitsPerMegabit)
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // Limits bound what callers may send.
 type Limits struct {
 	MaxHeaderBytes int
