Back up long answers while memory is at hand; let runs go on from any copy when their engine is gone

Found: a run that is stopped for its move waits with its last part behind whatever is queued on two links, and an engine that dies, or leaves with more runs than its link takes away in 1.5 s, took its streams along.

A long answer now names an engine to which its memory is sent as it grows, chosen while that keeps 0.3 of its memory free. An answer that broke off goes on only when the run is certainly over: the engine refuses connections, knows no such run, or was told to stop it. Deaths count as strikes. A stream without a length whose engine ended is not taken for whole.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -63,6 +63,8 @@
 	Tokens int
 	// Unread is the number of prompt tokens that wait to be read.
 	Unread int
+	// Held is the memory, in tokens, of backups of runs elsewhere.
+	Held int
 	// Arriving is the memory, in tokens, of runs whose copies are on their way there.
 	Arriving int
 }
@@ -109,6 +111,7 @@
 		sum.Tokens += l.Tokens
 		sum.Unread += l.Unread
 		sum.Arriving += l.Arriving
+		sum.Held += l.Held
 	}
 	return sum
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -219,7 +219,7 @@
 	defer f.mu.Unlock()
 	var loads []Load
 	for _, e := range f.byID {
-		if e.own.Count > 0 {
+		if e.own.Count > 0 || e.own.Held > 0 {
 			l := e.own
 			l.Key = e.key
 			loads = append(loads, l)
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -95,6 +95,9 @@
 	moving int
 }
 
+// Short tells whether the answer is short.
+func (w *Want) Short() bool { return w.line().short }
+
 // pickLocked returns the best endpoint with room, nil if there is none.
 func (f *Fleet) pickLocked(w *Want) *Endpoint {
 	var best *Endpoint
@@ -144,7 +147,7 @@
 	}
 	if spec := w.Service.Engine; spec != nil {
 		share := float64(load.Tokens) / float64(max(spec.Memory, 1))
-		need := float64(load.Tokens + w.Demand.Tokens())
+		need := float64(load.Tokens + load.Held + w.Demand.Tokens())
 		fits := load.Count < e.Slots && (need <= w.memoryShare()*float64(spec.Memory) || load.Count == 0) &&
 			(w.from != nil || load.Unread <= maxUnread)
 		return cost + share + unreadCost*float64(load.Unread)/readRate, fits
--- a/node/peers.go
+++ b/node/peers.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"net"
 	"net/http"
 	"time"
 
@@ -32,6 +31,7 @@
 			Tokens:   uint32(max(l.Tokens, 0)),
 			Unread:   uint32(max(l.Unread, 0)),
 			Arriving: uint32(max(l.Arriving, 0)),
+			Held:     uint32(max(l.Held, 0)),
 		})
 	}
 	for _, w := range n.fleet.OwnWaiting() {
@@ -79,6 +79,7 @@
 			Tokens:   int(l.GetTokens()),
 			Unread:   int(l.GetUnread()),
 			Arriving: int(l.GetArriving()),
+			Held:     int(l.GetHeld()),
 		})
 	}
 	waiting := make([]fleet.WaitingWork, 0, len(s.GetWaiting()))
@@ -121,11 +122,3 @@
 	mux.Handle(exchangev1.NewExchangeHandler(exchangeServer{n}, peer.HandlerOptions()))
 	return mux
 }
-
-func hostOf(address string) string {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return address
-	}
-	return host
-}
--- a/relay/call.go
+++ b/relay/call.go
@@ -144,7 +144,7 @@
 // sendOnce sends the request to one endpoint and reads the whole answer.
 func (j *job) sendOnce(ctx context.Context, p *fleet.Placement, runs int) result {
 	ctx, cancel := context.WithTimeout(ctx, j.attemptTime(runs))
-	resp, err := j.send(ctx, p, nil)
+	resp, err := j.send(ctx, p, nil, nil)
 	if err != nil {
 		cancel()
 		return failedSend(err)
--- /dev/null
+++ b/relay/copies.go
@@ -0,0 +1,172 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel/endpoint/h1"
+	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/internal/metrics"
+)
+
+// A long answer has a backup while memory is at hand: its engine sends the run's memory to
+// another one as it grows. When the engine is gone, announced or not, the run goes on from
+// there, and its caller sees a pause of some steps. Without it an engine that crashes takes
+// its streams along, and one that leaves on short notice is emptied over a link that is too
+// slow for all of its runs.
+
+// ErrNoRun is for a run that an engine does not know, or no longer.
+var ErrNoRun = errors.New("the engine knows no such run")
+
+const (
+	// overTimeout bounds the question whether a run is over whose answer broke off.
+	overTimeout = 400 * time.Millisecond
+	// overRetry is the pause between two such questions.
+	overRetry = 5 * time.Millisecond
+	// copyMargin is the time beyond its lifetime after which a copy is certainly gone.
+	copyMargin = 2 * time.Second
+)
+
+// holdBackup finds room for a backup of a long answer; nil if there is none.
+func (j *job) holdBackup(p *fleet.Placement) *fleet.Holding {
+	w := j.want()
+	w.Exclude = nil
+	if w.Short() {
+		return nil
+	}
+	h := j.Fleet.Hold(p, w)
+	if h == nil {
+		metrics.Count("stream_without_backup")
+	}
+	return h
+}
+
+// dropBackup gives the backup's room back once the engine has freed it.
+func (j *job) dropBackup(h *fleet.Holding, whole bool) {
+	switch {
+	case h == nil:
+	case whole:
+		h.Release(0)
+	default:
+		h.Release(j.r.Service.Engine.CopyLifetime + copyMargin)
+	}
+}
+
+// sound tells whether the leg's backup can be counted on.
+func (l *leg) sound() bool {
+	if l.backup == nil || l.backup.Life().Err() != nil {
+		return false
+	}
+	select {
+	case <-l.backup.Leaving():
+		return false
+	default:
+		return true
+	}
+}
+
+// copyOfRun is a copy of a run's memory on an engine, from which the run can go on once it
+// is over at its own.
+type copyOfRun struct {
+	engine fleet.Instance
+	resume Resume
+	// take returns the place of the run at the engine; nil if it can't be had any more.
+	take func() *fleet.Placement
+}
+
+// copies returns the copies that there are: that of a move that did not come to its end,
+// and the backup.
+func (l *leg) copies(at *progress) []copyOfRun {
+	var all []copyOfRun
+	if m := l.mover.copied(); m != nil && m.target.Life().Err() == nil {
+		all = append(all, copyOfRun{
+			engine: m.target.Instance(),
+			resume: Resume{Source: m.source, Handle: m.handle, LastEvent: at.last},
+			take:   l.mover.takeCopy,
+		})
+	}
+	if l.backup != nil && l.backup.Life().Err() == nil {
+		all = append(all, copyOfRun{
+			engine: l.backup.Instance(),
+			resume: Resume{Source: l.backup.Instance().Address, Handle: l.r.ID, LastEvent: at.last},
+			take:   func() *fleet.Placement { return l.backup.Take(at.count * l.tokensPerEvent()) },
+		})
+	}
+	return all
+}
+
+// fromCopy continues a stream whose engine is gone, nil if that is not possible.
+func (l *leg) fromCopy(ctx context.Context, at *progress) *leg {
+	copies := l.copies(at)
+	if len(copies) == 0 || l.deadly() {
+		return nil
+	}
+	over, stopped := l.over(ctx, copies[0].engine)
+	if !over {
+		metrics.Count("stream_not_over")
+		return nil
+	}
+	if stopped != "" {
+		copies[0].resume = Resume{Source: l.p.Instance().Address, Handle: stopped, LastEvent: at.last}
+	}
+	for i := range copies {
+		place := copies[i].take()
+		if place == nil {
+			continue
+		}
+		if next := l.resume(ctx, place, &copies[i].resume, at); next != nil {
+			metrics.Count("stream_from_copy")
+			return next
+		}
+		place.Release(fleet.Neutral)
+	}
+	return nil
+}
+
+// deadly gives the request a strike if its engine was not about to leave, and tells
+// whether it has met too many deaths to go on.
+func (l *leg) deadly() bool {
+	if l.p.Life().Err() == nil {
+		select {
+		case <-l.p.Leaving():
+			return false
+		default:
+		}
+	}
+	l.strike()
+	return l.Strikes.Count(l.r.Fingerprint) >= strikeLimit
+}
+
+// over makes certain that the run is over at its engine. A run whose answer broke off may
+// still be at work, and must not be at two engines at a time: it is told to stop, and its
+// memory then goes to the target under the handle that is returned. An engine that is
+// gone, or knows no such run, has none.
+func (l *leg) over(ctx context.Context, target fleet.Instance) (over bool, handle string) {
+	if l.p.Life().Err() != nil {
+		return true, ""
+	}
+	ctx, cancel := context.WithTimeout(ctx, overTimeout)
+	defer cancel()
+	source := l.p.Instance()
+	for ctx.Err() == nil {
+		got, err := l.Mover.Move(ctx, source.Address, l.r.ID, target.Address, true)
+		l.Log.Info("stream broke off", zap.String("request", l.r.ID), zap.String("endpoint", source.ID),
+			zap.String("copy_at", target.ID), zap.Bool("stopped", err == nil), zap.NamedError("cause", err))
+		var failed *h1.Error
+		switch {
+		case errors.Is(err, ErrNoRun), errors.As(err, &failed) && !failed.Sent:
+			return true, ""
+		case err == nil && !got.Refused:
+			return got.Handle != "", got.Handle
+		case err == nil:
+			return false, ""
+		}
+		// A kept connection to an engine that has died ends without an answer; the next
+		// one is refused.
+		sleep(ctx, overRetry)
+	}
+	return false, ""
+}
--- a/relay/evacuation.go
+++ b/relay/evacuation.go
@@ -32,16 +32,10 @@
 }
 
 // Runs of an engine that leaves are moved one after another: their copies share the
-// engine's link in the order in which they are asked for. Were the next copy asked for
-// before the last part of a run, its caller would wait for both; and where every run
-// waits for a quiet link before it stops, none stops in time: engines were seen to leave
-// with all of six runs copied three times and none moved. So each run is copied, stopped
-// and its rest copied before the next one begins. Each node asks the engine once for its
-// runs, works out the same order, and tells the others when it is done with one.
+// engine's link, and those that are made at the same time all end late, or too late. Each
+// node asks the engine once for its runs, works out the same order, and tells the others
+// when it is done with one.
 const (
-	// defaultNotice is the time that an engine has left if it does not tell: the
-	// shortest notice of engines that are reclaimed.
-	defaultNotice = 1500 * time.Millisecond
 	// reportTimeout bounds the question for the runs; without an answer runs are moved
 	// as if they were alone.
 	reportTimeout = 150 * time.Millisecond
@@ -84,8 +78,6 @@
 	ready chan struct{}
 	// began is when the first run asked for the order.
 	began time.Time
-	// leavesAt is when the engine stops.
-	leavesAt time.Time
 	// order holds the engine's runs in the order in which they move; spec is the engine's.
 	order  []EngineRun
 	spec   *routing.EngineSpec
@@ -141,8 +133,7 @@
 }
 
 func (l *Relay) planEvacuation(e *evacuation, p *fleet.Placement, spec *routing.EngineSpec) {
-	notice := time.Now().Add(-p.Departure().Since)
-	e.leavesAt, e.spec = notice.Add(defaultNotice), spec
+	e.spec = spec
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	report, err := l.Mover.Report(ctx, p.Instance().Address)
@@ -157,14 +148,11 @@
 			zap.Int64("born", born), zap.Int64("reported_born", report.Born))
 		return
 	}
-	if report.LeavesIn > 0 {
-		e.leavesAt = time.Now().Add(report.LeavesIn)
-	}
 	e.order = evacuationOrder(report.Runs, spec)
 	e.engine = p.Instance().Incarnation().Key()
 	l.Vacated.endedAmong(e.order, e.engine)
 	l.Log.Info("endpoint is evacuated", zap.String("endpoint", p.Instance().ID), zap.Int("runs", len(report.Runs)),
-		zap.Duration("leaves_in", report.LeavesIn), zap.Duration("since_notice", time.Since(notice)))
+		zap.Duration("leaves_in", report.LeavesIn), zap.Duration("since_notice", p.Departure().Since))
 }
 
 // awaitTurn waits until the runs before the given one have moved, or have had their time.
--- a/relay/export_test.go
+++ b/relay/export_test.go
@@ -25,6 +25,7 @@
 const (
 	MoveOverhead = moveOverhead
 	TurnSlack    = turnSlack
+	RefreshEvery = refreshEvery
 )
 
 // StrikeLimit is the number of endpoints that may die of one request.
--- a/relay/mover.go
+++ b/relay/mover.go
@@ -5,34 +5,33 @@
 	"sync"
 	"time"
 
+	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 )
 
-// mover takes a running generation from an engine that is about to leave to another
-// one. First it copies the run's memory while the run goes on; then it stops the run,
-// copies what is new, and the stream goes on at the target. The caller sees a pause of
-// some steps. Without it every stream is lost whose engine leaves, for a stream may
-// not be run twice.
+// mover copies the memory of a running generation away from an engine that is about to
+// leave. The run is not stopped: it goes on at its engine until that is gone, and then
+// from the copy, where the engine reads again what came after the last part of it. The
+// caller sees a pause of some steps. Without it every stream is lost whose engine leaves,
+// for a stream may not be run twice.
 //
-// Copies of one engine queue on its link, and those of other nodes do, too. A run that
-// is stopped while whole copies are still queued waits behind them, half a second and
-// more, which its caller sees as a stall. So runs move in turn, and where
-// a copy took long all the same, another small one is made before the run is stopped.
+// A run that is stopped first, so that nothing need be read again, waits with its last
+// part behind whatever is queued on the links of source and target, and its caller with
+// it: half a second and more where other copies are under way.
 type mover struct {
 	leg    *leg
 	cancel context.CancelFunc
 	done   chan struct{}
-	// begun is closed with the first event: before it there is nothing to move.
+	// begun is closed with the first event: before it there is nothing to copy.
 	begun     chan struct{}
 	beginOnce sync.Once
 
-	evacuation *evacuation
 	// refused are engines that had no room for the run.
 	refused []string
 
-	mu      sync.Mutex
-	stopped bool
-	moved   *movedRun
+	mu sync.Mutex
+	// copy is the run's copy at a target, nil while there is none.
+	copy *movedRun
 }
 
 const (
@@ -40,9 +39,6 @@
 	moveTries = 12
 	// moveRetry is the pause before engines are looked through again when none had room.
 	moveRetry = 60 * time.Millisecond
-	// resultWait is how long a cut stream waits for the answer to the last copy, which
-	// may come after the cut.
-	resultWait = 2 * time.Second
 )
 
 func newMover(l *leg) *mover {
@@ -75,50 +71,28 @@
 
 func (m *mover) eventSeen() { m.beginOnce.Do(func() { close(m.begun) }) }
 
-// stopping tells whether the run was told to stop for its move.
-func (m *mover) stopping() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.stopped
-}
-
-// result returns the moved run once the stream was cut, nil if it was not moved.
-func (m *mover) result() *movedRun {
-	if !m.stopping() {
-		return nil
-	}
-	select {
-	case <-m.done:
-	case <-time.After(resultWait):
-		metrics.Count("move_answer_late")
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.moved
-}
-
+// watch waits until the engine leaves and then has the run copied in its turn.
 func (m *mover) watch(ctx context.Context) {
-	select {
-	case <-ctx.Done():
+	l := m.leg
+	if !await(ctx, l.p.Leaving()) || l.p.Life().Err() != nil {
 		return
-	case <-m.leg.p.Leaving():
 	}
-	if m.leg.p.Life().Err() != nil {
-		// The engine has started again and holds nothing of the run.
-		return
+	if l.sound() {
+		// The run goes on from its backup; the link is left to runs without one.
+		l.Vacated.leave(l.runKey())
+		if !await(ctx, l.backup.Leaving()) {
+			return
+		}
 	}
 	if !m.hasBegun() {
 		// Others need not wait for a run whose prompt is still being read.
-		m.leg.Vacated.leave(m.leg.runKey())
+		l.Vacated.leave(l.runKey())
 	}
-	select {
-	case <-ctx.Done():
+	if !await(ctx, m.begun) {
 		return
-	case <-m.begun:
 	}
-	m.evacuation = m.leg.evacuation(ctx, m.leg.p, m.leg.r.Service.Engine)
-	defer m.leg.Vacated.leave(m.leg.runKey())
-	m.leg.awaitTurn(ctx, m.evacuation, m.leg.r.ID)
+	l.awaitTurn(ctx, l.evacuation(ctx, l.p, l.r.Service.Engine), l.r.ID)
+	defer l.Vacated.leave(l.runKey())
 	for range moveTries {
 		if m.try(ctx) || ctx.Err() != nil {
 			return
@@ -127,7 +101,18 @@
 	metrics.Count("move_given_up")
 }
 
-// try moves the run to one target; it returns true if no further try makes sense.
+// await waits for the channel; it returns false if ctx ends first.
+func await(ctx context.Context, ch <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-ch:
+		return true
+	}
+}
+
+// try copies the run to one target and keeps the copy fresh until the leg ends; it returns
+// true if no further try makes sense.
 func (m *mover) try(ctx context.Context) bool {
 	l := m.leg
 	want := l.want()
@@ -147,31 +132,47 @@
 		t.abandon()
 		return ctx.Err() != nil
 	}
-	if !t.awaitIdleLinks(ctx, m.evacuation.leavesAt) {
-		t.abandon()
-		return ctx.Err() != nil
-	}
+	m.keepCopy(&movedRun{source: l.p.Instance().Address, handle: t.handle, target: target})
+	l.Vacated.leave(l.runKey())
+	t.refresh(ctx)
+	return true
+}
+
+func (m *mover) keepCopy(c *movedRun) {
 	m.mu.Lock()
-	m.stopped = true
-	m.mu.Unlock()
-	moved := t.stopAndCopy(ctx)
+	defer m.mu.Unlock()
+	m.copy = c
+}
+
+// copied returns the run's copy, nil if there is none.
+func (m *mover) copied() *movedRun {
 	m.mu.Lock()
-	m.moved = moved
-	m.mu.Unlock()
-	return true
+	defer m.mu.Unlock()
+	return m.copy
+}
+
+// takeCopy returns the place at which the copy is.
+func (m *mover) takeCopy() *fleet.Placement {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.copy == nil {
+		return nil
+	}
+	target := m.copy.target
+	m.copy = nil
+	return target
 }
 
-// discard gives up what a move has made that is not needed: the stream ended, or its
-// caller left, while it was under way.
+// discard gives up a copy that is not needed: the stream ended, or its caller left.
 func (m *mover) discard() {
 	m.cancel()
 	<-m.done
 	m.mu.Lock()
-	moved := m.moved
-	m.moved = nil
+	unused := m.copy
+	m.copy = nil
 	m.mu.Unlock()
-	if moved != nil {
-		moved.giveUp(m.leg.job)
+	if unused != nil {
+		unused.giveUp(m.leg.job)
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -55,6 +55,9 @@
 	Instance fleet.Instance
 	// Remaining is the time that the endpoint may work.
 	Remaining time.Duration
+	// Backup is the address of the endpoint to which the run's memory is sent as it grows;
+	// empty for none.
+	Backup string
 	// Resume continues a run from its memory; nil for a new run.
 	Resume *Resume
 }
@@ -262,8 +265,11 @@
 }
 
 // send sends the request to the endpoint of p and returns the head of its answer.
-func (j *job) send(ctx context.Context, p *fleet.Placement, resume *Resume) (*h1.Response, error) {
+func (j *job) send(ctx context.Context, p *fleet.Placement, resume *Resume, backup *fleet.Holding) (*h1.Response, error) {
 	attempt := Attempt{Instance: p.Instance(), Remaining: time.Until(j.r.Deadline), Resume: resume}
+	if backup != nil {
+		attempt.Backup = backup.Instance().Address
+	}
 	j.verdict.Attempts++
 	j.verdict.Endpoint = attempt.Instance.ID
 	return j.Client.Do(ctx, attempt.Instance.Address, &h1.Request{
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -21,6 +21,8 @@
 	resp   *h1.Response
 	mover  *mover
 	events *eventReader
+	// backup is room for a copy of the run's memory elsewhere; nil for none.
+	backup *fleet.Holding
 }
 
 // legEnd is how a leg ended.
@@ -39,22 +41,22 @@
 
 // stream serves a request whose answer is a series of events.
 func (j *job) stream(ctx context.Context) Verdict {
-	p, resp, verdict := j.start(ctx)
-	if resp == nil {
+	l, verdict := j.start(ctx)
+	if l == nil {
 		return verdict
 	}
-	if resp.StatusCode != http.StatusOK {
-		return j.failedStream(p, resp)
+	if l.resp.StatusCode != http.StatusOK {
+		j.dropBackup(l.backup, false)
+		return j.failedStream(l.p, l.resp)
 	}
 	progress := &progress{}
 	for {
-		l := &leg{job: j, p: p, resp: resp}
 		end, next := l.run(ctx, progress)
-		if next != nil {
-			p, resp = next.p, next.resp
-			continue
+		j.dropBackup(l.backup, end == legWhole)
+		if next == nil {
+			return j.streamEnded(ctx, end, progress)
 		}
-		return j.streamEnded(ctx, end, progress)
+		l = next
 	}
 }
 
@@ -81,24 +83,26 @@
 	p.count++
 }
 
-// start finds an endpoint that takes the request. Without one, resp is nil.
-func (j *job) start(ctx context.Context) (*fleet.Placement, *h1.Response, Verdict) {
+// start finds an endpoint that takes the request. Without one, the leg is nil.
+func (j *job) start(ctx context.Context) (*leg, Verdict) {
 	for {
 		p, refusal := j.place(ctx)
 		if refusal != nil {
-			return nil, nil, j.exhausted(ctx, nil, refusal)
+			return nil, j.exhausted(ctx, nil, refusal)
 		}
+		backup := j.holdBackup(p)
 		quiet := time.AfterFunc(silentStart, func() { p.Report(fleet.Silent) })
-		resp, err := j.send(ctx, p, nil)
+		resp, err := j.send(ctx, p, nil, backup)
 		quiet.Stop()
 		got := failedStart(err)
 		if err == nil {
 			refused := false
 			if got, refused = j.refused(resp); !refused {
-				return p, resp, Verdict{}
+				return &leg{job: j, p: p, resp: resp, backup: backup}, Verdict{}
 			}
 		}
 		p.Release(got.health)
+		j.dropBackup(backup, got.notRun)
 		j.tried = append(j.tried, p.Instance().ID)
 		j.verdict.Detail = got.cause
 		j.ran = j.ran || !got.notRun
@@ -106,7 +110,7 @@
 			j.Strikes.Add(j.r.Fingerprint, uint32(p.Instance().Incarnation().Key()))
 		}
 		if ctx.Err() != nil || !j.mayRepeat(got, maxSends) {
-			return nil, nil, j.exhausted(ctx, nil, j.failure(got))
+			return nil, j.exhausted(ctx, nil, j.failure(got))
 		}
 	}
 }
@@ -142,7 +146,7 @@
 	defer l.mover.stop()
 	end, next := l.pass(ctx, at)
 	l.Vacated.end(l.runKey())
-	if next == nil {
+	if next == nil || l.mover.copied() != nil {
 		go l.mover.discard()
 	}
 	return end, next
@@ -160,12 +164,12 @@
 	end, cause := l.follow(at)
 	switch end {
 	case legWhole:
-		if l.resp.Framed() || !l.mover.stopping() {
+		if l.resp.Framed() || !l.engineDied(ctx) {
 			l.resp.Finish()
 			l.p.Release(fleet.Good)
 			return end, nil
 		}
-		end = legCut
+		end, cause = legCut, io.ErrUnexpectedEOF
 	case legCallerGone, legCorrupt:
 		l.finish(fleet.Neutral)
 		return end, nil
@@ -175,12 +179,9 @@
 		l.finish(fleet.Neutral)
 		return legCut, nil
 	}
-	next := l.goOn(ctx, at)
-	if next != nil {
+	if next := l.fromCopy(ctx, at); next != nil {
 		l.resp.Close()
-		if next.p != l.p {
-			l.p.Release(fleet.Neutral)
-		}
+		l.p.Release(fleet.Neutral)
 		return end, next
 	}
 	l.verdict.Detail = "stream cut: " + cause.Error()
@@ -188,6 +189,18 @@
 	return end, nil
 }
 
+// engineDied tells whether the engine is gone. The end of a stream without a length is
+// the end of its connection, and that of an engine's process looks the same: the caller
+// would take a part for the whole.
+func (l *leg) engineDied(ctx context.Context) bool {
+	if l.p.Life().Err() != nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, deathCheck)
+	defer cancel()
+	return l.Client.Refuses(ctx, l.p.Instance().Address)
+}
+
 // cutHealth blames an endpoint for a cut stream unless it was leaving. Only a death
 // that was not announced is a strike against the request.
 func (l *leg) cutHealth() fleet.Result {
@@ -288,32 +301,11 @@
 	return 1
 }
 
-// goOn continues a stream whose leg was cut, if its memory is elsewhere.
-func (l *leg) goOn(ctx context.Context, at *progress) *leg {
-	moved := l.mover.result()
-	if moved == nil {
-		return nil
-	}
-	for _, place := range []*fleet.Placement{moved.target, l.p} {
-		if place == nil {
-			continue
-		}
-		if resp := l.resume(ctx, place, moved, at); resp != nil {
-			return &leg{job: l.job, p: place, resp: resp}
-		}
-	}
-	if moved.target != nil {
-		moved.target.Release(fleet.Neutral)
-	}
-	metrics.Count("stream_move_lost")
-	return nil
-}
-
 // resume sends the request on to an engine that has its memory; it returns nil if the
 // engine does not take it.
-func (l *leg) resume(ctx context.Context, place *fleet.Placement, moved *movedRun, at *progress) *h1.Response {
-	resume := &Resume{Source: moved.source, Handle: moved.handle, LastEvent: at.last}
-	resp, err := l.send(ctx, place, resume)
+func (l *leg) resume(ctx context.Context, place *fleet.Placement, resume *Resume, at *progress) *leg {
+	backup := l.holdBackup(place)
+	resp, err := l.send(ctx, place, resume, backup)
 	if err == nil {
 		_, refused := l.refused(resp)
 		if !refused && resp.StatusCode == http.StatusOK {
@@ -321,10 +313,11 @@
 			metrics.Count("stream_moved")
 			l.Log.Info("stream goes on", zap.String("request", l.r.ID), zap.String("endpoint", place.Instance().ID),
 				zap.Int64("last_event", at.last), zap.Duration("pause", time.Since(at.lastAt)))
-			return resp
+			return &leg{job: l.job, p: place, resp: resp, backup: backup}
 		}
 		resp.Close()
 	}
+	l.dropBackup(backup, false)
 	l.Log.Warn("stream not resumed", zap.String("request", l.r.ID), zap.String("endpoint", place.Instance().ID),
 		zap.NamedError("cause", err))
 	return nil
--- a/relay/transfer.go
+++ b/relay/transfer.go
@@ -14,16 +14,9 @@
 	// copyTimeout bounds a copy: nine runs of a full engine, one after another on its
 	// link, take two seconds.
 	copyTimeout = 3 * time.Second
-	// stopTimeout bounds the last copy, of some steps' tokens, behind other copies.
-	stopTimeout = 2 * time.Second
-	// lastStop is the time before the engine stops at which a run is stopped at the
-	// latest: its last copy may wait behind some others.
-	lastStop = 250 * time.Millisecond
-	// quickCopy is the time in which a copy of some steps' tokens ends while nothing else
-	// is queued: two round trips and some milliseconds on the link.
-	quickCopy = 40 * time.Millisecond
-	// farCopies is how many times longer a copy to another data centre takes.
-	farCopies = 2
+	// refreshEvery is the time between two copies of what is new: 40 tokens of a run, which
+	// an engine reads again in some milliseconds. A copy is also kept for some seconds only.
+	refreshEvery = 300 * time.Millisecond
 	// freeTimeout bounds the order to free a copy.
 	freeTimeout = 500 * time.Millisecond
 	// copyLifetime is how long an engine keeps a copy that nobody uses: the lifetime of
@@ -37,8 +30,6 @@
 	target *fleet.Placement
 	// handle names the copy once there is one.
 	handle string
-	// took is the time that the last copy took.
-	took time.Duration
 	// doubtful is set when a copy may have been made without an answer.
 	doubtful bool
 }
@@ -48,9 +39,7 @@
 func (t *transfer) copy(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
 	defer cancel()
-	started := time.Now()
-	got, err := t.move(call, false)
-	t.took = time.Since(started)
+	got, err := t.move(call)
 	if got.Handle != "" {
 		t.handle = got.Handle
 	}
@@ -58,49 +47,22 @@
 	return err == nil && !got.Refused && ctx.Err() == nil
 }
 
-// awaitIdleLinks makes further small copies while the last one had to wait: a whole copy
-// of another run was then queued on the link of source or target, and the last part of
-// this one would wait behind it while its caller waits for events. It gives up waiting
-// when that would cost the run its move.
-func (t *transfer) awaitIdleLinks(ctx context.Context, leavesAt time.Time) bool {
-	expected := farCopies * t.r.Service.Engine.CopyTime(t.target.Memory())
-	for t.took > expected+quickCopy && time.Until(leavesAt) > lastStop+t.took {
-		if !t.copy(ctx) {
-			return false
+// refresh copies what is new again and again until the leg ends or the engine is gone.
+func (t *transfer) refresh(ctx context.Context) {
+	for {
+		sleep(ctx, refreshEvery)
+		if ctx.Err() != nil || !t.copy(ctx) {
+			return
 		}
-		expected = 0
 	}
-	return ctx.Err() == nil
 }
 
-// stopAndCopy stops the run and copies the rest. It returns nil if the run is lost. The
-// run may have stopped when the answer is lost or the caller leaves, so the call is not
-// cut short.
-func (t *transfer) stopAndCopy(ctx context.Context) *movedRun {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-	defer cancel()
-	got, err := t.move(ctx, true)
-	if err != nil || got.Handle == "" {
-		t.doubtful = true
-		t.abandon()
-		return nil
-	}
-	moved := &movedRun{source: t.p.Instance().Address, handle: got.Handle}
-	if got.Refused {
-		// The memory stays at the source, and the run can go on there.
-		t.abandon()
-		return moved
-	}
-	moved.target = t.target
-	return moved
-}
-
-func (t *transfer) move(ctx context.Context, stop bool) (Moved, error) {
+func (t *transfer) move(ctx context.Context) (Moved, error) {
 	started := time.Now()
 	source, target := t.p.Instance(), t.target.Instance()
-	got, err := t.Mover.Move(ctx, source.Address, t.r.ID, target.Address, stop)
-	t.Log.Info("memory moved", zap.String("request", t.r.ID), zap.String("endpoint", source.ID),
-		zap.String("target", target.ID), zap.Bool("far", source.DataCentre != target.DataCentre), zap.Bool("stopped", stop),
+	got, err := t.Mover.Move(ctx, source.Address, t.r.ID, target.Address, false)
+	t.Log.Info("memory copied", zap.String("request", t.r.ID), zap.String("endpoint", source.ID),
+		zap.String("target", target.ID), zap.Bool("far", source.DataCentre != target.DataCentre),
 		zap.Int("tokens", t.p.Memory()), zap.Int("events", got.Events),
 		zap.Bool("refused", got.Refused), zap.Duration("took", time.Since(started)), zap.NamedError("cause", err))
 	return got, err
@@ -148,20 +110,17 @@
 	return j.Mover.Free(ctx, address, handle)
 }
 
-// movedRun is a run that has stopped and whose memory is held under a handle.
+// movedRun is a run whose memory is held at a target under a handle.
 type movedRun struct {
 	// source is the address of the engine where the run was.
 	source string
 	handle string
-	// target is where the run goes on; nil if only the source has the memory.
+	// target is where the run can go on.
 	target *fleet.Placement
 }
 
-// giveUp frees a moved run that nobody needs.
+// giveUp frees a copy that nobody needs.
 func (m *movedRun) giveUp(j *job) {
-	if m.target == nil {
-		return
-	}
 	if !j.freeHandle(m.source, m.target.Instance().Address, m.handle) {
 		time.Sleep(copyLifetime)
 	}
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -69,6 +69,10 @@
 	LinkMbps float64
 	// CanMove tells that running generations can be moved between engines.
 	CanMove bool
+	// CanBackUp tells that an engine sends the memory of a run to another one as it grows.
+	CanBackUp bool
+	// CopyLifetime is how long an engine keeps a copy that nobody uses.
+	CopyLifetime time.Duration
 	// TokensPerEvent is the number of tokens in one event of a stream.
 	TokensPerEvent int
 }
--- a/tests/node/node_test.go
+++ b/tests/node/node_test.go
@@ -107,6 +107,8 @@
 		second := s.engine("e2", 150)
 		time.Sleep(200 * time.Millisecond)
 		s.register("e1", "pool", first.Address(), "draining")
+		Eventually(s.memory.Copies, 2*time.Second).Should(Equal(1))
+		first.Stop()
 		var r reply
 		Eventually(done, 6*time.Second).Should(Receive(&r))
 		Expect(r.whole).To(BeTrue())
@@ -130,6 +132,8 @@
 			source, target = second, first
 		}
 		source.Leave()
+		Eventually(s.memory.Copies, 2*time.Second).Should(Equal(1))
+		source.Stop()
 		Eventually(target.Runs, 2*time.Second).Should(HaveLen(1))
 		var r reply
 		Eventually(done, 10*time.Second).Should(Receive(&r))
