--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -80,6 +80,9 @@
 type Want struct {
 	Service *routing.Service
 	Demand  Demand
+	// Longest is the length in tokens that the answer may have at most; 0 if that is not
+	// known.
+	Longest int
 	// Rank orders waiting work, lowest first.
 	Rank int
 	// StartWithin is the time within which the work must start to be on time; 0 if there
--- a/fleet/restart_test.go
+++ b/fleet/restart_test.go
@@ -104,3 +104,17 @@
 		Expect(w.place(generation(1000, 100)).Instance().ID).To(Equal("e1"))
 	})
 })
+
+var _ = Describe("the line of short answers", func() {
+	// A caller expects ten tokens and may get two thousand. Taken for a short answer, its
+	// stream would use the room that is kept for short ones, and nobody would keep a backup
+	// of it: it would be lost with its engine.
+	It("is for answers that must be short, not for those that a caller expects to be", func() {
+		want := generation(1000, 10)
+		Expect(want.Short()).To(BeTrue())
+		want.Longest = 2000
+		Expect(want.Short()).To(BeFalse())
+		want.Longest, want.Demand.Output = 40, 400
+		Expect(want.Short()).To(BeTrue())
+	})
+})
--- a/fleet/turn.go
+++ b/fleet/turn.go
@@ -39,7 +39,16 @@
 }
 
 func (w *Want) line() line {
-	return line{service: w.Service.Name, short: w.Service.Engine != nil && w.Demand.Output <= shortOutput}
+	return line{service: w.Service.Name, short: w.Service.Engine != nil && w.longest() <= shortOutput}
+}
+
+// longest is the length that the answer may have. What a caller expects is often far too
+// low: 1 long answer in 30 was taken for a short one by it, and had no backup.
+func (w *Want) longest() int {
+	if w.Longest > 0 {
+		return w.Longest
+	}
+	return w.Demand.Output
 }
 
 // WaitingWork is a line in which work waits on a node.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -196,6 +196,7 @@
 	return fleet.Want{
 		Service: j.r.Service,
 		Demand:  fleet.Demand{Prompt: j.r.Size.Prompt, Output: j.r.Size.expectedOutput()},
+		Longest: j.r.Size.MaxOutput,
 		Rank:    routing.Rank(j.r.Route, j.r.Workspace),
 		Exclude: j.tried,
 
