--- a/cmd/crocusreel-node/main.go
+++ b/cmd/crocusreel-node/main.go
@@ -8,6 +8,7 @@
 	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
 
+	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/logging"
 	"github.com/crocusreel/crocusreel/node"
 	"github.com/crocusreel/crocusreel/platform"
@@ -27,7 +28,8 @@
 )
 
 type commandLine struct {
-	LogLevel string `help:"Least level of log lines: debug, info, warn or error." default:"info"`
+	LogLevel string   `help:"Least level of log lines: debug, info, warn or error." default:"info"`
+	Without  []string `help:"Mechanisms to leave out, to measure what they are worth or while one is at fault." placeholder:"NAME"`
 }
 
 func main() { os.Exit(serve()) }
@@ -35,6 +37,11 @@
 func serve() int {
 	var cli commandLine
 	kong.Parse(&cli, kong.Name("crocusreel-node"), kong.Description(description))
+	without, err := fleet.ParseWithout(cli.Without)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "crocusreel-node:", err)
+		return exitSettings
+	}
 	s, err := platform.LoadNodeSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "crocusreel-node:", err)
@@ -46,7 +53,7 @@
 		return exitSettings
 	}
 	defer func() { _ = log.Sync() }()
-	if err := node.New(s, log).Run(); err != nil {
+	if err := node.New(s, without, log).Run(); err != nil {
 		log.Error("node failed", zap.Error(err))
 		return exitFailed
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,7 +9,9 @@
 // Fleet is the set of all endpoints. Its methods may be called from any goroutine.
 type Fleet struct {
 	// Name is this node's name as the others know it.
-	Name       string
+	Name string
+	// Without are the mechanisms that are left out.
+	Without    Without
 	dataCentre string
 	now        func() time.Duration
 
--- a/fleet/holding.go
+++ b/fleet/holding.go
@@ -30,7 +30,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	spec := w.Service.Engine
-	if spec == nil || !spec.CanBackUp {
+	if spec == nil || !spec.CanBackUp || f.Without[Backups] {
 		return nil
 	}
 	now := f.now()
--- a/fleet/restart_test.go
+++ b/fleet/incarnation_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/routing"
 )
 
 // start is the entry of an engine that says when it started.
@@ -118,3 +119,71 @@
 		Expect(want.Short()).To(BeTrue())
 	})
 })
+
+var _ = Describe("mechanisms that are left out", func() {
+	It("are named as they are listed, and nothing else is", func() {
+		w, err := fleet.ParseWithout([]string{"backups", "turns"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w[fleet.Backups]).To(BeTrue())
+		Expect(w[fleet.Moves]).To(BeFalse())
+		_, err = fleet.ParseWithout([]string{"backup"})
+		Expect(err).To(MatchError(ContainSubstring("short-line")))
+	})
+
+	It("keep no backups without backups, and the line of short answers is one with the others", func() {
+		backed := *pool.Engine
+		backed.CanBackUp = true
+		want := fleet.Want{Service: &routing.Service{Name: "pool", Engine: &backed}, Demand: fleet.Demand{Prompt: 1000, Output: 500}}
+		for _, without := range []fleet.Without{nil, {fleet.Backups: true}} {
+			w := newWorld()
+			w.Without = without
+			w.engine("e1", "dc1")
+			w.engine("e2", "dc1")
+			Expect(w.Hold(w.place(want), want) == nil).To(Equal(without[fleet.Backups]))
+		}
+	})
+})
+
+var _ = Describe("room for backups", func() {
+	backed := *pool.Engine
+	backed.CanBackUp = true
+	want := fleet.Want{Service: &routing.Service{Name: "pool", Engine: &backed}, Demand: fleet.Demand{Prompt: 3000, Output: 2000}}
+
+	// Many long answers run, and each has a backup. What is kept for the case that an engine
+	// dies must not keep new answers waiting.
+	It("is given while an engine has three tenths of its memory to spare, and counts for what comes", func() {
+		w := newWorld()
+		w.engine("e1", "dc1")
+		w.engine("e2", "dc2")
+		p := w.place(want)
+		var held []*fleet.Holding
+		for h := w.Hold(p, want); h != nil; h = w.Hold(p, want) {
+			held = append(held, h)
+		}
+		Expect(held).To(HaveLen(4))
+		w.Update(fleet.Instance{ID: "e1", Service: "pool", Leaving: true, Slots: 24})
+		w.running(generation(7000, 7000))
+		w.refused(generation(2000, 1000))
+		for _, h := range held {
+			h.Release(0)
+			h.Release(0)
+		}
+		w.running(generation(2000, 1000))
+		Expect(w.Hold(p, want)).NotTo(BeNil())
+	})
+
+	It("becomes the place of the run when its engine is gone", func() {
+		w := newWorld()
+		w.engine("e1", "dc1")
+		p := w.place(want)
+		w.engine("e2", "dc1")
+		h := w.Hold(p, want)
+		place := h.Take(400)
+		Expect(place.Instance().ID).To(Equal("e2"))
+		Expect(h.Take(400)).To(BeNil())
+		p.Release(fleet.Neutral)
+		Expect(w.OwnLoads()).To(ConsistOf(fleet.Load{Key: fleet.Incarnation{ID: "e2"}.Key(), Count: 1, Tokens: 5000}))
+		place.Release(fleet.Good)
+		Expect(w.OwnLoads()).To(BeEmpty())
+	})
+})
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -98,9 +98,6 @@
 	moving int
 }
 
-// Short tells whether the answer is short.
-func (w *Want) Short() bool { return w.line().short }
-
 // pickLocked returns the best endpoint with room, nil if there is none.
 func (f *Fleet) pickLocked(w *Want) *Endpoint {
 	var best *Endpoint
@@ -111,7 +108,7 @@
 			if e.isLeaving || slices.Contains(w.Exclude, e.ID) {
 				continue
 			}
-			if !ejectedToo && now < e.health.ejectedUntil {
+			if !ejectedToo && f.ejectedLocked(e, now) {
 				continue
 			}
 			cost, fits := f.costLocked(e, w, now)
@@ -130,18 +127,24 @@
 // none is, ejection is no longer a choice among endpoints and is ignored.
 func (f *Fleet) anyInServiceLocked(w *Want, now time.Duration) bool {
 	for _, e := range f.services[w.Service.Name] {
-		if !e.isLeaving && now >= e.health.ejectedUntil && !slices.Contains(w.Exclude, e.ID) {
+		if !e.isLeaving && !f.ejectedLocked(e, now) && !slices.Contains(w.Exclude, e.ID) {
 			return true
 		}
 	}
 	return false
 }
 
+func (f *Fleet) ejectedLocked(e *Endpoint, now time.Duration) bool {
+	return now < e.health.ejectedUntil && !f.Without[Ejection]
+}
+
 // costLocked returns the cost of one more run and whether it fits.
 func (f *Fleet) costLocked(e *Endpoint, w *Want, now time.Duration) (float64, bool) {
 	load := e.total()
 	cost := f.distanceCostLocked(e, w)
-	cost += failureCost * e.health.penalty(now)
+	if !f.Without[Ejection] {
+		cost += failureCost * e.health.penalty(now)
+	}
 	if now < e.warmUntil {
 		cost += warmingCost
 	}
@@ -151,8 +154,8 @@
 	if spec := w.Service.Engine; spec != nil {
 		share := float64(load.Tokens) / float64(max(spec.Memory, 1))
 		need := float64(load.Tokens + load.Held + w.Demand.Tokens())
-		fits := load.Count < e.Slots && (need <= w.memoryShare()*float64(spec.Memory) || load.Count == 0) &&
-			(w.from != nil || load.Unread <= maxUnread)
+		fits := load.Count < e.Slots && (need <= f.memoryShare(w)*float64(spec.Memory) || load.Count == 0) &&
+			(w.from != nil || load.Unread <= maxUnread || f.Without[UnreadBound])
 		return cost + share + unreadCost*float64(load.Unread)/readRate, fits
 	}
 	slots := float64(max(e.Slots, 1))
@@ -176,11 +179,11 @@
 	return f.random.Float64()*moveSpread + copyCost*(queued+copying)
 }
 
-func (w *Want) memoryShare() float64 {
+func (f *Fleet) memoryShare(w *Want) float64 {
 	if w.late {
 		return lateShare
 	}
-	if w.line().short {
+	if f.line(w).short {
 		return shortShare
 	}
 	if w.from != nil {
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -68,7 +68,7 @@
 func (f *Fleet) Acquire(ctx context.Context, w Want, patience time.Duration) (*Placement, *crocusreel.Refusal) {
 	f.mu.Lock()
 	inTurn := patience <= 0 || f.aheadLocked(&w, w.Rank, f.now()) == 0
-	if q := f.queues[w.line()]; inTurn && (q == nil || !q.ahead(w.Rank, f.now())) {
+	if q := f.queues[f.line(&w)]; inTurn && (q == nil || !q.ahead(w.Rank, f.now())) {
 		if e := f.pickLocked(&w); e != nil {
 			p := f.placeLocked(e, w.Demand)
 			f.mu.Unlock()
@@ -81,7 +81,7 @@
 	}
 	waiting, refusal := f.enqueueLocked(&w)
 	// What waits ahead may be too large for the room that there is.
-	f.dispatchLineLocked(w.line())
+	f.dispatchLineLocked(f.line(&w))
 	if w.Service.Engine != nil {
 		f.Changed("")
 	}
@@ -104,7 +104,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.queues[w.want.line()].remove(w)
+	f.queues[f.line(w.want)].remove(w)
 	if w.want.Service.Engine != nil {
 		f.Changed("")
 	}
@@ -121,14 +121,18 @@
 }
 
 func (f *Fleet) enqueueLocked(w *Want) (*waiter, *crocusreel.Refusal) {
-	q := f.queues[w.line()]
+	l := f.line(w)
+	q := f.queues[l]
 	if q == nil {
 		q = &queue{}
-		f.queues[w.line()] = q
+		f.queues[l] = q
 	}
 	if len(q.waiting) >= maxWaiting {
 		return nil, f.refuseLocked(w)
 	}
+	if f.Without[LateBehind] {
+		w.StartWithin = 0
+	}
 	entry := &waiter{want: w, since: f.now(), granted: make(chan *Placement, 1)}
 	at := sort.Search(len(q.waiting), func(i int) bool { return q.waiting[i].want.Rank > w.Rank })
 	q.waiting = append(q.waiting, nil)
--- a/fleet/turn.go
+++ b/fleet/turn.go
@@ -38,10 +38,13 @@
 	short   bool
 }
 
-func (w *Want) line() line {
-	return line{service: w.Service.Name, short: w.Service.Engine != nil && w.longest() <= shortOutput}
+func (f *Fleet) line(w *Want) line {
+	return line{service: w.Service.Name, short: w.Service.Engine != nil && w.Short() && !f.Without[ShortLine]}
 }
 
+// Short tells whether the answer is short.
+func (w *Want) Short() bool { return w.longest() <= shortOutput }
+
 // longest is the length that the answer may have. What a caller expects is often far too
 // low: 1 long answer in 30 was taken for a short one by it, and had no backup.
 func (w *Want) longest() int {
@@ -99,10 +102,10 @@
 // Plain services have no turns: their room comes free every few milliseconds, and what
 // exceeds it waits in an endpoint's own queue for no longer than a turn.
 func (f *Fleet) aheadLocked(w *Want, rank int, since time.Duration) int {
-	if w.Service.Engine == nil {
+	if w.Service.Engine == nil || f.Without[Turns] {
 		return 0
 	}
-	key := w.line().key()
+	key := f.line(w).key()
 	ahead := 0
 	for name, node := range f.remote {
 		head, waits := node.waiting[key]
--- a/node/follow.go
+++ b/node/follow.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/crocusreel/crocusreel/exchange/exchangev1"
+	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/gossip"
 	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/internal/metrics"
@@ -195,6 +196,9 @@
 
 // asksStore returns whether a feed is to ask the store.
 func (n *Node) asksStore(f *feed) bool {
+	if n.fleet.Without[fleet.OneReader] {
+		return true
+	}
 	_, follows := n.reader()
 	return (!follows && !n.awaitsReader()) || f.retryDue()
 }
--- a/node/health.go
+++ b/node/health.go
@@ -29,7 +29,7 @@
 func (n *Node) checkHealth(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause(ctx, healthEvery)
-		if !n.storeAway() || !n.firstInDataCentre() {
+		if !n.storeAway() || !n.firstInDataCentre() || n.fleet.Without[fleet.HealthChecks] {
 			continue
 		}
 		known, _ := n.config.Current()
--- a/node/node.go
+++ b/node/node.go
@@ -82,8 +82,8 @@
 	limits       *limits
 }
 
-// New builds the process from its settings.
-func New(s *platform.NodeSettings, log *zap.Logger) *Node {
+// New builds the process from its settings, without some mechanisms.
+func New(s *platform.NodeSettings, without fleet.Without, log *zap.Logger) *Node {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	n := &Node{
 		settings:    s,
@@ -110,7 +110,7 @@
 		Lost:        n.lost,
 		Log:         log,
 	})
-	n.fleet.Name = s.IP
+	n.fleet.Name, n.fleet.Without = s.IP, without
 	n.fleet.Changed = n.tell
 	n.fleet.Believed = n.believed
 	n.fleet.Wake = func(after time.Duration) { time.AfterFunc(after, n.fleet.Tick) }
@@ -211,7 +211,8 @@
 	} {
 		daemon.AddTask(&group, task)
 	}
-	n.log.Info("node started", zap.String("data_centre", n.settings.DataCentre),
+	n.log.Info("node started", zap.Any("without", n.fleet.Without),
+		zap.String("data_centre", n.settings.DataCentre),
 		zap.String("caller_address", n.settings.CallerAddress), zap.Uint64("incarnation", n.incarnation))
 	return group.Run()
 }
--- a/relay/evacuation.go
+++ b/relay/evacuation.go
@@ -157,6 +157,9 @@
 
 // awaitTurn waits until the runs before the given one have moved, or have had their time.
 func (l *Relay) awaitTurn(ctx context.Context, e *evacuation, runID string) {
+	if l.Fleet.Without[fleet.MoveTurns] {
+		return
+	}
 	since := time.Now()
 	pending := len(e.order) + 1
 	for ctx.Err() == nil {
--- a/relay/export_test.go
+++ b/relay/export_test.go
@@ -40,7 +40,7 @@
 // NewDeparture returns the departure of an engine with the given runs.
 func NewDeparture(v *Vacated, runs []EngineRun, spec *routing.EngineSpec) *Departure {
 	e := &evacuation{order: evacuationOrder(runs, spec), spec: spec, engine: departing}
-	return &Departure{relay: &Relay{Vacated: v}, e: e}
+	return &Departure{relay: &Relay{Vacated: v, Fleet: &fleet.Fleet{}}, e: e}
 }
 
 const departing fleet.EndpointKey = 7
--- a/relay/mover.go
+++ b/relay/mover.go
@@ -48,7 +48,7 @@
 func (m *mover) start(ctx context.Context) {
 	ctx, m.cancel = context.WithCancel(ctx)
 	spec := m.leg.r.Service.Engine
-	if spec == nil || !spec.CanMove {
+	if spec == nil || !spec.CanMove || m.leg.Fleet.Without[fleet.Moves] {
 		close(m.done)
 		return
 	}
