Stay with a first node that answers; look elsewhere only from one that does not

A follower now passes over a node that does not answer within 0.85 s; only the first node of a data centre goes by age, and asks the store itself. A lost store is told at once.

--- a/node/export_test.go
+++ b/node/export_test.go
@@ -19,6 +19,8 @@
 		store: store, table: "t", wait: time.Second, log: zap.NewNop(), direct: direct, listed: drop, changed: drop,
 		learned:  func() int64 { return 0 },
 		patience: func() time.Duration { return longestBackoff },
+
+		linkChanged: func() {},
 	}
 }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -31,19 +31,19 @@
 const (
 	// readerWait is how long a reader holds a follower's question. It answers sooner when
 	// the store has answered it, about once a second.
-	readerWait = changesWait + 200*time.Millisecond
-	// staleAfter is the age of the list of endpoints from which a follower looks for
-	// another reader: the reader's own question of a second has then failed, or the reader
-	// is frozen or cut off. News is delayed by that and by one call, 1.65 s together.
-	staleAfter = endpointsWait + answerSlack + 50*time.Millisecond
-	// firstStaleAfter is that for the first node of a data centre, which then asks the store
-	// itself, so that those who follow it need not do so at the same time.
-	firstStaleAfter = staleAfter - 300*time.Millisecond
+	readerWait = 600 * time.Millisecond
+	// readerTimeout bounds the question: a reader that is frozen or cut off is passed over
+	// after it.
+	readerTimeout = readerWait + 250*time.Millisecond
+	// staleAfter is the age of the list of endpoints from which the first node of a data
+	// centre asks the store itself, although the reader answers: the store did not answer the
+	// reader's question of a second. Those who follow that node stay with it: were all to
+	// look for another, sixty nodes would go through each other while the store hears
+	// nobody for a second, and half of them be behind for two seconds more.
+	staleAfter = endpointsWait + 250*time.Millisecond
 	// directFor is how long it then stays with the store.
 	directFor = 5 * time.Second
-	// shortestQuestion bounds a question to a reader from below.
-	shortestQuestion = 200 * time.Millisecond
-	// shunFor is how long a reader that was stale or did not answer is passed over.
+	// shunFor is how long a reader that did not answer is passed over.
 	shunFor = 3 * time.Second
 	// startWait is how long a node that starts waits for another one that reads the store.
 	// Those that are named as seeds do not wait.
@@ -52,7 +52,7 @@
 	startCheck = 5 * time.Millisecond
 	// endpointsStale is the age from which a list of endpoints tells nothing of those that
 	// leave.
-	endpointsStale = 2 * staleAfter
+	endpointsStale = 3 * time.Second
 	// peersStale is the age from which a node that follows the store asks other nodes
 	// as well: the store does not answer it.
 	peersStale = changesWait + 600*time.Millisecond
@@ -245,26 +245,29 @@
 	return nil
 }
 
-// ask learns from the reader, and looks for another one if it is behind.
+// ask learns from the reader, and looks for another source if that fails or is behind.
 func (n *Node) ask(ctx context.Context, reader gossip.Peer) {
-	limit := staleAfter
-	if n.firstInDataCentre() {
-		limit = firstStaleAfter
-	}
-	timeout := max(limit-n.entries.age(), shortestQuestion)
-	err := n.askPeer(ctx, reader.PeerAddress, readerWait, timeout)
+	err := n.askPeer(ctx, reader.PeerAddress, readerWait, readerTimeout)
 	age := n.entries.age()
-	if ctx.Err() != nil || (err == nil && age < limit) {
+	behind := age >= staleAfter && n.leads(reader)
+	if ctx.Err() != nil || (err == nil && !behind) {
 		return
 	}
-	if n.firstInDataCentre() {
-		n.follower.goDirect()
-	}
 	metrics.Count("reader_passed_over")
 	n.log.Info("reader passed over", zap.String("reader", reader.Address), zap.Duration("endpoints_age", age), zap.Error(err))
+	if n.leads(reader) {
+		n.follower.goDirect()
+		return
+	}
 	n.follower.shun(reader.Address)
 }
 
+// leads tells whether this node, which follows the given one, is the first of its data
+// centre that has not lost the store.
+func (n *Node) leads(reader gossip.Peer) bool {
+	return reader.DataCentre != n.settings.DataCentre && n.storeLink() != exchangev1.StoreLink_STORE_LINK_LOST
+}
+
 func (n *Node) expireEndpoints() {
 	for _, id := range n.fleet.Expire(missingGrace) {
 		n.log.Info("endpoint gone", zap.String("endpoint", id), zap.Duration("missing", missingGrace))
--- a/node/watch.go
+++ b/node/watch.go
@@ -64,6 +64,8 @@
 	listed  func(l platform.Listing, seen knowledge.Seen)
 	changed func(l platform.Listing, seen knowledge.Seen)
 
+	// linkChanged is called when the store was lost or has come back; it must not block.
+	linkChanged func()
 	// learned returns the version up to which the table is known by other nodes' answers.
 	learned func() int64
 	// patience bounds the pause after a failed question.
@@ -199,6 +201,7 @@
 	if f.lost == 0 {
 		f.lost = boottime.Now()
 		f.log.Warn("store lost", zap.String("table", f.table), zap.Error(err))
+		f.linkChanged()
 	}
 	metrics.Count("store_call_failed")
 }
@@ -214,6 +217,7 @@
 	f.back = boottime.Now()
 	f.log.Info("store regained", zap.String("table", f.table), zap.Duration("after", f.back-f.lost))
 	f.lost = 0
+	f.linkChanged()
 }
 
 // rest is called while another node is followed, which has the store.
