Give backups up as memory fills

There are backups now only while no more than half of all engines' memory is promised and nothing waits.

--- a/fleet/holding.go
+++ b/fleet/holding.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/crocusreel/crocusreel/routing"
 )
 
 // Holding is room on an endpoint for the backup of a run elsewhere: a copy of its memory
@@ -21,6 +23,11 @@
 	// is left serves new answers, which must not wait for memory that is only there in
 	// case another engine dies.
 	backupShare = 0.7
+	// backupUpTo is the part of the memory of all engines that may be promised to answers for
+	// there to be backups at all. Where memory decides how many answers are on time, backups
+	// cost more than they save: at engines that were promised nine tenths of theirs, they
+	// took a twentieth of the worth.
+	backupUpTo = 0.5
 	// backupSpread is the range of a random addition, as for moves.
 	backupSpread = 0.1
 )
@@ -33,6 +40,9 @@
 	if spec == nil || !spec.CanBackUp || f.Without[Backups] {
 		return nil
 	}
+	if f.waitingLocked(w.Service.Name) > 0 || f.promisedLocked(w.Service) > backupUpTo {
+		return nil
+	}
 	now := f.now()
 	need := p.tokens()
 	var best *Endpoint
@@ -59,6 +69,20 @@
 	return h
 }
 
+// promisedLocked is the part of the memory of a service's engines that is promised to
+// answers.
+func (f *Fleet) promisedLocked(s *routing.Service) float64 {
+	tokens, memory := 0, 0
+	for _, e := range f.services[s.Name] {
+		if e.isLeaving {
+			continue
+		}
+		tokens += e.total().Tokens
+		memory += s.Engine.Memory
+	}
+	return float64(tokens) / float64(max(memory, 1))
+}
+
 // Instance returns the endpoint that holds the backup.
 func (h *Holding) Instance() Instance { return h.endpoint.Instance }
 
