Tell from the logs of all nodes where the answers went

crocusreel answers FILE... reads the lines that nodes write in production: totals by cause (late first event, paused, engine left or died without a copy, copy not used, refused by reason, caller gone), by time, the pace of long streams, the tails of first events and pauses, and a plot.

--- /dev/null
+++ b/answers/plot.go
@@ -0,0 +1,41 @@
+package answers
+
+import (
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of the plot.
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// Plot writes a plot of what was not whole over time, a line for each cause. The ending of
+// the file's name tells its format.
+func (r *Report) Plot(file string) error {
+	p := plot.New()
+	p.Title.Text = "Answers that were not whole and on time"
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "in a window"
+	p.Legend.Top = true
+	var series []any
+	for _, cause := range causesOf(r.Causes) {
+		if cause == Whole {
+			continue
+		}
+		points := make(plotter.XYs, len(r.Windows))
+		for i, w := range r.Windows {
+			points[i].X = w.From.Sub(r.Windows[0].From).Seconds()
+			points[i].Y = float64(w.Causes[cause])
+		}
+		series = append(series, string(cause), points)
+	}
+	if err := plotutil.AddLines(p, series...); err != nil {
+		return eris.Wrap(err, "plot")
+	}
+	return eris.Wrap(p.Save(plotWidth, plotHeight, file), "save plot")
+}
--- /dev/null
+++ b/answers/text.go
@@ -0,0 +1,60 @@
+package answers
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// causesOf lists causes, the most frequent first.
+func causesOf(counts map[Cause]int) []Cause {
+	return slices.SortedFunc(maps.Keys(counts), func(a, b Cause) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+}
+
+// Write writes the report as text in columns that are separated by tabs.
+func (r *Report) Write(w io.Writer) {
+	fmt.Fprintf(w, "cause\trequests\tshare\n")
+	for _, cause := range causesOf(r.Causes) {
+		fmt.Fprintf(w, "%s\t%d\t%.4f\n", cause, r.Causes[cause], float64(r.Causes[cause])/float64(max(r.Requests, 1)))
+	}
+	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
+		fmt.Fprintf(w, "refused: %s\t%d\t\n", reason, r.Reasons[reason])
+	}
+	fmt.Fprintf(w, "\nstreams went on elsewhere\t%d\t\n", r.Resumed)
+	fmt.Fprintf(w, "time between events of long streams\t%s\t\n", r.Pace.Round(100*time.Microsecond))
+	for _, q := range []struct {
+		name   string
+		values []time.Duration
+	}{{"first event", r.FirstEvents}, {"longest pause", r.Pauses}} {
+		fmt.Fprintf(w, "%s, median, 95 %%, 99 %%\t%s\t%s %s\n", q.name, rounded(q.values, 0.5), rounded(q.values, 0.95), rounded(q.values, 0.99))
+	}
+	fmt.Fprintf(w, "\nfrom\tnot whole and on time\t\n")
+	for _, window := range r.Windows {
+		if text := window.text(); text != "" {
+			fmt.Fprintf(w, "%s\t%s\t\n", window.From.Format("15:04:05"), text)
+		}
+	}
+	for _, at := range r.Starts {
+		fmt.Fprintf(w, "node started\t%s\t\n", at.Format("15:04:05.000"))
+	}
+}
+
+func rounded(sorted []time.Duration, part float64) time.Duration {
+	return Quantile(sorted, part).Round(time.Millisecond)
+}
+
+func (w Window) text() string {
+	var parts []string
+	for _, cause := range causesOf(w.Causes) {
+		if cause != Whole {
+			parts = append(parts, fmt.Sprintf("%s %d", cause, w.Causes[cause]))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
--- a/cmd/crocusreel/main.go
+++ b/cmd/crocusreel/main.go
@@ -39,6 +39,7 @@
 	Status     statusCommand     `cmd:"" help:"Show VMs, endpoints, the orders lease and the configuration version."`
 	VM         vmCommand         `cmd:"" name:"vm" help:"Take VMs out of service."`
 	Explain    explainCommand    `cmd:"" help:"Show what a gateway knows of a recent request."`
+	Answers    answersCommand    `cmd:"" help:"Read the logs of all nodes and tell where the answers went, and why."`
 	Load       loadCommand       `cmd:"" help:"Send a seeded mix of requests and report what callers saw."`
 	Demo       demoCommand       `cmd:"" help:"Start the whole system on loopback, use it and stop it."`
 	Experiment experimentCommand `cmd:"" help:"Compare scheduling policies on loopback and write tables and plots."`
