--- /dev/null
+++ b/node/configuration.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel/knowledge"
+	"github.com/crocusreel/crocusreel/platform"
+	"github.com/crocusreel/crocusreel/routing"
+)
+
+// configurationListed takes the operator's table.
+func (n *Node) configurationListed(l platform.Listing, seen knowledge.Seen) {
+	for _, row := range l.Rows {
+		if row.Key == platform.KeyConfiguration {
+			n.applyConfiguration(row.Value, row.Version, seen)
+		}
+	}
+}
+
+// configurationChanged takes changes of the operator's table. Without one for the
+// configuration, the known version is confirmed.
+func (n *Node) configurationChanged(l platform.Listing, seen knowledge.Seen) {
+	found := false
+	for _, row := range l.Rows {
+		if row.Key == platform.KeyConfiguration && !row.Deleted {
+			n.applyConfiguration(row.Value, row.Version, seen)
+			found = true
+		}
+	}
+	if !found {
+		known, _ := n.config.Current()
+		n.config.Confirm(known.Row, seen)
+	}
+}
+
+func (n *Node) applyConfiguration(data []byte, row int64, seen knowledge.Seen) {
+	if known, _ := n.config.Current(); row <= known.Row {
+		n.config.Confirm(row, seen)
+		return
+	}
+	c, err := platform.DecodeConfiguration(data)
+	if err != nil {
+		n.log.Error("configuration not readable, the last one stays", zap.Int64("row", row), zap.Error(err))
+		return
+	}
+	if n.config.Apply(routing.NewTable(c), row, data, seen) {
+		n.log.Info("configuration applied", zap.Int64("config_version", c.Version), zap.Int64("row", row),
+			zap.Int("routes", len(c.Routes)), zap.Int("workspaces_keys", len(c.Keys)))
+		n.limits.apply(c.Limits)
+		n.news.tell()
+	}
+}
--- a/relay/copies.go
+++ b/relay/copies.go
@@ -26,7 +26,7 @@
 	overTimeout = 400 * time.Millisecond
 	// overRetry is the pause between two such questions.
 	overRetry = 5 * time.Millisecond
-	// copyMargin is the time beyond its lifetime after which a copy is certainly gone.
+	// copyMargin is the time beyond its lifetime for which an engine may keep a copy.
 	copyMargin = 2 * time.Second
 )
 
@@ -51,10 +51,13 @@
 	case whole:
 		h.Release(0)
 	default:
-		h.Release(j.r.Service.Engine.CopyLifetime + copyMargin)
+		h.Release(j.copyLifetime())
 	}
 }
 
+// copyLifetime is the time after which a copy that nobody uses is certainly gone.
+func (j *job) copyLifetime() time.Duration { return j.r.Service.Engine.CopyLifetime + copyMargin }
+
 // sound tells whether the leg's backup can be counted on.
 func (l *leg) sound() bool {
 	if l.backup == nil || l.backup.Life().Err() != nil {
--- a/relay/mover.go
+++ b/relay/mover.go
@@ -31,7 +31,7 @@
 
 	mu sync.Mutex
 	// copy is the run's copy at a target, nil while there is none.
-	copy *movedRun
+	copy *targetCopy
 }
 
 const (
@@ -132,20 +132,20 @@
 		t.abandon()
 		return ctx.Err() != nil
 	}
-	m.keepCopy(&movedRun{source: l.p.Instance().Address, handle: t.handle, target: target})
+	m.keepCopy(&targetCopy{source: l.p.Instance().Address, handle: t.handle, target: target})
 	l.Vacated.leave(l.runKey())
 	t.refresh(ctx)
 	return true
 }
 
-func (m *mover) keepCopy(c *movedRun) {
+func (m *mover) keepCopy(c *targetCopy) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.copy = c
 }
 
 // copied returns the run's copy, nil if there is none.
-func (m *mover) copied() *movedRun {
+func (m *mover) copied() *targetCopy {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.copy
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -156,8 +156,9 @@
 	Mover    Mover
 	Budgets  *retry.Windows
 	Strikes  *Strikes
-	Vacated  *Vacated
-	Log      *zap.Logger
+	// Vacated are the runs that have left engines which are about to stop, on all nodes.
+	Vacated *Vacated
+	Log     *zap.Logger
 	// Admit is asked right before each new run; a refusal stops the request. It
 	// guards against work of keys that were taken away while the request waited.
 	Admit func(r *Request) *crocusreel.Refusal
--- a/relay/transfer.go
+++ b/relay/transfer.go
@@ -19,9 +19,6 @@
 	refreshEvery = 300 * time.Millisecond
 	// freeTimeout bounds the order to free a copy.
 	freeTimeout = 500 * time.Millisecond
-	// copyLifetime is how long an engine keeps a copy that nobody uses: the lifetime of
-	// handles and some more.
-	copyLifetime = 7 * time.Second
 )
 
 // transfer copies the memory of one run to one target.
@@ -75,7 +72,7 @@
 func (t *transfer) abandon() {
 	go func() {
 		if !t.free() {
-			time.Sleep(copyLifetime)
+			time.Sleep(t.copyLifetime())
 		}
 		t.target.Release(fleet.Neutral)
 	}()
@@ -110,9 +107,9 @@
 	return j.Mover.Free(ctx, address, handle)
 }
 
-// movedRun is a run whose memory is held at a target under a handle.
-type movedRun struct {
-	// source is the address of the engine where the run was.
+// targetCopy is the copy of a run's memory at the target of a transfer.
+type targetCopy struct {
+	// source is the address of the engine where the run is; handle names the copy there.
 	source string
 	handle string
 	// target is where the run can go on.
@@ -120,9 +117,9 @@
 }
 
 // giveUp frees a copy that nobody needs.
-func (m *movedRun) giveUp(j *job) {
+func (m *targetCopy) giveUp(j *job) {
 	if !j.freeHandle(m.source, m.target.Instance().Address, m.handle) {
-		time.Sleep(copyLifetime)
+		time.Sleep(j.copyLifetime())
 	}
 	m.target.Release(fleet.Neutral)
 }
