Take an engine that is gone out of use, and one that does not answer for gone only at the second try

Reading the change: a stream that went on from a copy blamed nobody, so that an engine that had just died stayed the emptiest for the next request and for backups; it counts as unreachable now, and the next backup is not put there. One connection without an answer was enough to take a run for over; the first packet of one may be lost, so it takes two. The order of a departure was read before it was ready when a stream ended meanwhile (a data race).

--- a/relay/copies.go
+++ b/relay/copies.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,8 +23,12 @@
 var ErrNoRun = errors.New("the engine knows no such run")
 
 const (
-	// overTimeout bounds the question whether a run is over whose answer broke off.
-	overTimeout = 400 * time.Millisecond
+	// overTimeout bounds the question whether a run is over whose answer broke off: two
+	// connections that are not answered, and the rest.
+	overTimeout = time.Second
+	// unreachableTries is the number of connections that an engine must leave without an
+	// answer to count as gone: the first packet of one may be lost.
+	unreachableTries = 2
 	// overRetry is the pause between two such questions.
 	overRetry = 5 * time.Millisecond
 	// copyMargin is the time beyond its lifetime for which an engine may keep a copy.
@@ -31,9 +36,9 @@
 )
 
 // holdBackup finds room for a backup of a long answer; nil if there is none.
-func (j *job) holdBackup(p *fleet.Placement) *fleet.Holding {
+func (j *job) holdBackup(p *fleet.Placement, except ...string) *fleet.Holding {
 	w := j.want()
-	w.Exclude = nil
+	w.Exclude = except
 	if w.Short() {
 		return nil
 	}
@@ -154,18 +159,25 @@
 	ctx, cancel := context.WithTimeout(ctx, overTimeout)
 	defer cancel()
 	source := l.p.Instance()
+	unreached := 0
 	for ctx.Err() == nil {
 		got, err := l.Mover.Move(ctx, source.Address, l.r.ID, target.Address, true)
 		l.Log.Info("stream broke off", zap.String("request", l.r.ID), zap.String("endpoint", source.ID),
 			zap.String("copy_at", target.ID), zap.Bool("stopped", err == nil), zap.NamedError("cause", err))
+		if err == nil {
+			return got.Handle != "" && !got.Refused, got.Handle
+		}
+		if errors.Is(err, ErrNoRun) {
+			return true, ""
+		}
 		var failed *h1.Error
-		switch {
-		case errors.Is(err, ErrNoRun), errors.As(err, &failed) && !failed.Sent:
+		if errors.As(err, &failed) && !failed.Sent {
+			unreached++
+		}
+		if unreached >= unreachableTries || errors.Is(err, syscall.ECONNREFUSED) {
+			// Others must not be sent there, nor backups, until its entry is gone.
+			l.p.Report(fleet.Unreachable)
 			return true, ""
-		case err == nil && !got.Refused:
-			return got.Handle != "", got.Handle
-		case err == nil:
-			return false, ""
 		}
 		// A kept connection to an engine that has died ends without an answer; the next
 		// one is refused.
--- a/relay/evacuation.go
+++ b/relay/evacuation.go
@@ -161,7 +161,7 @@
 		return
 	}
 	since := time.Now()
-	pending := len(e.order) + 1
+	pending := math.MaxInt
 	for ctx.Err() == nil {
 		changed := l.Vacated.changes()
 		var left time.Duration
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -180,8 +180,7 @@
 		return legCut, nil
 	}
 	if next := l.fromCopy(ctx, at); next != nil {
-		l.resp.Close()
-		l.p.Release(fleet.Neutral)
+		l.finish(l.cutHealth())
 		return end, next
 	}
 	l.verdict.Detail = "stream cut: " + cause.Error()
@@ -304,7 +303,7 @@
 // resume sends the request on to an engine that has its memory; it returns nil if the
 // engine does not take it.
 func (l *leg) resume(ctx context.Context, place *fleet.Placement, resume *Resume, at *progress) *leg {
-	backup := l.holdBackup(place)
+	backup := l.holdBackup(place, l.p.Instance().ID)
 	resp, err := l.send(ctx, place, resume, backup)
 	if err == nil {
 		_, refused := l.refused(resp)
