Tell a store that turned one node away from an outage; count an engine's death once for many callers

A loss of 2 s or more beside other nodes that read the store is now the node's own, and makes no removal tentative. Shorter losses still do.

A death is now the engine's start, and what is told of the time before a clearing counts for nothing.

--- a/gateway/strikes.go
+++ b/gateway/strikes.go
@@ -55,7 +55,7 @@
 func (s *strikes) clear(content uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.suspects.Clear(content)
+	s.suspects.Clear(content, time.Since(s.began))
 }
 
 // refuse returns a refusal if the call has as many strikes as the bound; a bound of 0
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -43,9 +43,13 @@
 	}
 }
 
-// tentative tells whether entries may be missing although their endpoints live.
+// tentative tells whether entries may be missing although their endpoints live, as around
+// an outage of the store. A store that turned away this node alone is none: were removals
+// tentative after it, those who follow this node would send work to an endpoint for two
+// seconds after it has left.
 func (n *Node) tentative() bool {
-	return n.endpointFeed.unsteady(outageShadow) || n.unsteadyPeer.Load()
+	outage := n.endpointFeed.unsteady(outageShadow) && !n.endpointFeed.lostHereOnly()
+	return outage || n.unsteadyPeer.Load()
 }
 
 func (n *Node) endpointsListed(l platform.Listing, seen knowledge.Seen) {
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -21,6 +21,7 @@
 		patience: func() time.Duration { return longestBackoff },
 
 		linkChanged: func() {},
+		othersRead:  func() bool { return false },
 	}
 }
 
@@ -31,6 +32,16 @@
 	return f
 }
 
+// NewFeedBeside returns a feed beside other nodes that the store answers, or does not.
+func NewFeedBeside(store *platform.Store, othersRead bool) *Feed {
+	f := NewFeed(store, func() bool { return true })
+	f.othersRead = func() bool { return othersRead }
+	return f
+}
+
+// LostHereOnly tells whether the last loss of the store was the node's alone.
+var LostHereOnly = (*feed).lostHereOnly
+
 // Run follows the table; Unsteady tells whether the store counts as lost.
 var (
 	Run      = (*feed).run
--- a/node/feed.go
+++ b/node/feed.go
@@ -44,6 +44,9 @@
 	// and that is not the first of its data centre: the first looks more often, and the
 	// others learn from it that the store is back.
 	lostRetry = 2 * time.Second
+	// lossShown is the time after which a loss of the store shows at all nodes that have it:
+	// the longest question and some datagrams.
+	lossShown = 2 * time.Second
 	// slowAnswer is the delay of an answer, beyond the time that the store was asked to
 	// wait, from which the store counts as slow: 25 times its usual one. Endpoints write
 	// their entries there too, and a store that is that slow tells of those that leave
@@ -65,6 +68,8 @@
 
 	// linkChanged is called when the store was lost or has come back; it must not block.
 	linkChanged func()
+	// othersRead tells whether the store answers another node.
+	othersRead func() bool
 	// learned returns the version up to which the table is known by other nodes' answers.
 	learned func() int64
 	// patience bounds the pause after a failed question.
@@ -82,6 +87,8 @@
 	back time.Duration
 	// retryAt is when a lost store is asked again while another node is followed.
 	retryAt time.Duration
+	// onlyHere is set while the loss is, or was, this node's alone.
+	onlyHere bool
 	// answered is set once the store has answered.
 	answered bool
 	// rests is set while another node is followed: a loss then says nothing of what is known.
@@ -197,7 +204,11 @@
 	defer f.mu.Unlock()
 	f.rests = false
 	f.retryAt = boottime.Now() + jitter(lostRetry)
+	if f.lost != 0 && boottime.Now()-f.lost >= lossShown {
+		f.onlyHere = f.onlyHere || f.othersRead()
+	}
 	if f.lost == 0 {
+		f.onlyHere = false
 		f.lost = boottime.Now()
 		f.log.Warn("store lost", zap.String("table", f.table), zap.Error(err))
 		f.linkChanged()
@@ -219,6 +230,14 @@
 	f.linkChanged()
 }
 
+// lostHereOnly tells whether the last loss was this node's alone: the store served others,
+// and no entry expired for it.
+func (f *feed) lostHereOnly() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.onlyHere
+}
+
 // rest is called while another node is followed, which has the store.
 func (f *feed) rest() {
 	f.mu.Lock()
--- a/node/feed_test.go
+++ b/node/feed_test.go
@@ -59,4 +59,25 @@
 		cancel()
 		Eventually(done, 2*time.Second).Should(Receive(BeNil()))
 	})
+
+	// The store turns one node away for ten seconds and serves all others. That node is back
+	// and reads the store for all; an endpoint leaves without a word, and its entry is
+	// removed. Were the removal taken for a passing one, as after an outage, work would be
+	// sent there for two seconds more.
+	DescribeTable("tells a loss that is its node's alone from an outage",
+		func(othersRead bool) {
+			f := node.NewFeedBeside(platform.NewStore("127.0.0.1:1", 200*time.Millisecond), othersRead)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error)
+			go func() { done <- node.Run(f, ctx) }()
+			Consistently(func() bool { return node.LostHereOnly(f) }, 1500*time.Millisecond).Should(BeFalse())
+			Eventually(func() bool { return node.LostHereOnly(f) || !othersRead }, 2*time.Second).Should(BeTrue())
+			time.Sleep(time.Second)
+			Expect(node.LostHereOnly(f)).To(Equal(othersRead))
+			cancel()
+			Eventually(done, 2*time.Second).Should(Receive(BeNil()))
+		},
+		Entry("others read the store", true),
+		Entry("nobody does", false),
+	)
 })
--- a/node/node.go
+++ b/node/node.go
@@ -138,13 +138,13 @@
 			known, _ := n.config.Current()
 			return known.Row
 		},
-		patience: n.storePatience, linkChanged: n.gossip.TellAll,
+		patience: n.storePatience, linkChanged: n.gossip.TellAll, othersRead: n.othersRead,
 	}
 	n.configFeed.direct = func() bool { return n.asksStore(n.configFeed) }
 	n.endpointFeed = &feed{
 		store: n.store, table: platform.TableEndpoints, wait: endpointsWait, log: log,
 		listed: n.ownEndpoints(n.endpointsListed), changed: n.ownEndpoints(n.endpointsChanged),
-		learned: n.entries.known, patience: n.storePatience, linkChanged: n.gossip.TellAll,
+		learned: n.entries.known, patience: n.storePatience, linkChanged: n.gossip.TellAll, othersRead: n.othersRead,
 	}
 	n.endpointFeed.direct = func() bool { return n.asksStore(n.endpointFeed) }
 	return n
--- a/node/source.go
+++ b/node/source.go
@@ -145,6 +145,16 @@
 	return readers[int(h.Sum32()%uint32(len(readers)))], true
 }
 
+// othersRead tells whether the store answers another node.
+func (n *Node) othersRead() bool {
+	for _, p := range n.gossip.Live() {
+		if p.Store == exchangev1.StoreLink_STORE_LINK_READS {
+			return true
+		}
+	}
+	return false
+}
+
 // asksStore returns whether a feed is to ask the store.
 func (n *Node) asksStore(f *feed) bool {
 	if n.fleet.Without[fleet.OneReader] {
--- a/policy/suspects.go
+++ b/policy/suspects.go
@@ -31,10 +31,14 @@
 // more endpoints than the bound allows.
 type Suspects struct {
 	deaths map[uint64]map[uint64]time.Duration
+	// cleared is when a request that had strikes ran to its end.
+	cleared map[uint64]time.Duration
 }
 
 // NewSuspects returns an empty memory.
-func NewSuspects() *Suspects { return &Suspects{deaths: make(map[uint64]map[uint64]time.Duration)} }
+func NewSuspects() *Suspects {
+	return &Suspects{deaths: make(map[uint64]map[uint64]time.Duration), cleared: make(map[uint64]time.Duration)}
+}
 
 // Strike records that an endpoint died while the request was running there. It is
 // idempotent for each death.
@@ -53,13 +57,30 @@
 }
 
 // Clear forgets a request that has run to its end: it did not kill its endpoint.
-func (s *Suspects) Clear(fingerprint uint64) { delete(s.deaths, fingerprint) }
+func (s *Suspects) Clear(fingerprint uint64, now time.Duration) {
+	if len(s.deaths[fingerprint]) == 0 {
+		return
+	}
+	if len(s.cleared) >= maxSuspects {
+		clear(s.cleared)
+	}
+	s.cleared[fingerprint] = now
+	delete(s.deaths, fingerprint)
+}
+
+// clearSlack is by how much a strike may look younger than it is to one that is told of it:
+// the way of a message.
+const clearSlack = 500 * time.Millisecond
 
-// Merge takes over a strike that another scheduler recorded.
+// Merge takes over a strike that another scheduler recorded. Those who told of a request
+// before it was cleared go on telling for a while; what they tell does not bring its
+// strikes back.
 func (s *Suspects) Merge(k Strike, now time.Duration) {
-	if now-k.At <= strikeLife {
-		s.Strike(k)
+	at, cleared := s.cleared[k.Fingerprint]
+	if now-k.At > strikeLife || (cleared && k.At <= at+clearSlack) {
+		return
 	}
+	s.Strike(k)
 }
 
 // Count returns the strikes against the request that still count.
--- a/policy/suspects_test.go
+++ b/policy/suspects_test.go
@@ -21,8 +21,13 @@
 	g := gomega.NewWithT(t)
 	s := NewSuspects()
 	s.Strike(Strike{Fingerprint: 7, Death: 1})
-	s.Clear(7)
+	s.Clear(7, time.Second)
 	g.Expect(s.Count(7, 0)).To(gomega.BeZero())
+	// A gateway that heard of the strike before still tells of it.
+	s.Merge(Strike{Fingerprint: 7, Death: 1, At: 0}, 2*time.Second)
+	g.Expect(s.Count(7, 2*time.Second)).To(gomega.BeZero())
+	s.Merge(Strike{Fingerprint: 7, Death: 2, At: 3 * time.Second}, 3*time.Second)
+	g.Expect(s.Count(7, 3*time.Second)).To(gomega.Equal(1))
 }
 
 // Two gateways take themselves for the scheduler for a while, and each sees some of the
--- a/scheduler/permits.go
+++ b/scheduler/permits.go
@@ -93,7 +93,7 @@
 	}
 	switch r.End {
 	case EndFinished:
-		c.finished(p, g)
+		c.finished(p, g, now)
 	case EndCancelled:
 		c.est.ObserveCensored(lengthKey(p), p.Produced)
 	case EndEndpointLost:
@@ -109,9 +109,9 @@
 }
 
 // finished learns from a whole answer.
-func (c *core) finished(p *Permit, g *grant) {
+func (c *core) finished(p *Permit, g *grant, now time.Duration) {
 	c.est.Observe(lengthKey(p), p.Produced)
-	c.suspects.Clear(p.Fingerprint)
+	c.suspects.Clear(p.Fingerprint, now)
 	q := c.queue(p.Class)
 	if q.Len() > 0 {
 		c.feedback.Finished()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -61,10 +61,16 @@
 	Incarnation string
 }
 
-// death identifies the death of the permit's engine among those of its fingerprint.
+// death identifies the death of the permit's engine. All answers that an engine's death
+// interrupted have the same: a prompt that many callers send alike has died once, not many
+// times.
 func (p *Permit) death() uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(p.ID))
+	if p.Incarnation == "" {
+		_, _ = h.Write([]byte(p.ID))
+		return h.Sum64()
+	}
+	_, _ = h.Write([]byte(p.Endpoint + "\x00" + p.Incarnation))
 	return h.Sum64()
 }
 
