--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,7 +89,7 @@
 		budgets:         retry.NewBudgets(retryBurst),
 		endpointBudgets: retry.NewBudgets(endpointRetryBurst),
 		strikes:         newStrikes(),
-		records:         newRecords(),
+		records:         newRecords(log),
 		running:         newConcurrency(),
 	}
 	g.ending, g.end = context.WithCancel(context.Background())
--- a/gateway/records.go
+++ b/gateway/records.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/api"
 )
@@ -17,16 +19,18 @@
 	ring []*api.Record
 	next int
 	byID map[string]*api.Record
+	log  *zap.Logger
 }
 
-func newRecords() *records {
-	return &records{ring: make([]*api.Record, maxRecords), byID: make(map[string]*api.Record)}
+func newRecords(log *zap.Logger) *records {
+	return &records{log: log, ring: make([]*api.Record, maxRecords), byID: make(map[string]*api.Record)}
 }
 
 // tracker writes one record.
 type tracker struct {
 	all *records
 	rec *api.Record
+	log *zap.Logger
 }
 
 func (r *records) start(rec api.Record) *tracker {
@@ -39,7 +43,7 @@
 	r.ring[r.next] = &rec
 	r.next = (r.next + 1) % len(r.ring)
 	r.byID[rec.RequestID] = &rec
-	return &tracker{all: r, rec: &rec}
+	return &tracker{all: r, rec: &rec, log: r.log.With(zap.String("request", rec.RequestID))}
 }
 
 func (t *tracker) step(event, endpoint, detail string) {
@@ -47,6 +51,8 @@
 	defer t.all.mu.Unlock()
 	at := time.Since(t.rec.Started).Milliseconds()
 	t.rec.Steps = append(t.rec.Steps, api.Step{AtMS: at, Event: event, Endpoint: endpoint, Detail: detail})
+	t.log.Info("request step", zap.String("event", event), zap.String("endpoint", endpoint), zap.String("detail", detail),
+		zap.Int64("at_ms", at))
 }
 
 func (t *tracker) end(refusal *crocusreel.Refusal) {
@@ -59,6 +65,9 @@
 		t.rec.Reason = refusal.Reason
 		t.rec.Outcome = refusal.Outcome
 	}
+	t.log.Info("request ended", zap.String("kind", t.rec.Kind), zap.String("workspace", t.rec.Workspace),
+		zap.String("model", t.rec.Model), zap.String("path", t.rec.Path), zap.String("outcome", string(t.rec.Outcome)),
+		zap.String("reason", string(t.rec.Reason)), zap.Int64("ms", now.Sub(t.rec.Started).Milliseconds()))
 }
 
 // Record implements caller.Core.
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -200,6 +200,10 @@
 	}
 	// The strike is counted once a poll has shown the death. Full reports soon after
 	// bring it here, so that it is not lost if the scheduler moves within the second.
+	if err != nil {
+		m.opts.Log.Warn("loss not told to the scheduler", zap.String("pool", key), zap.String("scheduler", pv.scheduler),
+			zap.String("permit", r.Permit.ID), workField(r.Permit.Fingerprint), zap.Error(err))
+	}
 	for _, delay := range strikeDelays {
 		time.AfterFunc(delay, func() { signal(m.changed) })
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -4,6 +4,8 @@
 	"sort"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/config"
 	"github.com/crocusreel/crocusreel/policy"
@@ -45,6 +47,8 @@
 	reply    chan result
 	done     bool
 	granted  string
+	// held tells that the request was held back for a loss, so that it is logged once.
+	held bool
 }
 
 // result is the answer to a waiting request: a permit or a refusal.
@@ -97,6 +101,8 @@
 type hooks struct {
 	// poll asks for a load report of an engine at once.
 	poll func(engine string)
+	// log gets a line for each decision on a request and each change of belief.
+	log *zap.Logger
 	// count adds to a named event counter.
 	count func(event string, n int64)
 	// id returns the prefix of permit IDs, unique for the process.
@@ -104,6 +110,9 @@
 }
 
 func newCore(vm string, h hooks) *core {
+	if h.log == nil {
+		h.log = zap.NewNop()
+	}
 	return &core{
 		vm: vm, hooks: h,
 		est:    policy.NewEstimator(),
@@ -200,6 +209,7 @@
 
 // activate tells that the pool begins to schedule. What it knew before is old.
 func (c *core) activate(now time.Duration) {
+	c.hooks.log.Info("pool active", zap.Int("permits_dropped", len(c.permits)))
 	c.activeAt = now
 	for id := range c.permits {
 		c.drop(id)
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -78,7 +78,7 @@
 	}
 	e.failures = 0
 	if e.incarnation != "" && e.incarnation != r.report.Incarnation {
-		c.died(e, now)
+		c.died(e, "new incarnation "+r.report.Incarnation, now)
 		e.preemptions = 0
 	}
 	c.preempted(e, r.report)
@@ -104,7 +104,7 @@
 	var ee *endpoint.Error
 	if errors.As(err, &ee) && ee.Kind == endpoint.KindUnreachable {
 		e.failures = max(e.failures, failuresToEject)
-		c.died(e, now)
+		c.died(e, err.Error(), now)
 	}
 	if e.failures >= failuresToEject {
 		c.explain(e, now)
@@ -137,6 +137,8 @@
 			kept = append(kept, l)
 		case l.permit.Incarnation != "" && l.permit.Incarnation != e.incarnation:
 			c.strike(e, &l.permit, now)
+		default:
+			c.logOutlived(e, &l, begun)
 		}
 	}
 	e.losses = kept
@@ -145,7 +147,10 @@
 // died gives a strike to every request that was running at an engine when it
 // died, and voids its permits: memory that a dead engine held is free. A reclaimed
 // engine was stopped from outside, and no request is to blame.
-func (c *core) died(e *engine, now time.Duration) {
+func (c *core) died(e *engine, cause string, now time.Duration) {
+	if e.incarnation != "" {
+		c.logDied(e, cause)
+	}
 	c.explain(e, now)
 	for id := range e.view.Running {
 		g := c.permits[id]
@@ -175,6 +180,7 @@
 	}
 	c.suspects.Strike(policy.Strike{Fingerprint: p.Fingerprint, Death: p.death(), At: now})
 	c.hooks.count("strikes", 1)
+	c.logStrike(p, now)
 }
 
 // lost notes that a gateway lost an answer. Whether the engine died is told by the
@@ -185,18 +191,20 @@
 		c.strike(e, p, now)
 		return
 	}
+	c.logLoss(e, p)
 	e.losses = append(e.losses, loss{permit: *p, at: now})
 	c.hooks.poll(e.spec.Name)
 }
 
-// unexplained tells whether a loss of the request still waits for a poll.
-func (c *core) unexplained(fingerprint uint64, now time.Duration) bool {
+// unexplained returns a loss of the request that still waits for a poll; nil if none does.
+func (c *core) unexplained(fingerprint uint64, now time.Duration) *loss {
 	for _, e := range c.order {
-		for _, l := range e.losses {
+		for i := range e.losses {
+			l := &e.losses[i]
 			if l.permit.Fingerprint == fingerprint && now-l.at < lossResolveLimit {
-				return true
+				return l
 			}
 		}
 	}
-	return false
+	return nil
 }
--- /dev/null
+++ b/scheduler/logging.go
@@ -0,0 +1,82 @@
+package scheduler
+
+import (
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/policy"
+)
+
+// The lines of a pool's log. Each decision on a request has one with what decided it:
+// who was granted which engine with how many strikes known, who was refused, who waits
+// for which loss; and each death or loss that changes what is held against a request.
+
+// workField names the content of a request, which stays the same under each key that its
+// caller sends it with.
+func workField(fingerprint uint64) zap.Field {
+	return zap.String("work", strconv.FormatUint(fingerprint, 16))
+}
+
+func deathField(death uint64) zap.Field {
+	return zap.String("death", strconv.FormatUint(death, 16))
+}
+
+func (c *core) logGrant(w *waiting, p *Permit, now time.Duration) {
+	c.hooks.log.Info("permit granted", zap.String("request", w.req.RequestID), zap.String("gateway", w.req.Gateway),
+		zap.String("permit", p.ID), zap.String("endpoint", p.Endpoint), zap.String("incarnation", p.Incarnation),
+		workField(p.Fingerprint), zap.Int("strikes", c.suspects.Count(p.Fingerprint, now)),
+		zap.Duration("waited", now-w.item.Enqueued))
+}
+
+func (c *core) logRefused(w *waiting, r *crocusreel.Refusal) {
+	c.hooks.log.Info("permit refused", zap.String("request", w.req.RequestID), zap.String("gateway", w.req.Gateway),
+		workField(w.req.Fingerprint), zap.String("reason", string(r.Reason)), zap.Duration("retry_after", r.RetryAfter))
+}
+
+// logHeldBack is called at each try to place a request, and logs the first.
+func (c *core) logHeldBack(w *waiting, l *loss, now time.Duration) {
+	if w.held {
+		return
+	}
+	w.held = true
+	c.hooks.log.Info("request held back until a loss is explained", zap.String("request", w.req.RequestID),
+		zap.String("gateway", w.req.Gateway), workField(w.req.Fingerprint), zap.String("permit", l.permit.ID),
+		zap.String("endpoint", l.permit.Endpoint), zap.Duration("loss_age", now-l.at))
+}
+
+func (c *core) logLoss(e *engine, p *Permit) {
+	c.hooks.log.Info("answer lost", zap.String("permit", p.ID), workField(p.Fingerprint), zap.String("endpoint", p.Endpoint),
+		zap.String("incarnation", p.Incarnation), zap.String("known_incarnation", e.incarnation))
+}
+
+// logOutlived tells of a loss that is held against nobody.
+func (c *core) logOutlived(e *engine, l *loss, begun time.Duration) {
+	c.hooks.log.Info("engine outlived a lost answer", zap.String("permit", l.permit.ID), workField(l.permit.Fingerprint),
+		zap.String("endpoint", l.permit.Endpoint), zap.String("incarnation", l.permit.Incarnation),
+		zap.String("known_incarnation", e.incarnation), zap.Duration("poll_began_after", begun-l.at))
+}
+
+func (c *core) logDied(e *engine, cause string) {
+	c.hooks.log.Info("engine died", zap.String("endpoint", e.spec.Name), zap.String("incarnation", e.incarnation),
+		zap.Int("running", len(e.view.Running)), zap.String("cause", cause))
+}
+
+func (c *core) logStrike(p *Permit, now time.Duration) {
+	c.hooks.log.Info("strike", zap.String("permit", p.ID), workField(p.Fingerprint), zap.String("endpoint", p.Endpoint),
+		deathField(p.death()), zap.Int("strikes", c.suspects.Count(p.Fingerprint, now)))
+}
+
+// learn takes over strikes that a gateway told of.
+func (c *core) learn(strikes []policy.Strike, gateway string, now time.Duration) {
+	for _, s := range strikes {
+		before := c.suspects.Count(s.Fingerprint, now)
+		c.suspects.Merge(s, now)
+		if n := c.suspects.Count(s.Fingerprint, now); n != before {
+			c.hooks.log.Info("strike learned", zap.String("gateway", gateway), workField(s.Fingerprint), deathField(s.Death),
+				zap.Int("strikes", n), zap.Duration("age", now-s.At))
+		}
+	}
+}
--- a/scheduler/manager.go
+++ b/scheduler/manager.go
@@ -175,13 +175,25 @@
 	if before != nil && before.scheduler == pv.scheduler && before.remote == pv.remote {
 		pv.moved, pv.end = before.moved, before.end
 	} else {
+		m.logChosen(before, pv, v)
 		pv.moved, pv.end = context.WithCancel(m.ctx)
 	}
 	return pv
 }
 
+func (m *Manager) logChosen(before, pv *poolView, v *view) {
+	fields := []zap.Field{
+		zap.String("pool", pv.key), zap.String("scheduler", pv.scheduler), zap.Bool("here", pv.remote == nil),
+		zap.Int("gateways", v.gateways),
+	}
+	if before != nil {
+		fields = append(fields, zap.String("before", before.scheduler))
+	}
+	m.opts.Log.Info("scheduler chosen", fields...)
+}
+
 func (m *Manager) newPool(name string, pc poolConfig) *pool {
-	return newPool(m.ctx, poolOptions{vm: m.opts.VMID, name: name, now: m.now, engines: m.opts.Engines}, pc)
+	return newPool(m.ctx, poolOptions{vm: m.opts.VMID, name: name, now: m.now, log: m.opts.Log, engines: m.opts.Engines}, pc)
 }
 
 // retire ends what the new view no longer uses.
--- a/scheduler/permits.go
+++ b/scheduler/permits.go
@@ -28,6 +28,7 @@
 	c.open(&grant{Permit: p, gateway: w.req.Gateway, grantedAt: now, reportedAt: now, expected: w.expected}, &w.place.Demand, now)
 	c.prefix.Routed(e.spec.Name, w.req.Prefixes, now)
 	w.done, w.granted = true, p.ID
+	c.logGrant(w, &p, now)
 	w.reply <- result{permit: p}
 }
 
@@ -126,9 +127,7 @@
 	for i := range r.Releases {
 		c.release(&r.Releases[i], now)
 	}
-	for _, s := range r.Strikes {
-		c.suspects.Merge(s, now)
-	}
+	c.learn(r.Strikes, r.Gateway, now)
 	if r.Partial {
 		return nil
 	}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/config"
 	"github.com/crocusreel/crocusreel/endpoint"
@@ -33,6 +35,7 @@
 	vm      string
 	name    string
 	now     func() time.Duration
+	log     *zap.Logger
 	engines func(config.EndpointSpec) endpoint.Engine
 }
 
@@ -67,6 +70,7 @@
 	number := strconv.FormatInt(poolNumber.Add(1), 36)
 	p.core = newCore(o.vm, hooks{
 		poll:  p.pollNow,
+		log:   o.log.With(zap.String("pool", o.name)),
 		count: metrics.CountN,
 		id:    o.vm + "/" + processID + "." + number + "/",
 	})
@@ -154,6 +158,7 @@
 		p.startPollers()
 		return
 	}
+	p.core.hooks.log.Info("pool idle")
 	p.stopPollers()
 }
 
--- a/scheduler/queueing.go
+++ b/scheduler/queueing.go
@@ -47,9 +47,7 @@
 // hold takes in what the gateway holds against a request. The reports that tell the same
 // go to the scheduler of the moment, and may come late or to another one than this.
 func (c *core) hold(r *Request, now time.Duration) {
-	for _, s := range r.Strikes {
-		c.suspects.Merge(s, now)
-	}
+	c.learn(r.Strikes, r.Gateway, now)
 	for _, p := range r.Losses {
 		c.release(&Release{Permit: p, End: EndEndpointLost}, now)
 	}
@@ -141,6 +139,7 @@
 	if w.item != nil {
 		c.queue(w.req.Class).Remove(w.item)
 	}
+	c.logRefused(w, r)
 	w.reply <- result{refusal: r}
 }
 
@@ -268,7 +267,8 @@
 
 // place tries to find an engine for a request.
 func (c *core) place(w *waiting, now time.Duration) bool {
-	if c.unexplained(w.req.Fingerprint, now) {
+	if l := c.unexplained(w.req.Fingerprint, now); l != nil {
+		c.logHeldBack(w, l, now)
 		return false
 	}
 	w.place.Suspect = c.isolated(w.req.Fingerprint, now)
