Refuse a request at the grant, not only before its wait, when it has met its last death

So each request that was held back for its last death got one more engine; it takes load for a poll to be late enough that a request waits for it.

--- a/scheduler/queueing.go
+++ b/scheduler/queueing.go
@@ -242,6 +242,12 @@
 		if i == nil {
 			return
 		}
+		// The event that brings this round may be the very death that a waiting request was
+		// held back for: with as many strikes as the bound it must not get an engine any more.
+		if r := c.refuseSuspect(i.Value, now); r != nil {
+			c.refuse(i.Value, r)
+			continue
+		}
 		model := i.Value.req.Model
 		if slices.Contains(c.blocked, model) {
 			q.Pass(i)
