Add specs of a deadly request that is sent several times at once, failing

Looked for the same fault elsewhere: strikes are counted when a death is known, so copies that run at the same time are all granted before the first of them is.

--- a/scheduler/suspects_test.go
+++ b/scheduler/suspects_test.go
@@ -256,4 +256,60 @@
 		Expect(again.granted).To(BeEmpty())
 		Expect(refusalOfWaiting(again)).To(Equal(crocusreel.ReasonSuspect))
 	})
+
+	// A caller sends a request several times at once, and it crashes the engine that runs it.
+	// Its first death is known when the next ones are placed. If each got an engine they would
+	// all die together, before any of these deaths could be counted: as many as there are
+	// copies, for a bound of three.
+	It("runs at no more engines at once than it may still kill", func() {
+		c := newEnginesCore(6)
+		c.kill(c.send(deadly))
+		var copies []*waiting
+		for range 5 {
+			copies = append(copies, c.send(deadly))
+		}
+		deaths := 1
+		for range copies {
+			for _, w := range copies {
+				if _, open := c.permits[w.granted]; open {
+					c.kill(w)
+					deaths++
+				}
+			}
+		}
+		Expect(deaths).To(Equal(c.pc.cfg.Limits.Strikes))
+		refused := 0
+		for _, w := range copies {
+			if refusalOfWaiting(w) == crocusreel.ReasonSuspect {
+				refused++
+			}
+		}
+		Expect(refused).To(Equal(len(copies) - (deaths - 1)))
+	})
+
+	// An engine dies of something else while it runs a prompt that many callers send alike.
+	// They wait for the first of them to have its answer; then nothing is held against the
+	// prompt, and it may run everywhere again.
+	It("waits no longer than for the first whole answer if it is innocent", func() {
+		c := newEnginesCore(6)
+		for range 2 {
+			c.kill(c.send(innocent))
+		}
+		var copies []*waiting
+		for range 5 {
+			copies = append(copies, c.send(innocent))
+		}
+		granted := func() (n int) {
+			for _, w := range copies {
+				if w.granted != "" {
+					n++
+				}
+			}
+			return n
+		}
+		Expect(granted()).To(Equal(1))
+		c.release(&Release{Permit: c.permits[copies[0].granted].Permit, End: EndFinished}, c.now)
+		c.dispatch(c.now)
+		Expect(granted()).To(Equal(len(copies)))
+	})
 })
