Hold work back that runs at as many engines as it may still kill

Symptom: a request that has killed one engine and is sent five times at once kills five more.

Cause: only deaths that are known count against the bound; copies under way did not. Work with a strike now waits while its strikes and the engines that run it reach the bound. Its first whole answer clears it, so innocent work that was beside a death waits for that one answer; work without a strike is not held, so that popular prompts run everywhere.

Not bounded: copies that all run before the first death (docs/PROOFS.md).

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -47,7 +47,7 @@
 	reply    chan result
 	done     bool
 	granted  string
-	// held tells that the request was held back for a loss, so that it is logged once.
+	// held tells that the request was held back, so that this is logged once.
 	held bool
 }
 
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -208,3 +208,30 @@
 	}
 	return nil
 }
+
+// atRisk tells whether the work already runs at as many engines as it may still kill. Work
+// that was beside a death may have caused it. Sent several times at once, it would kill all
+// engines that run a copy before the first of these deaths is known: with a bound of three
+// and six copies sent after the first death, all six engines of a pool. Innocent work waits
+// for its first whole answer, which clears it.
+//
+// Work without a strike runs everywhere, however often it is sent: prompts that many callers
+// send alike are common, and deadly ones are not.
+func (c *core) atRisk(fingerprint uint64, now time.Duration) bool {
+	strikes := c.suspects.Count(fingerprint, now)
+	if strikes == 0 || c.pc.cfg.Limits.Strikes <= 0 {
+		return false
+	}
+	return strikes+c.enginesRunning(fingerprint) >= c.pc.cfg.Limits.Strikes
+}
+
+// enginesRunning counts the engines that run the work.
+func (c *core) enginesRunning(fingerprint uint64) int {
+	engines := make(map[string]struct{})
+	for _, g := range c.permits {
+		if g.Fingerprint == fingerprint {
+			engines[g.Endpoint] = struct{}{}
+		}
+	}
+	return len(engines)
+}
--- a/scheduler/logging.go
+++ b/scheduler/logging.go
@@ -36,15 +36,26 @@
 		workField(w.req.Fingerprint), zap.String("reason", string(r.Reason)), zap.Duration("retry_after", r.RetryAfter))
 }
 
-// logHeldBack is called at each try to place a request, and logs the first.
-func (c *core) logHeldBack(w *waiting, l *loss, now time.Duration) {
+// Both lines on a request that is held back are called for at each try to place it, and
+// logged at the first.
+
+func (c *core) logHeldForLoss(w *waiting, l *loss, now time.Duration) {
+	c.logHeld(w, "request held back until a loss is explained", zap.String("permit", l.permit.ID),
+		zap.String("endpoint", l.permit.Endpoint), zap.Duration("loss_age", now-l.at))
+}
+
+func (c *core) logHeldForCopies(w *waiting, now time.Duration) {
+	c.logHeld(w, "request held back while its work runs elsewhere", zap.Int("strikes", c.suspects.Count(w.req.Fingerprint, now)),
+		zap.Int("engines", c.enginesRunning(w.req.Fingerprint)))
+}
+
+func (c *core) logHeld(w *waiting, event string, cause ...zap.Field) {
 	if w.held {
 		return
 	}
 	w.held = true
-	c.hooks.log.Info("request held back until a loss is explained", zap.String("request", w.req.RequestID),
-		zap.String("gateway", w.req.Gateway), workField(w.req.Fingerprint), zap.String("permit", l.permit.ID),
-		zap.String("endpoint", l.permit.Endpoint), zap.Duration("loss_age", now-l.at))
+	c.hooks.log.Info(event, append(cause, zap.String("request", w.req.RequestID), zap.String("gateway", w.req.Gateway),
+		workField(w.req.Fingerprint))...)
 }
 
 func (c *core) logLoss(e *engine, p *Permit) {
--- a/scheduler/queueing.go
+++ b/scheduler/queueing.go
@@ -274,7 +274,11 @@
 // place tries to find an engine for a request.
 func (c *core) place(w *waiting, now time.Duration) bool {
 	if l := c.unexplained(w.req.Fingerprint, now); l != nil {
-		c.logHeldBack(w, l, now)
+		c.logHeldForLoss(w, l, now)
+		return false
+	}
+	if c.atRisk(w.req.Fingerprint, now) {
+		c.logHeldForCopies(w, now)
 		return false
 	}
 	w.place.Suspect = c.isolated(w.req.Fingerprint, now)
