Add specs of innocent work that nodes refuse as deadly, failing

Three broken connections to engines that live are enough to refuse a prompt; strikes never fade although the code says 90 s; and no whole answer clears them, so that any common request is refused for ever, on each node that heard of it, after its third death in weeks.

On the known red list until the mend.

--- a/relay/decisions_test.go
+++ b/relay/decisions_test.go
@@ -175,6 +175,18 @@
 		Expect(s.Count(relay.NewFingerprint("ws", "/x", []byte("other")))).To(BeZero())
 	})
 
+	// A node runs for weeks, and now and then an engine dies while it runs one of the common
+	// requests. Deaths that lie hours apart have nothing to do with each other; added up they
+	// would refuse that request for ever.
+	It("fade", func() {
+		s := newStrikes()
+		for endpoint := range uint32(3) {
+			s.Add(7, endpoint)
+			now += time.Hour
+		}
+		Expect(s.Count(7)).To(BeZero())
+	})
+
 	It("are told to others for a while only", func() {
 		s := newStrikes()
 		s.Add(7, 1)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -588,6 +588,47 @@
 		}
 	})
 
+	// A link is bad and resets one stream after the other, all of them answers to the same
+	// prompt. Their engines live and have done nothing wrong, and neither has the prompt: its
+	// callers must not be refused as if it killed engines. In the logs "strike" came after
+	// "stream cut" although the next request to the same engine was answered.
+	DescribeTable("is not held to kill engines when only its connection breaks", func(fault worker.Fault) {
+		r := newRig()
+		var engines []*worker.Worker
+		for i := range 6 {
+			engines = append(engines, r.engine(fmt.Sprintf("e%d", i), 20, always(fault)))
+		}
+		for n := range 6 {
+			v, _ := r.serve(r.request(routing.Streaming))
+			Expect(v.Refusal == nil || v.Refusal.Reason != crocusreel.ReasonSuspect).To(BeTrue(), "request %d", n)
+		}
+		Expect(engines).To(HaveEach(WithTransform(func(e *worker.Worker) bool {
+			return r.Client.Refuses(context.Background(), e.Address())
+		}, BeFalse())))
+	},
+		Entry("in the middle", worker.Truncate),
+		Entry("before the first event", worker.LoseAnswer),
+	)
+
+	// Engines that die of something else take a popular prompt with them, one today and one
+	// some minutes later. In between it is answered again and again, so that it cannot be at
+	// fault: were the deaths added up all the same, its callers would be refused one day.
+	It("is forgiven its strikes once it has a whole answer", func() {
+		r := newRig()
+		for n := range 4 {
+			dying := r.engine(fmt.Sprintf("dying%d", n), 20, always(worker.Crash))
+			v, _ := r.serve(r.request(routing.Streaming))
+			Expect(v.Refusal == nil || v.Refusal.Reason != crocusreel.ReasonSuspect).To(BeTrue(), "death %d", n)
+			Expect(dying.Runs()).To(HaveLen(1))
+			r.Fleet.Remove(fmt.Sprintf("dying%d", n), false)
+			sound := fmt.Sprintf("sound%d", n)
+			r.engine(sound, 20, nil)
+			v, _ = r.serve(r.request(routing.Streaming))
+			Expect(v.Refusal).To(BeNil(), "death %d", n)
+			r.Fleet.Remove(sound, false)
+		}
+	})
+
 	// The key of a waiting request is taken away while it waits, or its machine sleeps.
 	It("does not run when it may no longer be admitted", func() {
 		r := newRig()
