Hold only deaths against a node's request, forget them with time and with a whole answer

Symptom: nodes refuse innocent requests with suspect_request. A prompt whose connection broke three times to engines that live; a common request after its third death in weeks, for ever; one that was answered whole after each of these deaths.

Cause: a stream's cut or lost connection was a strike whatever had become of the engine (calls asked, streams did not); the age of a strike was looked at only when the record was full; nothing cleared strikes. Now one function asks for both kinds whether the endpoint refuses connections or has started again, once a death; an answer that breaks off counts like one that does not come. The record is policy.Suspects, as at gateways and schedulers, with a life of 90 s; it lets a whole answer clear, and what others still tell does not bring that back. Retry-After is when fewer strikes than the bound are left, in place of 30 s.

What it costs a stream from a copy: one connection's way to an engine that lives.

--- a/gateway/strikes.go
+++ b/gateway/strikes.go
@@ -30,7 +30,7 @@
 }
 
 func newStrikes() *strikes {
-	return &strikes{began: time.Now(), suspects: policy.NewSuspects(), struck: make(map[struckKey]time.Time)}
+	return &strikes{began: time.Now(), suspects: policy.NewSuspects(policy.StrikeLife), struck: make(map[struckKey]time.Time)}
 }
 
 // add gives the content of a call a strike for the death of a service. A lookup that
@@ -67,6 +67,6 @@
 	if bound <= 0 || s.suspects.Count(content, now) < bound {
 		return nil
 	}
-	return crocusreel.Refuse(crocusreel.ReasonSuspect, crocusreel.OutcomeNotRun, s.suspects.ExpiresIn(content, now),
+	return crocusreel.Refuse(crocusreel.ReasonSuspect, crocusreel.OutcomeNotRun, s.suspects.Below(content, bound, now),
 		"endpoints were lost while they ran this call")
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -44,7 +44,7 @@
 	for _, key := range n.fleet.UnhealthyKeys() {
 		s.LeavingEndpoints = append(s.LeavingEndpoints, uint32(key))
 	}
-	for _, k := range n.relay.Strikes.Fresh(strikesTold) {
+	for _, k := range n.relay.Strikes.Fresh(relay.StrikesTold) {
 		s.Strikes = append(s.Strikes, &exchangev1.Strike{Work: uint64(k.Work), Endpoint: k.Endpoint})
 	}
 	for _, run := range n.relay.Vacated.Fresh(vacatedTold) {
@@ -65,10 +65,6 @@
 // vacatedTold is how long it is told that a run has left its engine: several datagrams.
 const vacatedTold = 600 * time.Millisecond
 
-// strikesTold is how long each strike is told to the other nodes: several datagrams,
-// any of which may be lost.
-const strikesTold = 2 * time.Second
-
 // heard takes the state of another node.
 func (n *Node) heard(s *exchangev1.NodeState) {
 	loads := make([]fleet.Load, 0, len(s.GetLoads()))
--- a/policy/suspects.go
+++ b/policy/suspects.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// maxSuspects bounds the fingerprints remembered.
@@ -8,8 +12,9 @@
 	// maxDeaths bounds the deaths remembered of one fingerprint: more than any bound
 	// on them that an operator would set.
 	maxDeaths = 16
-	// strikeLife is how long a strike counts.
-	strikeLife = 10 * time.Minute
+	// StrikeLife is how long a strike counts where callers send a deadly request again for
+	// minutes.
+	StrikeLife = 10 * time.Minute
 )
 
 // Strike is one endpoint death at which a request was running.
@@ -30,14 +35,16 @@
 // of two numbers would leave out what only the other one saw. A request would then kill
 // more endpoints than the bound allows.
 type Suspects struct {
+	// life is how long a strike counts.
+	life   time.Duration
 	deaths map[uint64]map[uint64]time.Duration
 	// cleared is when a request that had strikes ran to its end.
 	cleared map[uint64]time.Duration
 }
 
-// NewSuspects returns an empty memory.
-func NewSuspects() *Suspects {
-	return &Suspects{deaths: make(map[uint64]map[uint64]time.Duration), cleared: make(map[uint64]time.Duration)}
+// NewSuspects returns an empty memory in which each strike counts for the given time.
+func NewSuspects(life time.Duration) *Suspects {
+	return &Suspects{life: life, deaths: make(map[uint64]map[uint64]time.Duration), cleared: make(map[uint64]time.Duration)}
 }
 
 // Strike records that an endpoint died while the request was running there. It is
@@ -77,7 +84,7 @@
 // strikes back.
 func (s *Suspects) Merge(k Strike, now time.Duration) {
 	at, cleared := s.cleared[k.Fingerprint]
-	if now-k.At > strikeLife || (cleared && k.At <= at+clearSlack) {
+	if now-k.At > s.life || (cleared && k.At <= at+clearSlack) {
 		return
 	}
 	s.Strike(k)
@@ -93,7 +100,7 @@
 func (s *Suspects) forget(fingerprint uint64, now time.Duration) {
 	known := s.deaths[fingerprint]
 	for death, at := range known {
-		if now-at > strikeLife {
+		if now-at > s.life {
 			delete(known, death)
 		}
 	}
@@ -102,12 +109,15 @@
 	}
 }
 
-// ExpiresIn returns how long the last strike against the request still counts.
-func (s *Suspects) ExpiresIn(fingerprint uint64, now time.Duration) time.Duration {
-	if len(s.deaths[fingerprint]) == 0 {
+// Below returns how long it takes until fewer strikes than the bound count against the
+// request; 0 if that is so now. It is when the request may come back.
+func (s *Suspects) Below(fingerprint uint64, bound int, now time.Duration) time.Duration {
+	over := s.Count(fingerprint, now) - bound
+	if over < 0 {
 		return 0
 	}
-	return max(strikeLife-(now-s.last(fingerprint)), 0)
+	times := slices.Sorted(maps.Values(s.deaths[fingerprint]))
+	return max(s.life-(now-times[over]), 0)
 }
 
 func (s *Suspects) last(fingerprint uint64) time.Duration {
@@ -125,7 +135,7 @@
 			if len(dst) >= limit {
 				return dst
 			}
-			if now-at <= strikeLife {
+			if now-at <= s.life {
 				dst = append(dst, Strike{Fingerprint: fingerprint, Death: death, At: at})
 			}
 		}
--- a/policy/suspects_test.go
+++ b/policy/suspects_test.go
@@ -7,19 +7,23 @@
 	"github.com/onsi/gomega"
 )
 
+const strikeLife = StrikeLife
+
 func TestStrikesAddUpAndFade(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := NewSuspects()
+	s := NewSuspects(strikeLife)
 	s.Strike(Strike{Fingerprint: 7, Death: 1, At: 0})
 	s.Strike(Strike{Fingerprint: 7, Death: 2, At: time.Minute})
 	g.Expect(s.Count(7, time.Minute)).To(gomega.Equal(2))
-	g.Expect(s.ExpiresIn(7, time.Minute)).To(gomega.Equal(strikeLife))
+	g.Expect(s.Below(7, 1, time.Minute)).To(gomega.Equal(strikeLife))
+	g.Expect(s.Below(7, 2, time.Minute)).To(gomega.Equal(strikeLife - time.Minute))
+	g.Expect(s.Below(7, 3, time.Minute)).To(gomega.BeZero())
 	g.Expect(s.Count(7, time.Minute+strikeLife+1)).To(gomega.BeZero())
 }
 
 func TestFinishedRequestIsCleared(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := NewSuspects()
+	s := NewSuspects(strikeLife)
 	s.Strike(Strike{Fingerprint: 7, Death: 1})
 	s.Clear(7, time.Second)
 	g.Expect(s.Count(7, 0)).To(gomega.BeZero())
@@ -35,7 +39,7 @@
 // otherwise the request kills one engine more, and all answers beside it are lost.
 func TestStrikesOfAnotherSchedulerAreTakenOver(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := NewSuspects()
+	s := NewSuspects(strikeLife)
 	s.Strike(Strike{Fingerprint: 7, Death: 1, At: time.Minute})
 	s.Merge(Strike{Fingerprint: 7, Death: 1, At: time.Minute}, time.Minute)
 	s.Merge(Strike{Fingerprint: 7, Death: 2, At: time.Minute}, time.Minute)
@@ -47,7 +51,7 @@
 
 func TestSuspectsAreBounded(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := NewSuspects()
+	s := NewSuspects(strikeLife)
 	for n := range uint64(maxSuspects + 10) {
 		s.Strike(Strike{Fingerprint: n + 1, Death: 1, At: time.Duration(n)})
 	}
--- a/relay/call.go
+++ b/relay/call.go
@@ -9,8 +9,6 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/fleet"
@@ -44,6 +42,10 @@
 	cause  string
 }
 
+// broken tells whether the connection ended before the answer did, as it does when the
+// endpoint dies.
+func (r result) broken() bool { return r.cause == causeLost || r.cause == causeTruncated }
+
 // call serves a request whose answer is one message.
 func (j *job) call(ctx context.Context) Verdict {
 	runs := 0
@@ -57,6 +59,7 @@
 		p.Release(got.health)
 		j.tried = append(j.tried, p.Instance().ID)
 		if got.answer != nil && !j.worthRepeating(got.answer.resp.StatusCode) {
+			j.Strikes.Clear(j.r.Fingerprint)
 			return j.deliver(got.answer)
 		}
 		if got.answer != nil {
@@ -69,39 +72,23 @@
 			runs++
 			j.ran = true
 		}
-		if got.cause == causeLost {
-			j.strikeIfDead(ctx, p.Instance())
+		if got.broken() {
+			j.strikeIfDead(ctx, p)
 		}
-		if ctx.Err() != nil || !j.mayRepeat(got, runs) || j.Strikes.Count(j.r.Fingerprint) >= strikeLimit {
+		if ctx.Err() != nil || !j.mayRepeat(got, runs) || j.deadly() {
 			return j.exhausted(ctx, held, j.failure(got))
 		}
 		j.verdict.Detail = got.cause
 	}
 }
 
+// causeLost is a connection that broke before an answer, causeTruncated one that broke
+// within it.
 const (
-	// causeLost is a connection that broke before an answer.
-	causeLost = "connection_lost"
-	// deathCheck bounds the look at an endpoint that broke a connection; one that has died
-	// refuses within a round trip.
-	deathCheck = 50 * time.Millisecond
+	causeLost      = "connection_lost"
+	causeTruncated = "answer_truncated"
 )
 
-// strikeIfDead counts a strike against the request if the endpoint died while it ran it.
-// Plain services lose single answers, too; held against the request, three of those would
-// refuse work that harms nobody. An endpoint that has died refuses connections.
-func (j *job) strikeIfDead(ctx context.Context, in fleet.Instance) {
-	ctx, cancel := context.WithTimeout(ctx, deathCheck)
-	defer cancel()
-	if !j.Client.Refuses(ctx, in.Address) {
-		return
-	}
-	j.Strikes.Add(j.r.Fingerprint, uint32(in.Incarnation().Key()))
-	metrics.Count("endpoint_died")
-	j.Log.Warn("endpoint died of a request", zap.String("request", j.r.ID), zap.String("endpoint", in.ID),
-		zap.String("address", in.Address), zap.Int("strikes", j.Strikes.Count(j.r.Fingerprint)))
-}
-
 // worthRepeating tells whether another endpoint may do better than this answer.
 func (j *job) worthRepeating(status int) bool {
 	return j.r.Route.Kind.Repeatable() && status >= http.StatusInternalServerError
@@ -165,7 +152,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		release()
-		return result{health: fleet.Failed, cause: "answer_truncated"}
+		return result{health: fleet.Failed, cause: causeTruncated}
 	}
 	got := result{health: fleet.Good}
 	got.answer = &answer{resp: resp, body: body, rest: len(body) == maxAnswer, release: release}
--- a/relay/copies.go
+++ b/relay/copies.go
@@ -134,20 +134,6 @@
 	return nil
 }
 
-// deadly gives the request a strike if its engine was not about to leave, and tells
-// whether it has met too many deaths to go on.
-func (l *leg) deadly() bool {
-	if l.p.Life().Err() == nil {
-		select {
-		case <-l.p.Leaving():
-			return false
-		default:
-		}
-	}
-	l.strike()
-	return l.Strikes.Count(l.r.Fingerprint) >= strikeLimit
-}
-
 // over makes certain that the run is over at its engine. A run whose answer broke off may
 // still be at work, and must not be at two engines at a time: it is told to stop, and its
 // memory then goes to the target under the handle that is returned. An engine that is
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -172,8 +172,8 @@
 	defer cancel()
 	l.Budgets.Get(r.Service.Name).Earn()
 	if n := l.Strikes.Count(r.Fingerprint); n >= strikeLimit {
-		return Verdict{Refusal: crocusreel.Refuse(crocusreel.ReasonSuspect, crocusreel.OutcomeNotRun, suspectRetry,
-			"%d endpoints died while running this request", n)}
+		return Verdict{Refusal: crocusreel.Refuse(crocusreel.ReasonSuspect, crocusreel.OutcomeNotRun,
+			l.Strikes.Below(r.Fingerprint, strikeLimit), "%d endpoints died while running this request", n)}
 	}
 	job := &job{Relay: l, r: r, sink: sink}
 	if r.Route.Kind == routing.Streaming {
@@ -189,6 +189,8 @@
 	sink    Sink
 	verdict Verdict
 	tried   []string
+	// struck are the incarnations whose death was held against the request.
+	struck []fleet.EndpointKey
 	// ran is set once an endpoint may have run the request.
 	ran bool
 }
@@ -295,8 +297,6 @@
 const (
 	// strikeLimit is the number of endpoints that may die of one request.
 	strikeLimit = 3
-	// suspectRetry keeps callers of a request that kills endpoints away.
-	suspectRetry = 30 * time.Second
 	// lostRetry is when callers may come back after an endpoint was lost.
 	lostRetry = 200 * time.Millisecond
 )
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -106,10 +106,10 @@
 		j.tried = append(j.tried, p.Instance().ID)
 		j.verdict.Detail = got.cause
 		j.ran = j.ran || !got.notRun
-		if got.cause == causeLost {
-			j.Strikes.Add(j.r.Fingerprint, uint32(p.Instance().Incarnation().Key()))
+		if got.broken() {
+			j.strikeIfDead(ctx, p)
 		}
-		if ctx.Err() != nil || !j.mayRepeat(got, maxSends) {
+		if ctx.Err() != nil || !j.mayRepeat(got, maxSends) || j.deadly() {
 			return nil, j.exhausted(ctx, nil, j.failure(got))
 		}
 	}
@@ -164,9 +164,10 @@
 	end, cause := l.follow(at)
 	switch end {
 	case legWhole:
-		if l.resp.Framed() || !l.engineDied(ctx) {
+		if l.resp.Framed() || !l.gone(ctx, l.p) {
 			l.resp.Finish()
 			l.p.Release(fleet.Good)
+			l.Strikes.Clear(l.r.Fingerprint)
 			return end, nil
 		}
 		end, cause = legCut, io.ErrUnexpectedEOF
@@ -179,6 +180,7 @@
 		l.finish(fleet.Neutral)
 		return legCut, nil
 	}
+	l.strikeIfDead(ctx, l.p)
 	if next := l.fromCopy(ctx, at); next != nil {
 		l.finish(l.cutHealth())
 		return end, next
@@ -188,40 +190,16 @@
 	return end, nil
 }
 
-// engineDied tells whether the engine is gone. The end of a stream without a length is
-// the end of its connection, and that of an engine's process looks the same: the caller
-// would take a part for the whole.
-func (l *leg) engineDied(ctx context.Context) bool {
-	if l.p.Life().Err() != nil {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, deathCheck)
-	defer cancel()
-	return l.Client.Refuses(ctx, l.p.Instance().Address)
-}
-
-// cutHealth blames an endpoint for a cut stream unless it was leaving. Only a death
-// that was not announced is a strike against the request.
+// cutHealth blames an endpoint for a cut stream unless it was leaving or has started again.
 func (l *leg) cutHealth() fleet.Result {
-	if l.p.Life().Err() != nil {
-		l.strike()
+	if l.p.Life().Err() != nil || leaving(l.p) {
 		return fleet.Neutral
 	}
-	select {
-	case <-l.p.Leaving():
-		return fleet.Neutral
-	default:
-		l.strike()
-		return fleet.Failed
-	}
+	return fleet.Failed
 }
 
 func (l *leg) runKey() RunKey { return runKey(l.r.ID, l.p.Instance().Incarnation().Key()) }
 
-func (l *leg) strike() {
-	l.Strikes.Add(l.r.Fingerprint, uint32(l.p.Instance().Incarnation().Key()))
-}
-
 func (l *leg) finish(r fleet.Result) {
 	l.resp.Close()
 	l.p.Release(r)
--- a/relay/strikes.go
+++ b/relay/strikes.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"sync"
 	"time"
+
+	"github.com/crocusreel/crocusreel/policy"
 )
 
 // Fingerprint identifies work by its path, its workspace and its content. A request
@@ -34,77 +36,69 @@
 	// strikeMemory is how long a death is held against a request: longer than the
 	// retries of a caller and the restart of an engine together.
 	strikeMemory = 90 * time.Second
-	// maxStrikes bounds the remembered deaths. A crash of many endpoints at once cuts
-	// some hundred requests.
-	maxStrikes = 1024
+	// StrikesTold is how long each strike is told to the other nodes: several datagrams,
+	// any of which may be lost.
+	StrikesTold = 2 * time.Second
 )
 
 // Strikes counts the endpoints that died while running a request, on all nodes.
 type Strikes struct {
-	now func() time.Duration
-	mu  sync.Mutex
-	all map[Fingerprint]map[uint32]time.Duration
+	now      func() time.Duration
+	mu       sync.Mutex
+	suspects *policy.Suspects
 	// fresh are those of this node that other nodes may not know yet.
 	fresh []Strike
 }
 
 // NewStrikes returns an empty record. Now reads a monotonic clock.
 func NewStrikes(now func() time.Duration) *Strikes {
-	return &Strikes{now: now, all: make(map[Fingerprint]map[uint32]time.Duration)}
+	return &Strikes{now: now, suspects: policy.NewSuspects(strikeMemory)}
 }
 
-// Count returns the number of endpoints that died of the work.
+// Count returns the number of endpoints that died of the work lately.
 func (s *Strikes) Count(work Fingerprint) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.all[work])
+	return s.suspects.Count(uint64(work), s.now())
+}
+
+// Below returns how long it takes until the work has fewer strikes than the limit; 0 if it
+// has fewer now.
+func (s *Strikes) Below(work Fingerprint, limit int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspects.Below(uint64(work), limit, s.now())
 }
 
-// Add records a death seen by this node.
-func (s *Strikes) Add(work Fingerprint, endpoint uint32) {
+// Add records a death seen by this node and returns the strikes against the work.
+func (s *Strikes) Add(work Fingerprint, endpoint uint32) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	strike := Strike{Work: work, Endpoint: endpoint, At: s.now()}
-	s.addLocked(strike)
+	s.suspects.Strike(strike.held())
 	s.fresh = append(s.fresh, strike)
+	return s.suspects.Count(uint64(work), strike.At)
 }
 
-// Merge records a death seen by another node.
+// Merge records a death seen by another node. How old it is is not told, so it counts as
+// old as it may be: what others go on telling of work that was cleared here since does not
+// bring its strikes back.
 func (s *Strikes) Merge(work Fingerprint, endpoint uint32) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addLocked(Strike{Work: work, Endpoint: endpoint, At: s.now()})
+	now := s.now()
+	s.suspects.Merge(Strike{Work: work, Endpoint: endpoint, At: now - StrikesTold}.held(), now)
 }
 
-func (s *Strikes) addLocked(k Strike) {
-	if len(s.all) >= maxStrikes {
-		s.forgetLocked()
-	}
-	if s.all[k.Work] == nil {
-		s.all[k.Work] = make(map[uint32]time.Duration)
-	}
-	if _, known := s.all[k.Work][k.Endpoint]; !known {
-		s.all[k.Work][k.Endpoint] = k.At
-	}
+// Clear forgets the deaths of work that has had a whole answer: it does not kill endpoints.
+func (s *Strikes) Clear(work Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects.Clear(uint64(work), s.now())
 }
 
-// forgetLocked drops old strikes, and all of them if none is old: a full record must
-// not refuse the requests of a whole outage for ever.
-func (s *Strikes) forgetLocked() {
-	now := s.now()
-	for work, deaths := range s.all {
-		for endpoint, at := range deaths {
-			if now-at > strikeMemory {
-				delete(deaths, endpoint)
-			}
-		}
-		if len(deaths) == 0 {
-			delete(s.all, work)
-		}
-	}
-	if len(s.all) >= maxStrikes {
-		clear(s.all)
-	}
+func (k Strike) held() policy.Strike {
+	return policy.Strike{Fingerprint: uint64(k.Work), Death: uint64(k.Endpoint), At: k.At}
 }
 
 // Fresh returns this node's strikes since the given age and forgets older ones.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -125,7 +125,7 @@
 			crocusreel.ClassShort:      {},
 			crocusreel.ClassGeneration: {},
 		},
-		suspects:  policy.NewSuspects(),
+		suspects:  policy.NewSuspects(policy.StrikeLife),
 		feedback:  policy.NewFeedback(1, 1),
 		engines:   make(map[string]*engine),
 		permits:   make(map[string]*grant),
