Tell all gateways of a plain service's death before its caller can ask the next one

Symptom: a call that kills plain services takes 8 of 10 down for a bound of 3, sent through three gateways in turn.

Causes: each gateway counted its own strikes; and within one call, attempts after the first did not look at the strikes, so a call that was one below the bound could kill three more. Deaths that two gateways see at once count once by the rule that held within a gateway: a call that was running when another of its content was struck belongs to that death.

Open: gateways that do not reach each other, and copies sent at once to several gateways.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -14,6 +14,7 @@
 	"github.com/crocusreel/crocusreel/endpoint"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/ledger"
+	"github.com/crocusreel/crocusreel/peer/peerv1"
 )
 
 // aliveTimeout bounds the question to a service whether it lives.
@@ -91,6 +92,10 @@
 			res.refusal = c.g.endClaim(ctx, c.claim, res.refusal)
 			return res
 		}
+		if refusal := c.g.strikes.refuse(c.content, limits.Strikes); refusal != nil {
+			res.refusal = c.g.endClaim(ctx, c.claim, tries.add(refusal))
+			return res
+		}
 		metrics.Retried(res.refusal.Reason)
 		c.track.step("retry", "", res.refusal.Error())
 	}
@@ -166,12 +171,25 @@
 	default:
 		done(callFailed, 0)
 		if isLost(err) && !c.alive(ctx, spec) {
-			c.g.strikes.add(spec.Name, c.content, started)
+			c.struck(spec, started)
 		}
 	}
 	return reply, err
 }
 
+// struck holds the death of a service against the call, at all gateways.
+func (c *call) struck(spec *config.EndpointSpec, began time.Time) {
+	n, counted := c.g.strikes.add(spec.Name, c.content, began)
+	if !counted {
+		return
+	}
+	strike := &peerv1.ServiceStrike{
+		Service: spec.Name, Content: c.content, BeganMs: uint32(time.Since(began).Milliseconds()),
+	}
+	c.g.logStruck(strike, n, c.g.settings.vm.ID)
+	c.g.tellStruck(strike)
+}
+
 // alive asks a service that has lost an answer whether it is still there. If it is,
 // the link or the answer was lost and the call is not to blame: during an outage
 // that loses answers, calls would else be refused long after its end.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,6 +78,7 @@
 	signer    *handle.Signer
 	node      peerv1.NodeClient
 	endpoints *endpoints
+	peers     gatewayPeers
 }
 
 func newGateway(s processSettings, n neighbours, log *zap.Logger) *Gateway {
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -83,6 +83,7 @@
 		signer:    signer,
 		node:      peerv1.NewNodeClient(client, peer.BaseURL(s.ControllerAddress, peerTLS.Config())),
 		endpoints: known,
+		peers:     gatewayPeers{client: client, scheme: scheme(peerTLS)},
 	}, log)
 	g.callers = caller.NewServer(g, caller.Options{
 		VM:            s.VM.ID,
@@ -103,6 +104,7 @@
 func (p *Process) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(p.manager.Handler())
+	mux.Handle(p.gateway.struckHandler())
 	mux.Handle("/debug/vars", expvar.Handler())
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		if p.gateway.Ready() != nil {
--- a/gateway/strikes.go
+++ b/gateway/strikes.go
@@ -13,7 +13,8 @@
 
 // strikes remembers which calls were lost together with plain services. A call that
 // crashes each service that runs it is refused at the bound, also under new keys.
-// Engines' strikes are kept by the pools' schedulers; these are this gateway's own.
+// Engines' strikes are kept by the pools' schedulers. For plain services each gateway counts,
+// and the gateways tell each other of each strike.
 type strikes struct {
 	mu       sync.Mutex
 	began    time.Time
@@ -37,19 +38,23 @@
 // many callers send alike is lost many times at one death; counted each time, it
 // would be refused for minutes after the service is back. So calls that were already
 // running at the last strike belong to the death that was counted then.
-func (s *strikes) add(service string, content uint64, callBegan time.Time) {
+//
+// It returns the strikes that count now, and whether this is a new one.
+func (s *strikes) add(service string, content uint64, callBegan time.Time) (strikes int, counted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := struckKey{service, content}
 	if callBegan.Before(s.struck[key]) {
-		return
+		return s.suspects.Count(content, time.Since(s.began)), false
 	}
 	if len(s.struck) >= maxStruck {
 		clear(s.struck)
 	}
 	s.struck[key] = time.Now()
 	s.deaths++
-	s.suspects.Strike(policy.Strike{Fingerprint: content, Death: s.deaths, At: time.Since(s.began)})
+	now := time.Since(s.began)
+	s.suspects.Strike(policy.Strike{Fingerprint: content, Death: s.deaths, At: now})
+	return s.suspects.Count(content, now), true
 }
 
 func (s *strikes) clear(content uint64) {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -21,3 +22,9 @@
 	core := zapcore.NewCore(newEncoder(), newAsyncWriter(os.Stdout), l)
 	return zap.New(core).With(zap.String("program", program), zap.String("vm", vm)), nil
 }
+
+// Work is the field that names the content of a request, which stays the same under each
+// key that its caller sends it with.
+func Work(fingerprint uint64) zap.Field {
+	return zap.String("work", strconv.FormatUint(fingerprint, 16))
+}
--- a/peer/peerv1/peer.connect.go
+++ b/peer/peerv1/peer.connect.go
@@ -28,6 +28,8 @@
 	NodeName = "peer.v1.Node"
 	// SchedulerName is the fully-qualified name of the Scheduler service.
 	SchedulerName = "peer.v1.Scheduler"
+	// GatewayName is the fully-qualified name of the Gateway service.
+	GatewayName = "peer.v1.Gateway"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -54,6 +56,8 @@
 	SchedulerAcquireProcedure = "/peer.v1.Scheduler/Acquire"
 	// SchedulerReportProcedure is the fully-qualified name of the Scheduler's Report RPC.
 	SchedulerReportProcedure = "/peer.v1.Scheduler/Report"
+	// GatewayStruckProcedure is the fully-qualified name of the Gateway's Struck RPC.
+	GatewayStruckProcedure = "/peer.v1.Gateway/Struck"
 )
 
 // MembershipClient is a client for the peer.v1.Membership service.
@@ -399,3 +403,77 @@
 func (UnimplementedSchedulerHandler) Report(context.Context, *connect.Request[ReportRequest]) (*connect.Response[ReportResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Scheduler.Report is not implemented"))
 }
+
+// GatewayClient is a client for the peer.v1.Gateway service.
+type GatewayClient interface {
+	// Struck tells of a strike against a call. There is no scheduler for plain services that
+	// could count them for all.
+	Struck(context.Context, *connect.Request[StruckRequest]) (*connect.Response[StruckResponse], error)
+}
+
+// NewGatewayClient constructs a client for the peer.v1.Gateway service. By default, it uses the
+// Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewGatewayClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) GatewayClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	gatewayMethods := File_peer_v1_peer_proto.Services().ByName("Gateway").Methods()
+	return &gatewayClient{
+		struck: connect.NewClient[StruckRequest, StruckResponse](
+			httpClient,
+			baseURL+GatewayStruckProcedure,
+			connect.WithSchema(gatewayMethods.ByName("Struck")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// gatewayClient implements GatewayClient.
+type gatewayClient struct {
+	struck *connect.Client[StruckRequest, StruckResponse]
+}
+
+// Struck calls peer.v1.Gateway.Struck.
+func (c *gatewayClient) Struck(ctx context.Context, req *connect.Request[StruckRequest]) (*connect.Response[StruckResponse], error) {
+	return c.struck.CallUnary(ctx, req)
+}
+
+// GatewayHandler is an implementation of the peer.v1.Gateway service.
+type GatewayHandler interface {
+	// Struck tells of a strike against a call. There is no scheduler for plain services that
+	// could count them for all.
+	Struck(context.Context, *connect.Request[StruckRequest]) (*connect.Response[StruckResponse], error)
+}
+
+// NewGatewayHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewGatewayHandler(svc GatewayHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	gatewayMethods := File_peer_v1_peer_proto.Services().ByName("Gateway").Methods()
+	gatewayStruckHandler := connect.NewUnaryHandler(
+		GatewayStruckProcedure,
+		svc.Struck,
+		connect.WithSchema(gatewayMethods.ByName("Struck")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/peer.v1.Gateway/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case GatewayStruckProcedure:
+			gatewayStruckHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedGatewayHandler returns CodeUnimplemented from all methods.
+type UnimplementedGatewayHandler struct{}
+
+func (UnimplementedGatewayHandler) Struck(context.Context, *connect.Request[StruckRequest]) (*connect.Response[StruckResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Gateway.Struck is not implemented"))
+}
--- a/relay/death.go
+++ b/relay/death.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/internal/logging"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 )
 
@@ -44,7 +45,7 @@
 	strikes := j.Strikes.Add(j.r.Fingerprint, uint32(key))
 	metrics.Count("endpoint_died")
 	j.Log.Warn("endpoint died of a request", zap.String("request", j.r.ID), zap.String("endpoint", in.ID),
-		zap.String("address", in.Address), zap.Int("strikes", strikes))
+		logging.Work(uint64(j.r.Fingerprint)), zap.String("address", in.Address), zap.Int("strikes", strikes))
 }
 
 // deadly tells whether so many endpoints died of the request, or may die of its copies, that
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/internal/logging"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 )
 
@@ -202,7 +203,7 @@
 	// bring it here, so that it is not lost if the scheduler moves within the second.
 	if err != nil {
 		m.opts.Log.Warn("loss not told to the scheduler", zap.String("pool", key), zap.String("scheduler", pv.scheduler),
-			zap.String("permit", r.Permit.ID), workField(r.Permit.Fingerprint), zap.Error(err))
+			zap.String("permit", r.Permit.ID), logging.Work(r.Permit.Fingerprint), zap.Error(err))
 	}
 	for _, delay := range strikeDelays {
 		time.AfterFunc(delay, func() { signal(m.changed) })
--- a/scheduler/logging.go
+++ b/scheduler/logging.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/internal/logging"
 	"github.com/crocusreel/crocusreel/policy"
 )
 
@@ -14,12 +15,6 @@
 // who was granted which engine with how many strikes known, who was refused, who waits
 // for which loss; and each death or loss that changes what is held against a request.
 
-// workField names the content of a request, which stays the same under each key that its
-// caller sends it with.
-func workField(fingerprint uint64) zap.Field {
-	return zap.String("work", strconv.FormatUint(fingerprint, 16))
-}
-
 func deathField(death uint64) zap.Field {
 	return zap.String("death", strconv.FormatUint(death, 16))
 }
@@ -27,13 +22,13 @@
 func (c *core) logGrant(w *waiting, p *Permit, now time.Duration) {
 	c.hooks.log.Info("permit granted", zap.String("request", w.req.RequestID), zap.String("gateway", w.req.Gateway),
 		zap.String("permit", p.ID), zap.String("endpoint", p.Endpoint), zap.String("incarnation", p.Incarnation),
-		workField(p.Fingerprint), zap.Int("strikes", c.suspects.Count(p.Fingerprint, now)),
+		logging.Work(p.Fingerprint), zap.Int("strikes", c.suspects.Count(p.Fingerprint, now)),
 		zap.Duration("waited", now-w.item.Enqueued))
 }
 
 func (c *core) logRefused(w *waiting, r *crocusreel.Refusal) {
 	c.hooks.log.Info("permit refused", zap.String("request", w.req.RequestID), zap.String("gateway", w.req.Gateway),
-		workField(w.req.Fingerprint), zap.String("reason", string(r.Reason)), zap.Duration("retry_after", r.RetryAfter))
+		logging.Work(w.req.Fingerprint), zap.String("reason", string(r.Reason)), zap.Duration("retry_after", r.RetryAfter))
 }
 
 // Both lines on a request that is held back are called for at each try to place it, and
@@ -55,17 +50,17 @@
 	}
 	w.held = true
 	c.hooks.log.Info(event, append(cause, zap.String("request", w.req.RequestID), zap.String("gateway", w.req.Gateway),
-		workField(w.req.Fingerprint))...)
+		logging.Work(w.req.Fingerprint))...)
 }
 
 func (c *core) logLoss(e *engine, p *Permit) {
-	c.hooks.log.Info("answer lost", zap.String("permit", p.ID), workField(p.Fingerprint), zap.String("endpoint", p.Endpoint),
+	c.hooks.log.Info("answer lost", zap.String("permit", p.ID), logging.Work(p.Fingerprint), zap.String("endpoint", p.Endpoint),
 		zap.String("incarnation", p.Incarnation), zap.String("known_incarnation", e.incarnation))
 }
 
 // logOutlived tells of a loss that is held against nobody.
 func (c *core) logOutlived(e *engine, l *loss, begun time.Duration) {
-	c.hooks.log.Info("engine outlived a lost answer", zap.String("permit", l.permit.ID), workField(l.permit.Fingerprint),
+	c.hooks.log.Info("engine outlived a lost answer", zap.String("permit", l.permit.ID), logging.Work(l.permit.Fingerprint),
 		zap.String("endpoint", l.permit.Endpoint), zap.String("incarnation", l.permit.Incarnation),
 		zap.String("known_incarnation", e.incarnation), zap.Duration("poll_began_after", begun-l.at))
 }
@@ -76,7 +71,7 @@
 }
 
 func (c *core) logStrike(p *Permit, now time.Duration) {
-	c.hooks.log.Info("strike", zap.String("permit", p.ID), workField(p.Fingerprint), zap.String("endpoint", p.Endpoint),
+	c.hooks.log.Info("strike", zap.String("permit", p.ID), logging.Work(p.Fingerprint), zap.String("endpoint", p.Endpoint),
 		deathField(p.death()), zap.Int("strikes", c.suspects.Count(p.Fingerprint, now)))
 }
 
@@ -86,7 +81,7 @@
 		before := c.suspects.Count(s.Fingerprint, now)
 		c.suspects.Merge(s, now)
 		if n := c.suspects.Count(s.Fingerprint, now); n != before {
-			c.hooks.log.Info("strike learned", zap.String("gateway", gateway), workField(s.Fingerprint), deathField(s.Death),
+			c.hooks.log.Info("strike learned", zap.String("gateway", gateway), logging.Work(s.Fingerprint), deathField(s.Death),
 				zap.Int("strikes", n), zap.Duration("age", now-s.At))
 		}
 	}
