--- a/tests/node/news_test.go
+++ b/tests/node/news_test.go
@@ -74,6 +74,57 @@
 		}
 	})
 
+	// Two things happen at once or one soon after the other: the reader hears nothing of the
+	// store any more, and the first node of another data centre, which follows it, stands
+	// still. The other node of that data centre passes over the one, then over the other, and
+	// an endpoint leaves in the meantime. Work sent to it after two seconds would be lost.
+	DescribeTable("reaches a node in time whose first node is frozen while the reader is cut off", func(between time.Duration) {
+		const bound = 2 * time.Second
+		s := newSite()
+		s.linked = true
+		s.dataCentres = []string{"dc1", "dc2", "dc2"}
+		s.app("i1")
+		s.start(3)
+		time.Sleep(1500 * time.Millisecond) // until the questions run in their rhythm
+		Expect(s.storeLink(0).Stall(rig.Downstream)).To(Succeed())
+		s.register("x", "pool", "127.0.0.1:9", "draining")
+		began := time.Now()
+		time.Sleep(between)
+		s.nodes[1].Freeze()
+		Eventually(s.knows(s.nodes[2], "x", "leaving=true"), bound-between, 5*time.Millisecond).Should(BeTrue())
+		AddReportEntry("news after", time.Since(began).String())
+	},
+		Entry("at once", time.Duration(0)),
+		Entry("half a second between", 500*time.Millisecond),
+		Entry("0.8 s between", 800*time.Millisecond),
+		Entry("1.0 s between", time.Second),
+		Entry("1.1 s between", 1100*time.Millisecond),
+		Entry("1.2 s between", 1200*time.Millisecond),
+	)
+
+	// The store turns the reader away for a second, and it alone. Right after, an endpoint
+	// takes its entry back without having said that it leaves. The reader cannot tell yet that
+	// the store was well all the time, takes the removal for one of an outage, and goes on
+	// sending work to the endpoint; so do all who follow it.
+	It("that is gone without a word is not used after a short loss that was the reader's alone", func() {
+		const bound = 2 * time.Second
+		s := newSite()
+		s.linked = true
+		s.app("i1")
+		s.register("x", "pool", "127.0.0.1:9", "ready")
+		s.start(3)
+		s.storeLink(0).Cut()
+		time.Sleep(time.Second)
+		Expect(s.storeLink(0).Heal()).To(Succeed())
+		time.Sleep(300 * time.Millisecond)
+		s.write(platform.Write{Table: platform.TableEndpoints, Key: "x", Delete: true})
+		for _, n := range s.nodes {
+			Eventually(func() bool {
+				return s.knows(n, "x", "tentative=false")() || s.knows(n, "x", "endpoint gone")()
+			}, bound, 5*time.Millisecond).Should(BeTrue(), n.ip)
+		}
+	})
+
 	// The reader stands still. Its followers wait for an answer that does not come.
 	It("reaches nodes in time whose reader is frozen", func() {
 		s := newSite()
--- a/tests/node/node_test.go
+++ b/tests/node/node_test.go
@@ -204,7 +204,7 @@
 
 	It("end with a message that names the line when the settings are wrong", func() {
 		s := newSite()
-		n := s.node("127.0.99.1", "")
+		n := s.node("127.0.99.1", "dc1", "")
 		broken := strings.Replace(readFile(s.dir, n.ip+".conf"), "bounds.grace_s=8", "bounds.grace_s=soon", 1)
 		writeFile(s.dir, n.ip+".conf", broken)
 		Expect(n.Start()).To(Succeed())
--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -53,6 +53,8 @@
 	// linked puts a proxy in front of each endpoint and, for each node, of the store; links
 	// are these proxies.
 	linked bool
+	// dataCentres are those of the nodes, in order; nodes beyond are in dc1.
+	dataCentres []string
 	// addresses are those of engines, by ID.
 	addresses map[string]string
 	links     []*rig.Link
@@ -170,7 +172,11 @@
 		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", network, i+1, peerPort))
 	}
 	for i := range count {
-		s.nodes = append(s.nodes, s.node(fmt.Sprintf("%s.%d", network, i+1), strings.Join(seeds, ",")))
+		dataCentre := "dc1"
+		if i < len(s.dataCentres) {
+			dataCentre = s.dataCentres[i]
+		}
+		s.nodes = append(s.nodes, s.node(fmt.Sprintf("%s.%d", network, i+1), dataCentre, strings.Join(seeds, ",")))
 	}
 	for _, n := range s.nodes {
 		Expect(n.Start()).To(Succeed())
@@ -185,13 +191,14 @@
 	}
 }
 
-func (s *site) node(ip, seeds string) *member {
+func (s *site) node(ip, dataCentre, seeds string) *member {
 	GinkgoHelper()
 	settings := fmt.Sprintf(`node_name=node-%[1]s
 ip=%[1]s
-zone=dc1
+zone=%[9]s
 region=north
 zones.dc1=north
+zones.dc2=north
 listen.frontend=%[1]s:%[2]d
 listen.ready=%[1]s:%[3]d
 listen.control_plane=%[1]s:%[4]d
@@ -204,7 +211,7 @@
 bounds.grace_s=8
 bounds.retry_slack=50
 platform.address=%[8]s
-`, ip, callerPort, readyPort, peerPort, addressPort, gossipPort, seeds, s.front("store of "+ip, s.addr))
+`, ip, callerPort, readyPort, peerPort, addressPort, gossipPort, seeds, s.front("store of "+ip, s.addr), dataCentre)
 	path := filepath.Join(s.dir, ip+".conf")
 	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
 	log := filepath.Join(s.dir, ip+".log")
