Take a loss of the store for this node's alone when the store answered another one meanwhile

Symptom: an endpoint that is gone without a word within 2 s of a short loss at the reader alone is used by that node for over 2.0 s, for a bound of 2.0 s.

Cause, from the logs of the failing spec: 'store lost' at 21.165 on the first node, which then follows the second; 'endpoint removed' at 22.470 on all three, tentative=true on the first alone. A loss counted as the node's own only when it had lasted for 2 s, until when the others' claim to read the store proves nothing. What they tell proves more: an answer of theirs that the store gave after the loss began. It is dated by the time of the question, so that a slow way of the answer cannot make it younger.

--- a/node/feed.go
+++ b/node/feed.go
@@ -230,6 +230,20 @@
 	f.linkChanged()
 }
 
+// servedOther tells that the store answered another node, which had not lost it, at the given
+// time or later. If that was during this node's loss, the loss is this node's alone, however short
+// it was: a removal that is read then is no consequence of an outage. Held for one, an
+// endpoint that is gone would be used for over two seconds more.
+func (f *feed) servedOther(answered time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost == 0 || f.onlyHere || answered <= f.lost {
+		return
+	}
+	f.onlyHere = true
+	f.log.Info("store is lost to this node alone", zap.String("table", f.table), zap.Duration("answered_another_after", answered-f.lost))
+}
+
 // lostHereOnly tells whether the last loss was this node's alone: the store served others,
 // and no entry expired for it.
 func (f *feed) lostHereOnly() bool {
--- a/node/follow.go
+++ b/node/follow.go
@@ -161,7 +161,8 @@
 		n.applyConfiguration(c.GetData(), c.GetVersion(), seen)
 	}
 	n.config.Confirm(resp.Msg.GetConfigVersion(), seen)
-	n.endpointsFromPeer(resp.Msg, endpoints, knowledge.Seen{Answered: answered - millis(resp.Msg.GetEndpointsAgeMs())})
+	age := millis(resp.Msg.GetEndpointsAgeMs())
+	n.endpointsFromPeer(resp.Msg, endpoints, knowledge.Seen{Certain: asked - age, Answered: answered - age})
 	return nil
 }
 
@@ -176,6 +177,9 @@
 	}
 	n.unsteadyPeer.Store(resp.GetUnsteady())
 	n.awayPeer.Store(resp.GetAway())
+	if !resp.GetUnsteady() && !resp.GetAway() {
+		n.endpointFeed.servedOther(seen.Certain)
+	}
 	if resp.GetEndpointsWhole() {
 		n.endpointsListed(listing, seen)
 		return
