--- a/relay/copies.go
+++ b/relay/copies.go
@@ -121,6 +121,10 @@
 	if stopped != "" {
 		copies[0].resume = Resume{Source: l.p.Instance().Address, Handle: stopped, LastEvent: at.last}
 	}
+	if !leaving(l.p) {
+		// The death may be held against the work; this copy is under way all the same.
+		l.setClaim(true)
+	}
 	for i := range copies {
 		place := copies[i].take()
 		if place == nil {
--- a/relay/death.go
+++ b/relay/death.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,34 +31,36 @@
 	return j.Client.Refuses(ctx, p.Instance().Address)
 }
 
-// strikeIfDead holds the death of the placement's endpoint against the request, once. One
-// that had said that it leaves did not die of the request.
+// strikeIfDead holds the death of the placement's endpoint against the request. One that had
+// said that it leaves did not die of the request.
 func (j *job) strikeIfDead(ctx context.Context, p *fleet.Placement) {
 	in := p.Instance()
-	key := in.Incarnation().Key()
-	if leaving(p) && p.Life().Err() == nil || slices.Contains(j.struck, key) || !j.gone(ctx, p) {
+	if leaving(p) && p.Life().Err() == nil || !j.gone(ctx, p) {
 		return
 	}
-	j.struck = append(j.struck, key)
-	// Until it ends, or waits for its turn to run again, the request may be at work elsewhere.
-	j.setClaim(true)
-	strikes := j.Strikes.Add(j.r.Fingerprint, uint32(key))
+	strikes := j.Strikes.Add(j.r.Fingerprint, uint32(in.Incarnation().Key()))
 	metrics.Count("endpoint_died")
 	j.Log.Warn("endpoint died of a request", zap.String("request", j.r.ID), zap.String("endpoint", in.ID),
 		logging.Work(uint64(j.r.Fingerprint)), zap.String("address", in.Address), zap.Int("strikes", strikes))
 }
 
-// deadly tells whether so many endpoints died of the request, or may die of its copies, that
-// it must not go on.
-func (j *job) deadly() bool {
-	strikes := j.Strikes.Count(j.r.Fingerprint)
-	if strikes == 0 || j.own == nil {
-		return strikes >= strikeLimit
+// strikeIfCut does the same for a stream that was cut off and may go on from a copy, which
+// should not pause for that question. Only if the death would be the last one allowed is it
+// answered at once; else the returned function waits for the answer. A caller that is told
+// of the loss may send the request again at once, and the strike has to be there before it.
+func (j *job) strikeIfCut(ctx context.Context, p *fleet.Placement) (wait func()) {
+	if j.Strikes.Count(j.r.Fingerprint)+1 >= strikeLimit {
+		j.strikeIfDead(ctx, p)
+		return func() {}
 	}
-	ahead, _ := j.Claims.ahead(*j.own)
-	return strikes+ahead >= strikeLimit
+	var asked sync.WaitGroup
+	asked.Go(func() { j.strikeIfDead(ctx, p) })
+	return asked.Wait
 }
 
+// deadly tells whether so many endpoints died of the request that it must not go on.
+func (j *job) deadly() bool { return j.Strikes.Count(j.r.Fingerprint) >= strikeLimit }
+
 func leaving(p *fleet.Placement) bool {
 	select {
 	case <-p.Leaving():
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -192,8 +192,6 @@
 	tried   []string
 	// own is the request's claim to its work; nil if it has none.
 	own *Claim
-	// struck are the incarnations whose death was held against the request.
-	struck []fleet.EndpointKey
 	// ran is set once an endpoint may have run the request.
 	ran bool
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -180,11 +180,12 @@
 		l.finish(fleet.Neutral)
 		return legCut, nil
 	}
-	l.strikeIfDead(ctx, l.p)
+	wait := l.strikeIfCut(ctx, l.p)
 	if next := l.fromCopy(ctx, at); next != nil {
 		l.finish(l.cutHealth())
 		return end, next
 	}
+	wait()
 	l.verdict.Detail = "stream cut: " + cause.Error()
 	l.finish(l.cutHealth())
 	return end, nil
