Gather strikes at plain services into one message to each gateway; keep the usual pause of gossip

A service that dies with hundreds of calls would have cost each gateway as many messages: at 410 gateways, over a hundred thousand. Strikes of 5 ms go out together now, 1,024 at most. The urgent pause of gossip had cut the usual one from 10 to 8 ms; claims are told in the order of their turns. Found on reading the diff.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,7 @@
 	// budgets are those of workspaces, endpointBudgets those of plain services.
 	budgets, endpointBudgets *retry.Budgets
 	strikes                  *strikes
+	teller                   teller
 	records                  *records
 	running                  *concurrency
 	drain                    drain
--- a/gateway/struck.go
+++ b/gateway/struck.go
@@ -15,10 +15,17 @@
 	"github.com/crocusreel/crocusreel/peer/peerv1"
 )
 
-// struckTimeout bounds the wait for other gateways to learn of a strike, as that of a pool's
-// scheduler is bounded for a loss: one that is frozen or cut off costs the caller of a lost
-// call no more.
-const struckTimeout = 300 * time.Millisecond
+const (
+	// struckTimeout bounds the wait for other gateways to learn of a strike, as that of a
+	// pool's scheduler is bounded for a loss: one that is frozen or cut off costs the caller
+	// of a lost call no more.
+	struckTimeout = 300 * time.Millisecond
+	// struckGather is how long strikes are gathered before they are told. A service that dies
+	// with some hundred calls would otherwise cost as many messages to each gateway.
+	struckGather = 5 * time.Millisecond
+	// maxStrikesTold bounds the strikes of one message; those beyond are not told.
+	maxStrikesTold = 1024
+)
 
 // gatewayPeers reaches other gateways.
 type gatewayPeers struct {
@@ -26,11 +33,46 @@
 	scheme string
 }
 
+// teller gathers the strikes that other gateways have to be told of.
+type teller struct {
+	mu sync.Mutex
+	// next is the round that is being gathered, nil if none is.
+	next *strikeRound
+}
+
+// strikeRound is one message to all gateways; done is closed once they know, or do not answer.
+type strikeRound struct {
+	strikes []*peerv1.ServiceStrike
+	done    chan struct{}
+}
+
 // tellStruck tells all other gateways that a service died of a call, and waits until they
 // know. The caller is answered right after and may send the call again through any of them:
 // were it there before the strike, a deadly call would take one more service down at each
 // gateway.
 func (g *Gateway) tellStruck(strike *peerv1.ServiceStrike) {
+	g.teller.mu.Lock()
+	round := g.teller.next
+	if round == nil {
+		round = &strikeRound{done: make(chan struct{})}
+		g.teller.next = round
+		time.AfterFunc(struckGather, func() { g.tellRound(round) })
+	}
+	if len(round.strikes) < maxStrikesTold {
+		round.strikes = append(round.strikes, strike)
+	} else {
+		metrics.Count("strike_not_told")
+	}
+	g.teller.mu.Unlock()
+	<-round.done
+}
+
+// tellRound sends a round to all gateways at a time.
+func (g *Gateway) tellRound(round *strikeRound) {
+	defer close(round.done)
+	g.teller.mu.Lock()
+	g.teller.next = nil
+	g.teller.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), struckTimeout)
 	defer cancel()
 	var told sync.WaitGroup
@@ -38,18 +80,18 @@
 		if m.GetGatewayAddress() == "" || m.GetId() == g.settings.vm.ID || m.GetState() == peerv1.MemberState_MEMBER_STATE_DEAD {
 			continue
 		}
-		told.Go(func() { g.tellOneStruck(ctx, m, strike) })
+		told.Go(func() { g.tellGateway(ctx, m, round.strikes) })
 	}
 	told.Wait()
 }
 
-func (g *Gateway) tellOneStruck(ctx context.Context, m *peerv1.Member, strike *peerv1.ServiceStrike) {
+func (g *Gateway) tellGateway(ctx context.Context, m *peerv1.Member, strikes []*peerv1.ServiceStrike) {
 	client := peerv1.NewGatewayClient(g.peers.client, g.peers.scheme+"://"+m.GetGatewayAddress())
-	_, err := client.Struck(ctx, connect.NewRequest(&peerv1.StruckRequest{Gateway: g.settings.vm.ID, Strike: strike}))
+	_, err := client.Struck(ctx, connect.NewRequest(&peerv1.StruckRequest{Gateway: g.settings.vm.ID, Strikes: strikes}))
 	if err != nil {
-		metrics.Count("strike_not_told")
-		g.log.Warn("strike not told to a gateway", zap.String("gateway", m.GetId()),
-			zap.String("service", strike.GetService()), logging.Work(strike.GetContent()), zap.Error(err))
+		metrics.CountN("strike_not_told", int64(len(strikes)))
+		g.log.Warn("strikes not told to a gateway", zap.String("gateway", m.GetId()), zap.Int("strikes", len(strikes)),
+			zap.String("service", strikes[0].GetService()), logging.Work(strikes[0].GetContent()), zap.Error(err))
 	}
 }
 
@@ -63,10 +105,12 @@
 
 // Struck implements peer.v1.Gateway.
 func (s gatewayRPC) Struck(_ context.Context, r *connect.Request[peerv1.StruckRequest]) (*connect.Response[peerv1.StruckResponse], error) {
-	strike := r.Msg.GetStrike()
-	began := time.Now().Add(-time.Duration(strike.GetBeganMs()) * time.Millisecond)
-	if n, counted := s.g.strikes.add(strike.GetService(), strike.GetContent(), began); counted {
-		s.g.logStruck(strike, n, r.Msg.GetGateway())
+	now := time.Now()
+	for _, strike := range r.Msg.GetStrikes() {
+		began := now.Add(-time.Duration(strike.GetBeganMs()) * time.Millisecond)
+		if n, counted := s.g.strikes.add(strike.GetService(), strike.GetContent(), began); counted {
+			s.g.logStruck(strike, n, r.Msg.GetGateway())
+		}
 	}
 	return connect.NewResponse(&peerv1.StruckResponse{}), nil
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -245,7 +245,7 @@
 
 // space keeps two rounds apart; it returns false once ctx ends.
 func (g *Gossip) space(ctx context.Context) bool {
-	spaced := time.NewTimer(shortestGap - urgentGap)
+	spaced := time.NewTimer(shortestGap)
 	defer spaced.Stop()
 	if !retry.Sleep(ctx, urgentGap) {
 		return false
--- a/peer/peerv1/peer.connect.go
+++ b/peer/peerv1/peer.connect.go
@@ -406,7 +406,7 @@
 
 // GatewayClient is a client for the peer.v1.Gateway service.
 type GatewayClient interface {
-	// Struck tells of a strike against a call. There is no scheduler for plain services that
+	// Struck tells of strikes against calls. There is no scheduler for plain services that
 	// could count them for all.
 	Struck(context.Context, *connect.Request[StruckRequest]) (*connect.Response[StruckResponse], error)
 }
@@ -443,7 +443,7 @@
 
 // GatewayHandler is an implementation of the peer.v1.Gateway service.
 type GatewayHandler interface {
-	// Struck tells of a strike against a call. There is no scheduler for plain services that
+	// Struck tells of strikes against calls. There is no scheduler for plain services that
 	// could count them for all.
 	Struck(context.Context, *connect.Request[StruckRequest]) (*connect.Response[StruckResponse], error)
 }
--- a/relay/claims.go
+++ b/relay/claims.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,10 +29,11 @@
 const (
 	// claimSettles is how long a claim is told before it counts: then every node that hears
 	// this one knows of it, and of two claims made at the same time both sides see which
-	// comes first. A datagram takes some milliseconds between data centres, and 5 ms may
-	// pass before it is sent.
+	// comes first. A datagram takes some milliseconds between data centres, and two may pass
+	// before it is sent.
 	claimSettles = 25 * time.Millisecond
-	// maxClaims bounds the claims that are told; those beyond are counted here only.
+	// maxClaims bounds the claims that are told, in the order of their turns; those beyond
+	// are counted here only. Each takes 15 B of a datagram of 1,400.
 	maxClaims = 16
 	// claimRetry is when a caller whose work could not be claimed may come back: most
 	// answers are whole by then, or their endpoints dead.
@@ -68,13 +72,16 @@
 func (c *Claims) Own() []Claim {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	claims := make([]Claim, 0, min(len(c.own), maxClaims))
-	for _, claim := range c.own {
-		if len(claims) < maxClaims {
-			claims = append(claims, claim)
+	claims := slices.SortedFunc(maps.Values(c.own), func(a, b Claim) int {
+		if a.Running != b.Running {
+			if a.Running {
+				return -1
+			}
+			return 1
 		}
-	}
-	return claims
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return claims[:min(len(claims), maxClaims)]
 }
 
 // SetRemote replaces the claims of another node; none if it is no longer heard.
