--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"os"
 	"sync"
 	"time"
 
@@ -26,6 +28,10 @@
 	ready bool
 }
 
+// own returns an address of this process: two runs of the suite at the same time would not get
+// each other's, and one of them would fail to listen.
+func own(n int) string { return fmt.Sprintf("127.%d.0.%d", 1+os.Getpid()%250, n) }
+
 // port is one that is below the ports of outgoing connections.
 const port = 23117
 
@@ -101,7 +107,7 @@
 var _ = Describe("nodes that gossip", func() {
 	// A new node knows one other node only, as after a start with one good seed.
 	It("learn of all through one, and tell what has changed", func() {
-		a, b, c := start("127.0.0.11", 1), start("127.0.0.12", 1), start("127.0.0.13", 1)
+		a, b, c := start(own(11), 1), start(own(12), 1), start(own(13), 1)
 		a.Add(b.ip)
 		c.Add(b.ip)
 		Eventually(a.live, 3*time.Second).Should(Equal([]string{b.ip, c.ip}))
@@ -116,7 +122,7 @@
 	// A node that was just found is told addresses at once. Told of loads only, the other
 	// could do nothing with it, and for a second they would choose the same engines.
 	It("know each other within two rounds", func() {
-		a, b := start("127.0.0.41", 1), start("127.0.0.42", 1)
+		a, b := start(own(41), 1), start(own(42), 1)
 		time.Sleep(250 * time.Millisecond)
 		a.Add(b.ip)
 		Eventually(b.live, 600*time.Millisecond, 10*time.Millisecond).ShouldNot(BeEmpty())
@@ -128,7 +134,7 @@
 	// changes by it at once, under locks of its own: a gossip that waited for those would
 	// stand still for ever, and its node would soon serve no keys.
 	It("lose one that is silent, and find it again", func() {
-		a, b := start("127.0.0.21", 1), start("127.0.0.22", 1)
+		a, b := start(own(21), 1), start(own(22), 1)
 		a.Add(b.ip)
 		Eventually(a.live, 2*time.Second).Should(Equal([]string{b.ip}))
 		b.stop()
@@ -141,7 +147,7 @@
 	// With some sixty nodes, addresses were two fifths of all bytes between data centres.
 	// They are told to a node that was just found, and then hardly ever.
 	It("tell addresses once, and loads in each round", func() {
-		a, b := start("127.0.0.51", 1), start("127.0.0.52", 1)
+		a, b := start(own(51), 1), start(own(52), 1)
 		a.Add(b.ip)
 		Eventually(a.live, 2*time.Second).ShouldNot(BeEmpty())
 		Eventually(b.live, 2*time.Second).ShouldNot(BeEmpty())
@@ -163,7 +169,7 @@
 	// data centre. To tell all nodes of each request costs bytes that grow with the square
 	// of their number.
 	It("tell of new work where it matters, and elsewhere with the next round", func() {
-		a, near, far := start("127.0.0.61", 1), start("127.0.0.62", 1), startIn("far", "127.0.0.63", 1)
+		a, near, far := start(own(61), 1), start(own(62), 1), startIn("far", own(63), 1)
 		a.Add(near.ip, far.ip)
 		Eventually(a.live, 2*time.Second).Should(HaveLen(2))
 		Eventually(far.live, 2*time.Second).Should(HaveLen(2))
@@ -180,7 +186,7 @@
 	// New work is told at once: a node that learns of it a round later chooses the same
 	// engine meanwhile.
 	It("tell of new work before the next round", func() {
-		a, b := start("127.0.0.31", 1), start("127.0.0.32", 1)
+		a, b := start(own(31), 1), start(own(32), 1)
 		a.Add(b.ip)
 		Eventually(a.live, 2*time.Second).ShouldNot(BeEmpty())
 		Eventually(b.live, 2*time.Second).ShouldNot(BeEmpty())
