--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -62,6 +62,14 @@
 	return r.start("pool", worker.Options{ID: id, Events: events, Gap: 5 * time.Millisecond, Memory: r.memory, FaultOf: faultOf})
 }
 
+// runsAt counts what the workers began to work on.
+func runsAt(workers []*worker.Worker) (runs int) {
+	for _, w := range workers {
+		runs += len(w.Runs())
+	}
+	return runs
+}
+
 func always(f worker.Fault) func(*worker.Run) worker.Fault {
 	return func(*worker.Run) worker.Fault { return f }
 }
@@ -442,11 +450,7 @@
 		for range 4 {
 			r.serve(r.request(routing.Streaming))
 		}
-		runs := 0
-		for _, e := range engines {
-			runs += len(e.Runs())
-		}
-		Expect(runs).To(Equal(relay.StrikeLimit))
+		Expect(runsAt(engines)).To(Equal(relay.StrikeLimit))
 	})
 
 	// A stream ends, or its caller leaves, while its memory is copied away. A copy left
@@ -547,11 +551,7 @@
 		for range 8 {
 			r.serve(r.request(routing.Streaming))
 		}
-		runs := 0
-		for _, e := range engines {
-			runs += len(e.Runs())
-		}
-		Expect(runs).To(Equal(relay.StrikeLimit))
+		Expect(runsAt(engines)).To(Equal(relay.StrikeLimit))
 		v, _ := r.serve(r.request(routing.Streaming))
 		Expect(v.Refusal.Reason).To(Equal(crocusreel.ReasonSuspect))
 		Expect(v.Refusal.Outcome).To(Equal(crocusreel.OutcomeNotRun))
@@ -572,11 +572,7 @@
 			copies.Go(func() { r.serve(req) })
 		}
 		copies.Wait()
-		runs := 0
-		for _, e := range engines {
-			runs += len(e.Runs())
-		}
-		Expect(runs).To(Equal(relay.StrikeLimit))
+		Expect(runsAt(engines)).To(Equal(relay.StrikeLimit))
 		Expect(r.Claims.Own()).To(BeEmpty())
 	})
 
@@ -615,11 +611,7 @@
 		for range 4 {
 			r.serve(r.request(routing.Idempotent))
 		}
-		runs := 0
-		for _, a := range apps {
-			runs += len(a.Runs())
-		}
-		Expect(runs).To(Equal(relay.StrikeLimit))
+		Expect(runsAt(apps)).To(Equal(relay.StrikeLimit))
 		v, _ := r.serve(r.request(routing.Idempotent))
 		Expect(v.Refusal.Reason).To(Equal(crocusreel.ReasonSuspect))
 	})
