--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -79,10 +79,23 @@
 	Memory *Memory
 	// MoveTime is the time that a copy takes.
 	MoveTime time.Duration
+	// Dying makes the worker die once it has made a copy; nil for a worker that lives on.
+	Dying *Dying
+	// LostMoveAnswers is the number of copies whose answer is lost: they are made, and the
+	// connection is closed.
+	LostMoveAnswers int
 	// FaultOf chooses the fault for a request; nil for none.
 	FaultOf func(r *Run) Fault
 }
 
+// Dying is how a worker dies that has just made a copy: its streams are cut, and the copy's
+// answer goes out, each so long after the copy was made.
+type Dying struct {
+	CutAfter, AnswerAfter time.Duration
+	// AnswerLost leaves the answer out.
+	AnswerLost bool
+}
+
 // Worker is a running stand-in.
 type Worker struct {
 	options  Options
@@ -96,6 +109,8 @@
 	leaving bool
 	// conns are those of streams, which the server no longer knows.
 	conns []net.Conn
+	// moves counts the orders to copy.
+	moves int
 }
 
 type stream struct {
@@ -136,6 +151,10 @@
 func (w *Worker) Stop() {
 	_ = w.listener.Close()
 	_ = w.server.Close()
+	w.cutStreams()
+}
+
+func (w *Worker) cutStreams() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, conn := range w.conns {
@@ -143,6 +162,17 @@
 	}
 }
 
+// die cuts the streams and ends the worker once the answer to the order under way is out.
+func (w *Worker) die(d Dying) {
+	_ = w.listener.Close()
+	time.AfterFunc(d.CutAfter, w.cutStreams)
+	time.AfterFunc(d.AnswerAfter+dyingFor, w.Stop)
+	time.Sleep(d.AnswerAfter)
+}
+
+// dyingFor is the time after its last answer in which a dying worker's process ends.
+const dyingFor = 50 * time.Millisecond
+
 // Runs returns the requests that the worker began to work on.
 func (w *Worker) Runs() []Run {
 	w.mu.Lock()
@@ -150,6 +180,13 @@
 	return append([]Run(nil), w.runs...)
 }
 
+// Moves returns the number of orders to copy a run that came in.
+func (w *Worker) Moves() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.moves
+}
+
 // Closed returns the IDs of streams that the caller left before their end.
 func (w *Worker) Closed() []string {
 	w.mu.Lock()
@@ -364,12 +401,21 @@
 		return
 	}
 	made := s.made
+	w.moves++
+	answerLost := w.moves <= w.options.LostMoveAnswers
 	if body.Final {
 		s.once.Do(func() { close(s.stop) })
 	}
 	w.mu.Unlock()
 	time.Sleep(w.options.MoveTime)
 	handle := w.options.Memory.keep(body.ID, made)
+	if d := w.options.Dying; d != nil {
+		w.die(*d)
+		answerLost = answerLost || d.AnswerLost
+	}
+	if answerLost {
+		panic(http.ErrAbortHandler)
+	}
 	_ = json.NewEncoder(rw).Encode(map[string]any{"cache_handle": handle, "created": made})
 }
 
--- /dev/null
+++ b/relay/latenews_test.go
@@ -0,0 +1,111 @@
+package relay_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/internal/standin/worker"
+	"github.com/crocusreel/crocusreel/relay"
+	"github.com/crocusreel/crocusreel/routing"
+)
+
+// leavingStream is a stream whose engine leaves while another one has room.
+type leavingStream struct {
+	*rig
+	req           *relay.Request
+	first, second *worker.Worker
+	answer        *answer
+	done          chan relay.Verdict
+	cancel        context.CancelFunc
+}
+
+// answerTime is longer than an answer takes from one goroutine of this process to another.
+const answerTime = 50 * time.Millisecond
+
+// longStream is the number of events of a stream that is still running when its engine dies.
+const longStream = 100
+
+// startLeaving starts a stream at an engine with the options, adds another engine, and has
+// the first one say that it leaves.
+func startLeaving(o worker.Options) *leavingStream {
+	GinkgoHelper()
+	s := &leavingStream{rig: newRig(), answer: &answer{}, done: make(chan relay.Verdict, 1)}
+	o.ID, o.Events, o.Gap, o.Memory = "first", longStream, 5*time.Millisecond, s.memory
+	s.first = s.start("pool", o)
+	s.req = s.request(routing.Streaming)
+	var ctx context.Context
+	ctx, s.cancel = context.WithCancel(context.Background())
+	DeferCleanup(s.cancel)
+	go func() { s.done <- s.Serve(ctx, s.req, s.answer) }()
+	Eventually(s.answer.text).Should(ContainSubstring("id: 10\n"))
+	s.second = s.engine("second", longStream, nil)
+	s.leaving("first")
+	return s
+}
+
+var _ = Describe("a stream whose engine dies while its memory is copied", func() {
+	// An engine that leaves makes a copy of a run and dies at that moment. Its stream is
+	// cut, and the answer that the copy is made comes a little earlier or later, by another
+	// connection. The copy is there all the same: the caller's stream must go on from it.
+	// A node that looks for a copy at the cut only finds none and gives the stream up; its
+	// log shows "request ended" broken, right before "memory copied".
+	DescribeTable("goes on from the copy whichever comes first, the cut or the answer",
+		func(dying worker.Dying) {
+			s := startLeaving(worker.Options{Dying: &dying})
+			var v relay.Verdict
+			Eventually(s.done, 3*time.Second).Should(Receive(&v))
+			Expect(v.Broken).To(BeFalse())
+			Expect(v.Moves).To(Equal(1))
+			Expect(s.answer.text()).To(Equal(events(s.req.ID, 1, longStream)))
+			Expect(s.second.Runs()).To(HaveLen(1))
+			Expect(s.second.Runs()[0].Resumed).To(BeTrue())
+			Eventually(s.Fleet.OwnLoads, 3*time.Second).Should(BeEmpty())
+		},
+		Entry("the answer first", worker.Dying{CutAfter: 40 * time.Millisecond, AnswerAfter: 5 * time.Millisecond}),
+		Entry("the cut first", worker.Dying{CutAfter: 5 * time.Millisecond, AnswerAfter: 40 * time.Millisecond}),
+		Entry("the cut long before", worker.Dying{CutAfter: time.Millisecond, AnswerAfter: 400 * time.Millisecond}),
+	)
+
+	// The engine dies with the answer unsent. Nobody knows the copy's name, and the caller
+	// has to learn at once that the stream is not whole.
+	It("is given up as soon as the answer is known to be lost", func() {
+		s := startLeaving(worker.Options{
+			Dying: &worker.Dying{CutAfter: time.Millisecond, AnswerAfter: 40 * time.Millisecond, AnswerLost: true},
+		})
+		Eventually(s.done, 500*time.Millisecond).Should(Receive(HaveField("Broken", true)))
+		Expect(s.second.Runs()).To(BeEmpty())
+	})
+
+	// The caller leaves while the stream waits for the answer. The copy must be freed, and
+	// its place given back.
+	It("leaves no copy behind when its caller does not wait", func() {
+		s := startLeaving(worker.Options{Dying: &worker.Dying{CutAfter: time.Millisecond, AnswerAfter: 400 * time.Millisecond}})
+		time.Sleep(100 * time.Millisecond)
+		s.cancel()
+		Eventually(s.done, 200*time.Millisecond).Should(Receive(HaveField("Broken", true)))
+		Eventually(s.Fleet.OwnLoads, 3*time.Second).Should(BeEmpty())
+		Eventually(s.memory.Copies, 3*time.Second).Should(BeZero())
+		Expect(s.second.Runs()).To(BeEmpty())
+	})
+})
+
+var _ = Describe("a stream whose copy is made without an answer", func() {
+	// The connection of the order to copy breaks while the engine lives. The copy is there;
+	// asked again, the engine sends only what is new and names it. A node that goes to
+	// another target instead sends all of the memory once more, over a link on which other
+	// runs wait, and the engine is gone before the last of them.
+	It("asks the same target again", func() {
+		s := startLeaving(worker.Options{LostMoveAnswers: 1})
+		third := s.engine("third", longStream, nil)
+		Eventually(s.first.Moves, 100*time.Millisecond, time.Millisecond).Should(BeNumerically(">=", 2))
+		time.Sleep(answerTime)
+		s.first.Stop()
+		Eventually(s.done, 3*time.Second).Should(Receive(HaveField("Broken", false)))
+		Expect(s.answer.text()).To(Equal(events(s.req.ID, 1, longStream)))
+		Expect(s.second.Runs()).To(HaveLen(1))
+		Expect(third.Runs()).To(BeEmpty())
+	})
+})
