Wait for the answer to an order to copy before a cut stream is given up

Symptom: "request ended" broken with "memory copied" 0.13 ms behind it (tests/node, listed in KNOWN-RED). Cause: at the cut the node looked for copies that it knew of. An engine that dies as it has made a copy cuts the stream by one connection and answers the order by another, in any order. Now a stream without another copy waits for the answer under way, as long as its caller waits; the order itself is bounded by copyTimeout, and fails at once when its connection breaks.

Elsewhere: an order whose answer was lost while the engine lives was taken for the target's refusal, and all of the memory went to another target. It is asked again (409 while the copy is under way), which sends what is new and names the copy. A backup that is being made needs no wait: it grows from the start, and an engine without it refuses unrun, after which the move under way is waited for too.

Ruled out: a copy dropped by the mover (the line "memory copied" has no cause and is not refused); a target that died. Log line "stream waited for its copy", counters stream_awaited_copy, copy_ordered_again.

--- a/relay/copies.go
+++ b/relay/copies.go
@@ -20,8 +20,12 @@
 // its streams along, and one that leaves on short notice is emptied over a link that is too
 // slow for all of its runs.
 
-// ErrNoRun is for a run that an engine does not know, or no longer.
-var ErrNoRun = errors.New("the engine knows no such run")
+var (
+	// ErrNoRun is for a run that an engine does not know, or no longer.
+	ErrNoRun = errors.New("the engine knows no such run")
+	// ErrCopying is for a run that an engine is copying already.
+	ErrCopying = errors.New("the engine is copying the run already")
+)
 
 const (
 	// overTimeout bounds the question whether a run is over whose answer broke off: two
@@ -109,7 +113,20 @@
 
 // fromCopy continues a stream whose engine is gone, nil if that is not possible.
 func (l *leg) fromCopy(ctx context.Context, at *progress) *leg {
-	copies := l.copies(at)
+	if next := l.fromOne(ctx, at, l.copies(at)); next != nil {
+		return next
+	}
+	if l.deadly() || !l.mover.awaitOrder(ctx) {
+		return nil
+	}
+	metrics.Count("stream_awaited_copy")
+	l.Log.Info("stream waited for its copy", zap.String("request", l.r.ID), zap.String("endpoint", l.p.Instance().ID),
+		zap.Bool("copied", l.mover.copied() != nil), zap.Duration("pause", time.Since(at.lastAt)))
+	return l.fromOne(ctx, at, l.copies(at))
+}
+
+// fromOne continues a stream from one of the copies, nil if none of them serves.
+func (l *leg) fromOne(ctx context.Context, at *progress, copies []copyOfRun) *leg {
 	if len(copies) == 0 || l.deadly() {
 		return nil
 	}
--- a/relay/mover.go
+++ b/relay/mover.go
@@ -33,6 +33,9 @@
 	mu sync.Mutex
 	// copy is the run's copy at a target, nil while there is none.
 	copy *targetCopy
+	// answered is closed once the order to copy that is under way has its answer, and the
+	// copy that it made, if any, is kept; nil while none is under way.
+	answered chan struct{}
 }
 
 const (
@@ -126,23 +129,45 @@
 		return false
 	}
 	t := &transfer{leg: l, target: target}
-	copied := t.copy(ctx)
-	target.Arrived()
-	if !copied {
+	if !m.order(ctx, t) {
 		m.refused = append(m.refused, target.Instance().ID)
 		t.abandon()
 		return ctx.Err() != nil
 	}
-	m.keepCopy(&targetCopy{source: l.p.Instance().Address, handle: t.handle, target: target})
 	l.Vacated.leave(l.runKey())
 	t.refresh(ctx)
 	return true
 }
 
-func (m *mover) keepCopy(c *targetCopy) {
+// order has the transfer's copy made and keeps it; it returns false if there is none.
+func (m *mover) order(ctx context.Context, t *transfer) bool {
+	answered := make(chan struct{})
+	defer close(answered)
+	m.mu.Lock()
+	m.answered = answered
+	m.mu.Unlock()
+	copied := t.copy(ctx)
+	t.target.Arrived()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.copy = c
+	m.answered = nil
+	if copied {
+		m.copy = &targetCopy{source: m.leg.p.Instance().Address, handle: t.handle, target: t.target}
+	}
+	return copied
+}
+
+// awaitOrder waits for the answer to the order to copy that is under way; it returns false
+// if there is none, or if ctx ends first.
+//
+// An engine may die right after it has made a copy. Its streams are then cut, each by a
+// connection of its own, a moment before or after the answer to the order: a stream that
+// asked for copies at its cut only would be given up with its copy at hand.
+func (m *mover) awaitOrder(ctx context.Context) bool {
+	m.mu.Lock()
+	answered := m.answered
+	m.mu.Unlock()
+	return answered != nil && await(ctx, answered)
 }
 
 // copied returns the run's copy, nil if there is none.
--- a/relay/transfer.go
+++ b/relay/transfer.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/retry"
@@ -18,6 +20,10 @@
 	// refreshEvery is the time between two copies of what is new: 40 tokens of a run, which
 	// an engine reads again in some milliseconds. A copy is also kept for some seconds only.
 	refreshEvery = 300 * time.Millisecond
+	// copyTries bounds the orders for one copy whose answers are lost, and copyRetry is the
+	// first pause between two of them; it doubles.
+	copyTries = 6
+	copyRetry = 20 * time.Millisecond
 	// freeTimeout bounds the order to free a copy.
 	freeTimeout = 500 * time.Millisecond
 )
@@ -37,7 +43,7 @@
 func (t *transfer) copy(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
 	defer cancel()
-	got, err := t.move(call)
+	got, err := t.moveSurely(call, ctx)
 	if got.Handle != "" {
 		t.handle = got.Handle
 	}
@@ -55,6 +61,29 @@
 	}
 }
 
+// moveSurely orders the copy, and again while the order's answer is lost, until that
+// ends. The copy is made all the same, and only a second order, which sends what is new,
+// tells its name. Without it the whole memory would go to another target once more, on a
+// link that other runs of the leaving engine wait for.
+func (t *transfer) moveSurely(ctx, until context.Context) (Moved, error) {
+	pause := copyRetry
+	for try := 1; ; try++ {
+		got, err := t.move(ctx)
+		if !answerLost(err) || try == copyTries || until.Err() != nil {
+			return got, err
+		}
+		metrics.Count("copy_ordered_again")
+		retry.Sleep(until, pause)
+		pause *= 2
+	}
+}
+
+// answerLost tells whether an order to copy may be, or is, carried out without an answer.
+func answerLost(err error) bool {
+	var failed *h1.Error
+	return errors.Is(err, ErrCopying) || errors.As(err, &failed) && failed.Sent
+}
+
 func (t *transfer) move(ctx context.Context) (Moved, error) {
 	started := time.Now()
 	source, target := t.p.Instance(), t.target.Instance()
