Let a stand-in engine that is stopped finish the answer to a copy that it has made

The spec stops the engine as soon as it sees the copy; the process ended between the making of the copy and its answer. Ruled out: an order given up too early (the answer's connection broke within 0.6 ms).

The spec is unchanged. The spec of the second order checked an engine that was chosen at random; it now checks that both orders name the same target.

--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -109,8 +109,12 @@
 	leaving bool
 	// conns are those of streams, which the server no longer knows.
 	conns []net.Conn
-	// moves counts the orders to copy.
-	moves int
+	// targets are those of the orders to copy.
+	targets []string
+	// answering is held for reading between the making of a copy and the end of its answer.
+	// Stop waits for it: the name of a copy whose answer is lost is known to nobody, and no
+	// node can go on from it. Dying is for engines that die in between.
+	answering sync.RWMutex
 }
 
 type stream struct {
@@ -150,7 +154,9 @@
 // request was sent, while tests count on a refusal.
 func (w *Worker) Stop() {
 	_ = w.listener.Close()
+	w.answering.Lock()
 	_ = w.server.Close()
+	w.answering.Unlock()
 	w.cutStreams()
 }
 
@@ -180,11 +186,11 @@
 	return append([]Run(nil), w.runs...)
 }
 
-// Moves returns the number of orders to copy a run that came in.
-func (w *Worker) Moves() int {
+// Targets returns the targets of the orders to copy a run, in the order in which they came.
+func (w *Worker) Targets() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.moves
+	return append([]string(nil), w.targets...)
 }
 
 // Closed returns the IDs of streams that the caller left before their end.
@@ -401,13 +407,15 @@
 		return
 	}
 	made := s.made
-	w.moves++
-	answerLost := w.moves <= w.options.LostMoveAnswers
+	w.targets = append(w.targets, body.To)
+	answerLost := len(w.targets) <= w.options.LostMoveAnswers
 	if body.Final {
 		s.once.Do(func() { close(s.stop) })
 	}
 	w.mu.Unlock()
 	time.Sleep(w.options.MoveTime)
+	w.answering.RLock()
+	defer w.answering.RUnlock()
 	handle := w.options.Memory.keep(body.ID, made)
 	if d := w.options.Dying; d != nil {
 		w.die(*d)
@@ -416,7 +424,15 @@
 	if answerLost {
 		panic(http.ErrAbortHandler)
 	}
-	_ = json.NewEncoder(rw).Encode(map[string]any{"cache_handle": handle, "created": made})
+	w.answerMove(rw, handle, made)
+}
+
+// answerMove sends the whole answer before it returns.
+func (w *Worker) answerMove(rw http.ResponseWriter, handle string, made int64) {
+	data, _ := json.Marshal(map[string]any{"cache_handle": handle, "created": made})
+	rw.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = rw.Write(data)
+	_ = http.NewResponseController(rw).Flush()
 }
 
 // back makes or renews the backup of a run, which is named by the run.
