Let a datagram of another node cost what it says, not the number of endpoints

Cause: each datagram looked up all endpoints, and while work waited it went through all of them for each of eight waiters, summing over all nodes for each. Now endpoints are found by key, sums are kept, and work that waits is offered only the endpoints that have more room than before, all of them only when a node that went first has another request.

Specs: sums against a recount over 20 seeds; room that comes free is granted.

--- /dev/null
+++ b/fleet/benchmark_test.go
@@ -0,0 +1,135 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/crocusreel/crocusreel/fleet"
+)
+
+// Sizes of the benchmarks: a fleet of three hundred nodes before three thousand engines,
+// with eight runs a node.
+const (
+	benchNodes   = 300
+	benchEngines = 3000
+	benchRuns    = 8
+	benchCentres = 6
+)
+
+// benchFleet is a node's view of such a fleet.
+type benchFleet struct {
+	*world
+	keys   []fleet.EndpointKey
+	random *rand.Rand
+}
+
+func newBenchFleet() *benchFleet {
+	b := &benchFleet{world: newWorld(), random: rand.New(rand.NewPCG(1, 2))}
+	for i := range benchEngines {
+		in := benchEngine(i)
+		b.Update(in)
+		b.keys = append(b.keys, in.Incarnation().Key())
+	}
+	for i := range benchNodes {
+		b.SetRemote(benchNode(i), b.loads(), nil)
+	}
+	return b
+}
+
+func benchEngine(i int) fleet.Instance {
+	id := fmt.Sprintf("engine-%d", i)
+	return fleet.Instance{ID: id, Service: "pool", Address: id, DataCentre: fmt.Sprintf("dc%d", i%benchCentres), Slots: 24}
+}
+
+func benchNode(i int) string { return fmt.Sprintf("10.0.%d.%d", i/200, i%200) }
+
+// loads are those of a node with a few runs.
+func (b *benchFleet) loads() []fleet.Load {
+	var loads []fleet.Load
+	for range benchRuns {
+		loads = append(loads, fleet.Load{Key: b.keys[b.random.IntN(len(b.keys))], Count: 1, Tokens: 4000})
+	}
+	return loads
+}
+
+// BenchmarkSetRemote takes over one datagram of another node.
+func BenchmarkSetRemote(b *testing.B) {
+	f := newBenchFleet()
+	told := make([][]fleet.Load, 64)
+	for i := range told {
+		told[i] = f.loads()
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		f.SetRemote(benchNode(i%benchNodes), told[i%len(told)], nil)
+	}
+}
+
+// BenchmarkSetRemoteWaiting does so while work waits here and all engines are full.
+func BenchmarkSetRemoteWaiting(b *testing.B) {
+	f := newBenchFleet()
+	var full []fleet.Load
+	for _, key := range f.keys {
+		full = append(full, fleet.Load{Key: key, Count: 24, Tokens: 34_000})
+	}
+	f.SetRemote("10.1.0.1", full, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range 4 {
+		go func() { _, _ = f.Acquire(ctx, generation(3000, 1000), time.Hour) }()
+	}
+	for f.Waiting("pool") < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	told := make([][]fleet.Load, 64)
+	for i := range told {
+		told[i] = f.loads()
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		f.SetRemote(benchNode(i%benchNodes), told[i%len(told)], nil)
+	}
+}
+
+// BenchmarkPlace places one generation and ends it.
+func BenchmarkPlace(b *testing.B) {
+	f := newBenchFleet()
+	b.ReportAllocs()
+	for b.Loop() {
+		p, refusal := f.Acquire(context.Background(), generation(3000, 1000), 0)
+		if refusal != nil {
+			b.Fatal(refusal)
+		}
+		p.Release(fleet.Good)
+	}
+}
+
+// BenchmarkOwnLoads makes the part of a datagram that tells of this node's runs.
+func BenchmarkOwnLoads(b *testing.B) {
+	f := newBenchFleet()
+	for range benchRuns {
+		if _, refusal := f.Acquire(context.Background(), generation(3000, 1000), 0); refusal != nil {
+			b.Fatal(refusal)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = f.OwnLoads()
+	}
+}
+
+// BenchmarkReplace takes over a whole listing in which nothing has changed.
+func BenchmarkReplace(b *testing.B) {
+	f := newBenchFleet()
+	listing := make([]fleet.Instance, benchEngines)
+	for i := range listing {
+		listing[i] = benchEngine(i)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Replace(listing, false)
+	}
+}
--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -43,14 +43,13 @@
 func (f *Fleet) Unhealthy(key EndpointKey) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, e := range f.byID {
-		if e.key == key && !e.isLeaving {
-			e.byHealth = true
-			e.markLeaving(f.now())
-			return true
-		}
+	e := f.byKey[key]
+	if e == nil || e.isLeaving {
+		return false
 	}
-	return false
+	e.byHealth = true
+	e.markLeaving(f.now())
+	return true
 }
 
 // UnhealthyKeys returns the endpoints that count as leaving by their health check alone.
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -85,7 +85,9 @@
 	// it is there.
 	missingAt time.Duration
 	own       Load
-	remote    map[string]Load
+	// remote is what other nodes run on it, and others the sum of that.
+	remote map[string]Load
+	others Load
 	health    health
 	// byHealth is set while it counts as leaving by its health check alone.
 	byHealth bool
@@ -104,16 +106,43 @@
 	return e
 }
 
-func (e *Endpoint) total() Load {
-	sum := e.own
-	for _, l := range e.remote {
-		sum.Count += l.Count
-		sum.Tokens += l.Tokens
-		sum.Unread += l.Unread
-		sum.Arriving += l.Arriving
-		sum.Held += l.Held
+// total is what all nodes run there.
+func (e *Endpoint) total() Load { return e.own.plus(e.others) }
+
+// setRemote takes what another node runs there, and returns whether that has become less.
+func (e *Endpoint) setRemote(node string, l Load) (less bool) {
+	before := e.remote[node]
+	e.others = e.others.minus(before).plus(l)
+	if l.none() {
+		delete(e.remote, node)
+	} else {
+		e.remote[node] = l
 	}
-	return sum
+	return l.Count < before.Count || l.Tokens < before.Tokens || l.Unread < before.Unread || l.Held < before.Held
+}
+
+func (l Load) plus(other Load) Load {
+	l.Count += other.Count
+	l.Tokens += other.Tokens
+	l.Unread += other.Unread
+	l.Arriving += other.Arriving
+	l.Held += other.Held
+	return l
+}
+
+func (l Load) minus(other Load) Load {
+	l.Count -= other.Count
+	l.Tokens -= other.Tokens
+	l.Unread -= other.Unread
+	l.Arriving -= other.Arriving
+	l.Held -= other.Held
+	return l
+}
+
+// none tells whether the load is empty.
+func (l Load) none() bool {
+	l.Key = 0
+	return l == Load{}
 }
 
 func (e *Endpoint) markLeaving(now time.Duration) {
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -2,3 +2,21 @@
 
 // LongLine returns the key of the line of a service's long answers.
 func LongLine(service string) LineKey { return line{service: service}.key() }
+
+// Totals returns what runs on each endpoint by its kept sum, and counted anew from what
+// each node told.
+func (f *Fleet) Totals() (kept, counted map[string]Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	kept, counted = make(map[string]Load), make(map[string]Load)
+	for id, e := range f.byID {
+		kept[id] = e.total()
+		sum := e.own
+		for _, node := range f.remote {
+			sum = sum.plus(node.loads[e.key])
+		}
+		sum.Key = 0
+		counted[id] = sum
+	}
+	return kept, counted
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,9 +15,13 @@
 	dataCentre string
 	now        func() time.Duration
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// byID and byKey hold the endpoints in service, and services the same in lists.
 	byID     map[string]*Endpoint
+	byKey    map[EndpointKey]*Endpoint
 	services map[string][]*Endpoint
+	// used are the endpoints on which this node runs something or holds room.
+	used map[*Endpoint]struct{}
 	queues   map[line]*queue
 	remote   map[string]remoteNode
 	random   *rand.Rand
@@ -38,6 +42,8 @@
 		dataCentre: dataCentre,
 		now:        now,
 		byID:       make(map[string]*Endpoint),
+		byKey:      make(map[EndpointKey]*Endpoint),
+		used:       make(map[*Endpoint]struct{}),
 		services:   make(map[string][]*Endpoint),
 		queues:     make(map[line]*queue),
 		remote:     make(map[string]remoteNode),
@@ -115,10 +121,10 @@
 		// Other nodes may have used it before this one heard of it.
 		for node, told := range f.remote {
 			if l, ok := told.loads[e.key]; ok {
-				e.remote[node] = l
+				e.setRemote(node, l)
 			}
 		}
-		f.byID[in.ID] = e
+		f.byID[in.ID], f.byKey[e.key] = e, e
 		f.services[in.Service] = append(f.services[in.Service], e)
 	}
 	e.Slots = in.Slots
@@ -171,6 +177,7 @@
 func (f *Fleet) dropLocked(e *Endpoint) {
 	e.markLeaving(f.now())
 	delete(f.byID, e.ID)
+	delete(f.byKey, e.key)
 	all := f.services[e.Service]
 	for i, other := range all {
 		if other == e {
@@ -192,27 +199,18 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before := f.remote[node]
 	f.remote[node] = remoteNode{heard: f.now(), loads: byKey, waiting: heads}
-	f.loadsChangedLocked(node, byKey)
+	f.remoteChangedLocked(node, before)
 }
 
 // Forget drops what a node told that is no longer heard.
 func (f *Fleet) Forget(node string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before := f.remote[node]
 	delete(f.remote, node)
-	f.loadsChangedLocked(node, nil)
-}
-
-func (f *Fleet) loadsChangedLocked(node string, byKey map[EndpointKey]Load) {
-	for _, e := range f.byID {
-		if l, ok := byKey[e.key]; ok {
-			e.remote[node] = l
-		} else {
-			delete(e.remote, node)
-		}
-	}
-	f.dispatchAllLocked()
+	f.remoteChangedLocked(node, before)
 }
 
 // OwnLoads returns what this node runs, for the other nodes.
@@ -220,8 +218,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var loads []Load
-	for _, e := range f.byID {
-		if e.own.Count > 0 || e.own.Held > 0 {
+	for e := range f.used {
+		switch {
+		case e.own.none():
+			delete(f.used, e)
+		case f.byKey[e.key] == e && (e.own.Count > 0 || e.own.Held > 0):
 			l := e.own
 			l.Key = e.key
 			loads = append(loads, l)
--- a/fleet/holding.go
+++ b/fleet/holding.go
@@ -65,6 +65,7 @@
 		return nil
 	}
 	h := &Holding{fleet: f, endpoint: best, demand: Demand{Prompt: p.demand.Prompt, Output: need - p.demand.Prompt}, produced: p.produced}
+	f.used[best] = struct{}{}
 	best.own.Held += need
 	return h
 }
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -100,19 +100,27 @@
 
 // pickLocked returns the best endpoint with room, nil if there is none.
 func (f *Fleet) pickLocked(w *Want) *Endpoint {
+	return f.pickAmongLocked(w, f.services[w.Service.Name])
+}
+
+// pickAmongLocked returns the best of some endpoints of the work's service.
+func (f *Fleet) pickAmongLocked(w *Want, endpoints []*Endpoint) *Endpoint {
 	var best *Endpoint
 	bestCost := 0.0
 	now := f.now()
 	for _, ejectedToo := range []bool{false, true} {
-		for _, e := range f.services[w.Service.Name] {
+		for _, e := range endpoints {
 			if e.isLeaving || slices.Contains(w.Exclude, e.ID) {
 				continue
 			}
 			if !ejectedToo && f.ejectedLocked(e, now) {
 				continue
 			}
-			cost, fits := f.costLocked(e, w, now)
-			if fits && (best == nil || cost < bestCost) {
+			load := e.total()
+			if !f.fitsLocked(e, w, &load) {
+				continue
+			}
+			if cost := f.costLocked(e, w, &load, now); best == nil || cost < bestCost {
 				best, bestCost = e, cost
 			}
 		}
@@ -138,9 +146,22 @@
 	return now < e.health.ejectedUntil && !f.Without[Ejection]
 }
 
-// costLocked returns the cost of one more run and whether it fits.
-func (f *Fleet) costLocked(e *Endpoint, w *Want, now time.Duration) (float64, bool) {
-	load := e.total()
+// fitsLocked tells whether the endpoint, which bears the load, has room for the work.
+func (f *Fleet) fitsLocked(e *Endpoint, w *Want, load *Load) bool {
+	spec := w.Service.Engine
+	if spec == nil {
+		return float64(load.Count) < plainOvercommit*float64(max(e.Slots, 1))
+	}
+	if load.Count >= e.Slots {
+		return false
+	}
+	need := float64(load.Tokens + load.Held + w.Demand.Tokens())
+	return (need <= f.memoryShare(w)*float64(spec.Memory) || load.Count == 0) &&
+		(w.from != nil || load.Unread <= maxUnread || f.Without[UnreadBound])
+}
+
+// costLocked returns the cost of one more run.
+func (f *Fleet) costLocked(e *Endpoint, w *Want, load *Load, now time.Duration) float64 {
 	cost := f.distanceCostLocked(e, w)
 	if !f.Without[Ejection] {
 		cost += failureCost * e.health.penalty(now)
@@ -153,13 +174,9 @@
 	}
 	if spec := w.Service.Engine; spec != nil {
 		share := float64(load.Tokens) / float64(max(spec.Memory, 1))
-		need := float64(load.Tokens + load.Held + w.Demand.Tokens())
-		fits := load.Count < e.Slots && (need <= f.memoryShare(w)*float64(spec.Memory) || load.Count == 0) &&
-			(w.from != nil || load.Unread <= maxUnread || f.Without[UnreadBound])
-		return cost + share + unreadCost*float64(load.Unread)/readRate, fits
+		return cost + share + unreadCost*float64(load.Unread)/readRate
 	}
-	slots := float64(max(e.Slots, 1))
-	return cost + float64(load.Count)/slots, float64(load.Count) < plainOvercommit*slots
+	return cost + float64(load.Count)/float64(max(e.Slots, 1))
 }
 
 // distanceCostLocked is the cost of the way to the endpoint, with its random part.
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -54,6 +54,7 @@
 
 func (f *Fleet) placeLocked(e *Endpoint, d Demand) *Placement {
 	p := &Placement{fleet: f, endpoint: e, demand: d, reading: d.Prompt > 0}
+	f.used[e] = struct{}{}
 	e.own.Count++
 	e.own.Tokens += p.tokens()
 	e.own.Unread += p.unread()
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -176,6 +176,7 @@
 	}
 }
 
+// dispatchLineLocked gives places to the waiting work of a line while there is room.
 func (f *Fleet) dispatchLineLocked(l line) {
 	q := f.queues[l]
 	if q == nil {
@@ -189,14 +190,37 @@
 			w.turn.sees = false
 			continue
 		}
-		if !f.mayClaimLocked(w) {
-			continue
+		f.grantLocked(q, w, e)
+	}
+}
+
+// dispatchToLocked gives waiting work of a line the room that came free on a few
+// endpoints. Work that waits has found no room anywhere, so the others need not be looked
+// through once more: with thousands of engines and hundreds of nodes that tell of theirs,
+// that would take more than the nodes' processors.
+func (f *Fleet) dispatchToLocked(l line, freed []*Endpoint) {
+	q := f.queues[l]
+	if q == nil {
+		return
+	}
+	now := f.now()
+	for _, w := range q.first(now, lookAhead) {
+		w.want.late = w.late(now)
+		if e := f.pickAmongLocked(w.want, freed); e != nil {
+			f.grantLocked(q, w, e)
 		}
-		q.remove(w)
-		w.granted <- f.placeLocked(e, w.want.Demand)
 	}
 }
 
+// grantLocked gives a waiter the place if it is its turn.
+func (f *Fleet) grantLocked(q *queue, w *waiter, e *Endpoint) {
+	if !f.mayClaimLocked(w) {
+		return
+	}
+	q.remove(w)
+	w.granted <- f.placeLocked(e, w.want.Demand)
+}
+
 // Bounds of the time after which refused callers are asked to come back.
 const (
 	shortestRetry = 300 * time.Millisecond
--- /dev/null
+++ b/fleet/remote_test.go
@@ -0,0 +1,84 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/fleet"
+)
+
+var _ = Describe("what other nodes tell of their runs", func() {
+	// Sums are kept from one datagram to the next. One that drifts makes an engine look
+	// full that is empty, and callers wait for room that is there, or the other way round.
+	for seed := range uint64(20) {
+		It(fmt.Sprintf("adds up whatever comes in which order, seed %d", seed), func() {
+			w, random := newWorld(), rand.New(rand.NewPCG(seed, 1))
+			var runs []*fleet.Placement
+			instance := func() fleet.Instance {
+				id := fmt.Sprintf("e%d", random.IntN(8))
+				return fleet.Instance{ID: id, Service: "pool", DataCentre: "dc1", Slots: 24, Born: int64(random.IntN(2))}
+			}
+			steps := []func(){
+				func() { w.Update(instance()) },
+				func() { w.Remove(instance().ID, random.IntN(2) == 0) },
+				func() { w.Expire(time.Second) },
+				func() { w.Forget(fmt.Sprintf("n%d", random.IntN(5))) },
+				func() { w.now += time.Second / 2 },
+				func() {
+					if p, refusal := w.Acquire(context.Background(), generation(100, 100), 0); refusal == nil {
+						runs = append(runs, p)
+					}
+				},
+				func() {
+					if len(runs) > 0 {
+						runs[0].Release(fleet.Good)
+						runs = runs[1:]
+					}
+				},
+			}
+			tell := func() {
+				var loads []fleet.Load
+				for range random.IntN(6) {
+					loads = append(loads, fleet.Load{
+						Key: instance().Incarnation().Key(), Count: random.IntN(3), Tokens: random.IntN(500),
+						Unread: random.IntN(100), Arriving: random.IntN(100), Held: random.IntN(100),
+					})
+				}
+				w.SetRemote(fmt.Sprintf("n%d", random.IntN(5)), loads, nil)
+			}
+			for range 400 {
+				if random.IntN(2) == 0 {
+					tell()
+				} else {
+					steps[random.IntN(len(steps))]()
+				}
+				kept, counted := w.Totals()
+				Expect(kept).To(Equal(counted))
+			}
+		})
+	}
+
+	// Another node ends a run on an engine while a caller waits here for its room, and no
+	// engine told of has any. The caller must have it with that datagram.
+	It("gives work that waits the room that comes free", func() {
+		w := newWorld()
+		w.engine("e1", "dc1")
+		key := fleet.Instance{ID: "e1"}.Incarnation().Key()
+		w.SetRemote("n1", []fleet.Load{{Key: key, Count: 24, Tokens: 30_000}}, nil)
+		granted := make(chan *fleet.Placement, 1)
+		go func() {
+			p, _ := w.Acquire(context.Background(), generation(1000, 100), time.Hour)
+			granted <- p
+		}()
+		Eventually(func() int { return w.Waiting("pool") }).Should(Equal(1))
+		w.SetRemote("n1", []fleet.Load{{Key: key, Count: 24, Tokens: 29_000}}, nil)
+		Consistently(granted, 30*time.Millisecond).ShouldNot(Receive())
+		w.SetRemote("n1", []fleet.Load{{Key: key, Count: 23, Tokens: 29_000}}, nil)
+		Eventually(granted).Should(Receive(Not(BeNil())))
+	})
+})
--- a/fleet/turn.go
+++ b/fleet/turn.go
@@ -74,14 +74,6 @@
 	return LineKey(h.Sum32())
 }
 
-// remoteNode is what another node last told. What it told of waiting work counts until
-// it tells otherwise or is lost: where that is out of date, it delays work by one turn.
-type remoteNode struct {
-	heard   time.Duration
-	loads   map[EndpointKey]Load
-	waiting map[LineKey]WaitingWork
-}
-
 // OwnWaiting returns the work that waits on this node, for the other nodes.
 func (f *Fleet) OwnWaiting() []WaitingWork {
 	f.mu.Lock()
@@ -109,7 +101,7 @@
 	ahead := 0
 	for name, node := range f.remote {
 		head, waits := node.waiting[key]
-		if waits && (head.Rank < rank || (head.Rank == rank && f.olderAt(name, node.heard-head.Waited, since))) {
+		if waits && (head.Rank < rank || (head.Rank == rank && f.olderAt(name, node.since(head), since))) {
 			ahead++
 		}
 	}
