--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -88,7 +88,7 @@
 	// remote is what other nodes run on it, and others the sum of that.
 	remote map[string]Load
 	others Load
-	health    health
+	health health
 	// byHealth is set while it counts as leaving by its health check alone.
 	byHealth bool
 	// left is when the endpoint was found to be leaving.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -21,10 +21,10 @@
 	byKey    map[EndpointKey]*Endpoint
 	services map[string][]*Endpoint
 	// used are the endpoints on which this node runs something or holds room.
-	used map[*Endpoint]struct{}
-	queues   map[line]*queue
-	remote   map[string]remoteNode
-	random   *rand.Rand
+	used   map[*Endpoint]struct{}
+	queues map[line]*queue
+	remote map[string]remoteNode
+	random *rand.Rand
 	// Changed is called when other nodes should be told at once what this one runs and
 	// what waits on it: the nodes of the given data centre, or all if it is empty. It
 	// must not block.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -22,9 +22,11 @@
 )
 
 const (
-	// interval is the time between two datagrams to each node while there are at most
-	// fullRate of them; beyond, it grows with their number, so that a node's traffic
-	// stays the same. A load that is 150 ms old is about one request behind.
+	// interval is the time between two datagrams to each node of this data centre, and to
+	// each of the others, while there are at most fullRate of them; beyond, it grows with
+	// their number, so that a node's traffic stays the same. A load that is 150 ms old is about
+	// one request behind. Callers are sent to nodes of their own data centre, and work is kept
+	// there, so that nodes hear of a loss nearby in a second when there are hundreds of them.
 	interval = 150 * time.Millisecond
 	fullRate = 16
 	// shortestGap is the least time between two rounds. New work is told at once: nodes
@@ -109,8 +111,8 @@
 	mu       sync.Mutex
 	peers    map[string]*peer
 	sequence uint64
-	// regular is when all nodes were last told.
-	regular time.Duration
+	// near and far are the regular rounds to the nodes of this data centre and to others.
+	near, far rounds
 	// changed asks for a round before the next one is due, and audience tells to whom.
 	changed chan struct{}
 	// urgent ends the usual pause before a round.
@@ -123,13 +125,46 @@
 	known atomic.Int32
 }
 
-// audience is who must hear of a change at once, beside the nodes of this data centre.
+// rounds are the regular ones to a group of nodes.
+type rounds struct {
+	// members is the number of nodes that the period is for: those of this data centre, or
+	// all, since bytes between data centres are dear.
+	members int
+	// last is when all of them were last told.
+	last time.Duration
+}
+
+// period is the time between two rounds.
+func (r *rounds) period() time.Duration {
+	return interval * time.Duration(max(r.members, fullRate)) / fullRate
+}
+
+// liveTime is how long a node of the group counts as live after its last datagram.
+func (r *rounds) liveTime() time.Duration { return liveFor * r.period() }
+
+// begin tells whether a round is due, and begins it.
+func (r *rounds) begin(now time.Duration) bool {
+	if now-r.last < r.period() {
+		return false
+	}
+	r.last = now
+	return true
+}
+
+// audience is who must hear of a change at once. Nodes that were just found always do.
 type audience struct {
 	all         bool
 	dataCentres map[string]bool
 }
 
-func (a audience) includes(dataCentre string) bool { return a.all || a.dataCentres[dataCentre] }
+func (a *audience) add(dataCentre string) {
+	if a.dataCentres == nil {
+		a.dataCentres = make(map[string]bool)
+	}
+	a.dataCentres[dataCentre] = true
+}
+
+func (a *audience) includes(dataCentre string) bool { return a.all || a.dataCentres[dataCentre] }
 
 // New returns a Gossip that knows no other node.
 func New(o Options) *Gossip {
@@ -162,11 +197,9 @@
 func (g *Gossip) Tell(dataCentres ...string) {
 	g.audienceMu.Lock()
 	g.audience.all = g.audience.all || int(g.known.Load()) <= g.o.TellAllUpTo
-	if g.audience.dataCentres == nil {
-		g.audience.dataCentres = make(map[string]bool)
-	}
+	g.audience.add(g.o.DataCentre)
 	for _, name := range dataCentres {
-		g.audience.dataCentres[name] = true
+		g.audience.add(name)
 	}
 	g.audienceMu.Unlock()
 	g.wake()
@@ -202,7 +235,7 @@
 	defer g.mu.Unlock()
 	var live []Peer
 	for _, p := range g.peers {
-		if p.live && g.o.Now()-p.heard < g.liveTimeLocked() {
+		if p.live && g.o.Now()-p.heard < g.groupLocked(p).liveTime() {
 			live = append(live, p.Peer)
 		}
 	}
@@ -262,15 +295,18 @@
 func (g *Gossip) untilRegular() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.regular + g.periodLocked() - g.o.Now()
+	return min(g.near.last+g.near.period(), g.far.last+g.far.period()) - g.o.Now()
 }
 
-func (g *Gossip) periodLocked() time.Duration {
-	return interval * time.Duration(max(len(g.peers), fullRate)) / fullRate
+// groupLocked returns the regular rounds that a node is in. One that was not heard of yet
+// is taken for a far one.
+func (g *Gossip) groupLocked(p *peer) *rounds {
+	if p.DataCentre == g.o.DataCentre {
+		return &g.near
+	}
+	return &g.far
 }
 
-func (g *Gossip) liveTimeLocked() time.Duration { return liveFor * g.periodLocked() }
-
 // recipients are the nodes of one round, by what they are told.
 type recipients struct {
 	// brief get loads only, whole everything, and found as well all known addresses.
@@ -321,13 +357,18 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Now()
-	if now-g.regular >= g.periodLocked() {
-		g.regular = now
-		heard.all = true
+	if g.near.begin(now) {
+		heard.add(g.o.DataCentre)
 	}
+	farToo := g.far.begin(now)
+	near := 0
 	for address, p := range g.peers {
+		group := g.groupLocked(p)
+		if group == &g.near {
+			near++
+		}
 		quiet := now - max(p.heard, p.added)
-		if p.live && quiet >= g.liveTimeLocked() {
+		if p.live && quiet >= group.liveTime() {
 			p.live, p.full = false, 0
 			g.o.Log.Info("node lost", zap.String("node", address), zap.Duration("quiet", quiet))
 			lost = append(lost, address)
@@ -336,7 +377,7 @@
 		case quiet >= forgetAfter:
 			delete(g.peers, address)
 		case p.live:
-			if heard.includes(p.DataCentre) || p.DataCentre == g.o.DataCentre || p.full == 0 {
+			if heard.includes(p.DataCentre) || (farToo && group == &g.far) || p.full == 0 {
 				to.addLive(address, p, now)
 			}
 		case p.sent == 0 || now-p.sent >= probeEvery:
@@ -345,6 +386,7 @@
 			to.found = append(to.found, address)
 		}
 	}
+	g.near.members, g.far.members = near, len(g.peers)
 	g.known.Store(int32(len(g.peers)))
 	return to, lost
 }
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -52,6 +52,7 @@
 		// Its addresses come with the next whole datagram; it is asked for by telling
 		// the node of this one.
 		p.live, p.sent, p.full = false, 0, 0
+		g.wake()
 		return false
 	}
 	p.incarnation, p.sequence = s.GetIncarnation(), s.GetSequence()
@@ -61,8 +62,10 @@
 			zap.Bool("leaving", s.GetLeaving()), zap.Uint64("incarnation", s.GetIncarnation()))
 	}
 	if !p.live {
-		// A node that was not live may have missed the addresses.
+		// A node that was not live may have missed the addresses. One that has just started
+		// knows the seeds only, and waits for their answer.
 		p.full = 0
+		g.wake()
 	}
 	p.live = true
 	p.Ready, p.Leaving, p.Store = s.GetReady(), s.GetLeaving(), s.GetStore()
--- a/node/entries.go
+++ b/node/entries.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/crocusreel/crocusreel/exchange/exchangev1"
 	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/platform"
@@ -23,6 +25,9 @@
 	version int64
 	// at is when the rows were last known to be current.
 	at time.Duration
+	// packed is the whole table as it was at packedVersion, for nodes that start.
+	packed        []byte
+	packedVersion int64
 }
 
 // maxRemoved bounds the remembered removals: followers are a second behind at most.
@@ -91,6 +96,13 @@
 	return e.version
 }
 
+// whole tells whether a follower that knows the given version needs the whole table.
+func (e *entries) whole(known int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return known < e.version && known < e.floor
+}
+
 // fill adds what a follower that knows the given version lacks.
 func (e *entries) fill(resp *exchangev1.SnapshotResponse, known int64) {
 	e.mu.Lock()
@@ -100,18 +112,44 @@
 	if e.version <= known {
 		return
 	}
-	resp.EndpointsWhole = known < e.floor
+	since := known
+	if resp.EndpointsWhole = known < e.floor; resp.GetEndpointsWhole() {
+		since = e.packLocked()
+		resp.EndpointsPacked = e.packed
+	}
+	resp.Endpoints = e.sinceLocked(since)
+}
+
+// sinceLocked returns the rows that were changed or removed after a version.
+func (e *entries) sinceLocked(version int64) (rows []*exchangev1.Row) {
 	for _, row := range e.rows {
-		if resp.GetEndpointsWhole() || row.Version > known {
-			resp.Endpoints = append(resp.Endpoints, &exchangev1.Row{Key: row.Key, Data: row.Value, Version: row.Version})
+		if row.Version > version {
+			rows = append(rows, &exchangev1.Row{Key: row.Key, Data: row.Value, Version: row.Version})
 		}
 	}
-	if resp.GetEndpointsWhole() {
-		return
-	}
-	for key, version := range e.removed {
-		if version > known {
-			resp.Endpoints = append(resp.Endpoints, &exchangev1.Row{Key: key, Version: version, Deleted: true})
+	for key, removed := range e.removed {
+		if removed > version {
+			rows = append(rows, &exchangev1.Row{Key: key, Version: removed, Deleted: true})
 		}
 	}
+	return rows
+}
+
+// repackShare is the part of the rows that may have changed since the table was packed.
+const repackShare = 0.1
+
+// packLocked makes sure that there is a packed table from which the changes are known and
+// few, and returns its version. Hundreds of nodes that start at once ask for the same.
+func (e *entries) packLocked() int64 {
+	changes := len(e.sinceLocked(e.packedVersion))
+	if e.packed != nil && e.packedVersion >= e.floor && float64(changes) <= repackShare*float64(len(e.rows)) {
+		return e.packedVersion
+	}
+	list := &exchangev1.RowList{Version: e.version, Rows: e.sinceLocked(0)}
+	data, err := proto.Marshal(list)
+	if err != nil {
+		panic(err) // rows are texts and bytes, which have an encoding
+	}
+	e.packed, e.packedVersion = deflate(data), e.version
+	return e.packedVersion
 }
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -8,6 +8,8 @@
 	"connectrpc.com/connect"
 
 	"github.com/crocusreel/crocusreel/exchange/exchangev1"
+	"github.com/crocusreel/crocusreel/internal/boottime"
+	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/platform"
 )
 
@@ -33,6 +35,10 @@
 	if known.Table == nil {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoConfiguration)
 	}
+	if n.entries.whole(req.Msg.GetEndpointsVersion()) && !n.wholes.take(boottime.Now()) {
+		metrics.Count("snapshot_whole_refused")
+		return nil, connect.NewError(connect.CodeResourceExhausted, errBusy)
+	}
 	resp := &exchangev1.SnapshotResponse{
 		ConfigVersion: known.Row,
 		ConfigAgeMs:   uint64(ages.Certain.Milliseconds()) + 1,
@@ -41,7 +47,8 @@
 		Away:          n.storeAway(),
 	}
 	if known.Row > req.Msg.GetConfigVersion() {
-		resp.Config = &exchangev1.Row{Key: platform.KeyConfiguration, Data: known.Raw, Version: known.Row}
+		resp.Config = &exchangev1.Row{Key: platform.KeyConfiguration, Version: known.Row}
+		resp.ConfigPacked = n.packedConfig.of(known)
 	}
 	n.entries.fill(resp, req.Msg.GetEndpointsVersion())
 	return connect.NewResponse(resp), nil
--- a/node/follow.go
+++ b/node/follow.go
@@ -41,11 +41,6 @@
 	directFor = 5 * time.Second
 	// shunFor is how long a reader that did not answer is passed over.
 	shunFor = 3 * time.Second
-	// startWait is how long a node that starts waits for another one that reads the store.
-	// Those that are named as seeds do not wait.
-	startWait = 150 * time.Millisecond
-	// startCheck is how often it looks.
-	startCheck = 5 * time.Millisecond
 	// endpointsStale is the age from which a list of endpoints tells nothing of those that
 	// leave.
 	endpointsStale = 3 * time.Second
@@ -71,6 +66,9 @@
 	next := 0
 	for ctx.Err() == nil {
 		n.expireEndpoints()
+		if n.starts() && n.learn(ctx) {
+			continue
+		}
 		p, ok := n.reader()
 		if n.follower.follows(p.Address) {
 			n.log.Info("follows", zap.String("reader", p.Address), zap.Bool("store", !ok),
@@ -80,10 +78,6 @@
 			n.ask(ctx, p)
 			continue
 		}
-		if n.awaitsReader() {
-			pause(ctx, startCheck)
-			continue
-		}
 		pause(ctx, askEvery)
 		if _, ages := n.config.Current(); ages.Answered < peersStale {
 			continue
@@ -158,33 +152,39 @@
 		Answered: answered - millis(resp.Msg.GetAnsweredAgeMs()),
 	}
 	if c := resp.Msg.GetConfig(); c != nil {
-		n.applyConfiguration(c.GetData(), c.GetVersion(), seen)
+		data, err := inflate(resp.Msg.GetConfigPacked())
+		if err != nil {
+			return err
+		}
+		n.applyConfiguration(data, c.GetVersion(), seen)
 	}
 	n.config.Confirm(resp.Msg.GetConfigVersion(), seen)
 	age := millis(resp.Msg.GetEndpointsAgeMs())
-	n.endpointsFromPeer(resp.Msg, endpoints, knowledge.Seen{Certain: asked - age, Answered: answered - age})
-	return nil
+	return n.endpointsFromPeer(resp.Msg, endpoints, knowledge.Seen{Certain: asked - age, Answered: answered - age})
 }
 
 func millis(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-func (n *Node) endpointsFromPeer(resp *exchangev1.SnapshotResponse, known int64, seen knowledge.Seen) {
-	listing := platform.Listing{Version: resp.GetEndpointsVersion()}
-	for _, row := range resp.GetEndpoints() {
-		listing.Rows = append(listing.Rows, platform.Row{
-			Key: row.GetKey(), Value: row.GetData(), Version: row.GetVersion(), Deleted: row.GetDeleted(),
-		})
-	}
+func (n *Node) endpointsFromPeer(resp *exchangev1.SnapshotResponse, known int64, seen knowledge.Seen) error {
 	n.unsteadyPeer.Store(resp.GetUnsteady())
 	n.awayPeer.Store(resp.GetAway())
 	if !resp.GetUnsteady() && !resp.GetAway() {
 		n.endpointFeed.servedOther(seen.Certain)
 	}
 	if resp.GetEndpointsWhole() {
+		listing, err := wholeListing(resp)
+		if err != nil {
+			return err
+		}
 		n.endpointsListed(listing, seen)
-		return
+		return nil
+	}
+	listing := platform.Listing{Version: resp.GetEndpointsVersion()}
+	for _, row := range resp.GetEndpoints() {
+		listing.Rows = append(listing.Rows, readRow(row))
 	}
 	if resp.GetEndpointsVersion() >= known {
 		n.endpointsChanged(listing, seen)
 	}
+	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -78,6 +78,8 @@
 	awayPeer     atomic.Bool
 	endpointFeed *feed
 	configFeed   *feed
+	packedConfig packedConfiguration
+	wholes       pacer
 	peerClient   *http.Client
 	limits       *limits
 }
--- a/node/source.go
+++ b/node/source.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"net"
 	"sync"
 	"time"
 
@@ -78,41 +77,23 @@
 	live := n.gossip.Live()
 	own := n.storeLink() != exchangev1.StoreLink_STORE_LINK_LOST
 	if n.starts() {
-		return n.anyReader(live)
-	}
-	if p, found := n.first(live, own, func(p gossip.Peer) bool { return p.DataCentre == n.settings.DataCentre }); found {
-		return p, true
+		return reader, false
 	}
 	if !own {
+		if p, found := n.first(live, own, n.near); found {
+			return p, true
+		}
 		return n.anyReader(live)
 	}
+	if p, found := n.parent(live); found {
+		return p, true
+	}
 	if n.follower.direct() {
 		return reader, false
 	}
 	return n.first(live, own, func(gossip.Peer) bool { return true })
 }
 
-// starts tells whether this node does not know yet what it needs to serve.
-func (n *Node) starts() bool {
-	known, _ := n.config.Current()
-	return known.Table == nil || n.entries.known() == 0
-}
-
-// awaitsReader tells whether a node that starts still waits for one that reads the store.
-func (n *Node) awaitsReader() bool {
-	return n.starts() && !n.seed() && boottime.Now()-n.started < startWait
-}
-
-// seed tells whether this node is one of those that every node knows at its start.
-func (n *Node) seed() bool {
-	for _, seed := range n.settings.Seeds {
-		if host, _, err := net.SplitHostPort(seed); err == nil && host == n.settings.IP {
-			return true
-		}
-	}
-	return false
-}
-
 // first returns the node with the lowest address of those that fit and have not lost the
 // store, if that is not this one. Own tells whether this one has the store.
 func (n *Node) first(live []gossip.Peer, own bool, fits func(gossip.Peer) bool) (gossip.Peer, bool) {
@@ -120,14 +101,42 @@
 		if own && n.settings.IP < p.Address {
 			break
 		}
-		lost := p.Store == exchangev1.StoreLink_STORE_LINK_LOST
-		if fits(p) && !p.Leaving && !lost && !n.follower.shuns(p.Address) {
+		if fits(p) && n.followable(p) {
 			return p, true
 		}
 	}
 	return gossip.Peer{}, false
 }
 
+// near tells whether the node is of this data centre.
+func (n *Node) near(p gossip.Peer) bool { return p.DataCentre == n.settings.DataCentre }
+
+// followers is the number of nodes of a data centre that follow the same one. With more,
+// the first of fifty would send fifty times what each of them gets.
+const followers = 4
+
+// parent returns the node of its data centre that this one follows, in a tree: the first is
+// followed by the next four, each of those by four more. Whoever is followed has a lower
+// address, so that none waits for one that waits for it. A node that does not answer is left
+// out by those who followed it. There is no parent for the first.
+func (n *Node) parent(live []gossip.Peer) (gossip.Peer, bool) {
+	var before []gossip.Peer
+	for _, p := range live {
+		if p.Address < n.settings.IP && n.near(p) && n.followable(p) {
+			before = append(before, p)
+		}
+	}
+	if len(before) == 0 {
+		return gossip.Peer{}, false
+	}
+	return before[(len(before)-1)/followers], true
+}
+
+// followable tells whether a node may be followed.
+func (n *Node) followable(p gossip.Peer) bool {
+	return !p.Leaving && p.Store != exchangev1.StoreLink_STORE_LINK_LOST && !n.follower.shuns(p.Address)
+}
+
 // anyReader returns a node that reads the store. Nodes choose by their own address, so that
 // not all go to the same one.
 func (n *Node) anyReader(live []gossip.Peer) (gossip.Peer, bool) {
@@ -161,5 +170,5 @@
 		return true
 	}
 	_, follows := n.reader()
-	return (!follows && !n.awaitsReader()) || f.retryDue()
+	return (!follows && !n.awaitsOthers()) || f.retryDue()
 }
