Add a test of three hundred nodes that start at once, and spread the wait of those that find no seed

The real starter and the real bound on whole tables in simulated time: 8 to 410 nodes, stale seeds, a slow store, a store that turns a third away or is away at first; all serve within 2 s of the store's answer. Waits are drawn so that few are short now.

--- a/node/export_test.go
+++ b/node/export_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/crocusreel/crocusreel/gossip"
 	"github.com/crocusreel/crocusreel/knowledge"
 	"github.com/crocusreel/crocusreel/platform"
 )
@@ -65,3 +67,51 @@
 
 // PruneAfter is the time without a sign of life after which a row is removed.
 const PruneAfter = pruneAfter
+
+// Starter gives tests the start of one node. Lacking, informants, ask and shun are the node's.
+type Starter struct{ s *starter }
+
+// StarterOptions are what surrounds a node that starts.
+type StarterOptions struct {
+	Now func() time.Duration
+	// Draw is the random number by which the wait of a node that is no seed is drawn.
+	Draw       float64
+	Seed       bool
+	Lacking    func() bool
+	Informants func() []gossip.Peer
+	Ask        func(context.Context, gossip.Peer) error
+	Shun       func(gossip.Peer)
+}
+
+// NewStarter returns the start of a node that starts now.
+func NewStarter(o StarterOptions) Starter {
+	wait := startWaitOf(o.Draw)
+	if o.Seed {
+		wait = 0
+	}
+	return Starter{&starter{
+		log: zap.NewNop(), now: o.Now, started: o.Now(), wait: wait,
+		lacking: o.Lacking, informants: o.Informants, ask: o.Ask, shun: o.Shun,
+	}}
+}
+
+// Learn asks another node; it returns false if the store is to be read.
+func (s Starter) Learn(ctx context.Context) bool { return s.s.learn(ctx) }
+
+// Waits tells whether the node leaves the store to others still.
+func (s Starter) Waits() bool { return s.s.waits() }
+
+// Pacer gives tests the bound on whole tables, and ErrBusy the refusal beyond it.
+type Pacer = pacer
+
+// Take tells whether one more table may be sent.
+var Take = (*pacer).take
+
+// ErrBusy is the refusal of a node that sends too many tables.
+var ErrBusy = errBusy
+
+// WholesAtOnce and WholesWindow bound the tables that a node sends.
+const (
+	WholesAtOnce = wholesAtOnce
+	WholesWindow = wholesWindow
+)
--- a/node/follow.go
+++ b/node/follow.go
@@ -66,7 +66,7 @@
 	next := 0
 	for ctx.Err() == nil {
 		n.expireEndpoints()
-		if n.starts() && n.learn(ctx) {
+		if n.starts() && n.starter.learn(ctx) {
 			continue
 		}
 		p, ok := n.reader()
--- a/node/node.go
+++ b/node/node.go
@@ -78,6 +78,7 @@
 	awayPeer     atomic.Bool
 	endpointFeed *feed
 	configFeed   *feed
+	starter      *starter
 	packedConfig packedConfiguration
 	wholes       pacer
 	peerClient   *http.Client
@@ -136,6 +137,7 @@
 	n.relay.Vacated.Tell = n.gossip.TellAll
 	n.relay.Strikes.Tell = n.gossip.TellNow
 	n.relay.Claims.Tell = n.gossip.TellNow
+	n.starter = n.newStarter()
 	n.configFeed = &feed{
 		store: n.store, table: platform.TableOperator, wait: changesWait, log: log,
 		listed: n.configurationListed, changed: n.configurationChanged,
--- a/node/source.go
+++ b/node/source.go
@@ -170,5 +170,5 @@
 		return true
 	}
 	_, follows := n.reader()
-	return (!follows && !n.awaitsOthers()) || f.retryDue()
+	return (!follows && !n.starter.waits()) || f.retryDue()
 }
--- a/node/start.go
+++ b/node/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -20,9 +21,11 @@
 // asked, and a node that finds none, or only busy ones, reads the store itself.
 
 const (
-	// startWait is how long a node that starts waits for the first other one that is ready.
-	// Those that are named as seeds do not wait.
-	startWait = 150 * time.Millisecond
+	// startWait is the least time for which a node that starts waits for the first other one
+	// that is ready, and startSpread the most that is added. Those that are named as seeds do
+	// not wait.
+	startWait   = 150 * time.Millisecond
+	startSpread = 450 * time.Millisecond
 	// startPatience is how long it goes on asking those that are ready, which may be busy
 	// with others that start, before it reads the store as well.
 	startPatience = time.Second
@@ -32,28 +35,38 @@
 	startTimeout = 500 * time.Millisecond
 )
 
-// starts tells whether this node does not know yet what it needs to serve.
-func (n *Node) starts() bool {
-	known, _ := n.config.Current()
-	return known.Table == nil || n.entries.known() == 0
+// starter brings a node that starts to where it can serve.
+type starter struct {
+	log *zap.Logger
+	// now reads the clock, and started is when the node started by it.
+	now     func() time.Duration
+	started time.Duration
+	// wait is how long the node waits for the first other one that is ready, 0 for a seed.
+	wait time.Duration
+	// lacking tells whether the node does not know yet what it needs to serve.
+	lacking func() bool
+	// informants returns the nodes that can tell it.
+	informants func() []gossip.Peer
+	// ask takes over what a node knows; shun leaves a node out for a while.
+	ask  func(context.Context, gossip.Peer) error
+	shun func(gossip.Peer)
 }
 
-// learn asks a node that is ready for what this one needs to serve; it returns false if
-// there is none to wait for.
-func (n *Node) learn(ctx context.Context) bool {
-	ready := n.informants()
+// learn asks a node that is ready; it returns false if there is none to wait for.
+func (s *starter) learn(ctx context.Context) bool {
+	ready := s.informants()
 	if len(ready) == 0 {
-		waits := n.awaitsOthers()
-		if waits {
-			pause(ctx, startCheck)
+		if !s.waits() {
+			return false
 		}
-		return waits
+		pause(ctx, startCheck)
+		return true
 	}
 	p := ready[rand.IntN(len(ready))]
-	err := n.askPeer(ctx, p.PeerAddress, 0, startTimeout)
-	n.log.Debug("asked at the start", zap.String("node", p.Address), zap.Int("ready", len(ready)), zap.Error(err))
+	err := s.ask(ctx, p)
+	s.log.Debug("asked at the start", zap.String("node", p.Address), zap.Int("ready", len(ready)), zap.Error(err))
 	switch {
-	case err == nil && !n.starts():
+	case err == nil && !s.lacking():
 	case err == nil:
 		// It is ready and knows no endpoints yet.
 		pause(ctx, startCheck)
@@ -62,11 +75,49 @@
 		pause(ctx, jitter(startCheck))
 	default:
 		metrics.Count("start_node_failed")
-		n.follower.shun(p.Address)
+		s.shun(p)
 	}
 	return true
 }
 
+// waits tells whether the node leaves the store to others still.
+func (s *starter) waits() bool {
+	age := s.now() - s.started
+	if !s.lacking() || s.wait == 0 || age >= startPatience {
+		return false
+	}
+	return age < s.wait || len(s.informants()) > 0
+}
+
+// startWaitOf draws the wait of a node that is no seed. Where the seeds are gone, hundreds of
+// nodes wait for each other: few of them draw a short wait, and the others learn from these
+// while they wait.
+func startWaitOf(draw float64) time.Duration {
+	return startWait + time.Duration(math.Cbrt(draw)*float64(startSpread))
+}
+
+// newStarter returns the starter of this node.
+func (n *Node) newStarter() *starter {
+	wait := startWaitOf(rand.Float64())
+	if n.seed() {
+		wait = 0
+	}
+	return &starter{
+		log: n.log, now: boottime.Now, started: n.started, wait: wait,
+		lacking: n.starts, informants: n.informants,
+		ask: func(ctx context.Context, p gossip.Peer) error {
+			return n.askPeer(ctx, p.PeerAddress, 0, startTimeout)
+		},
+		shun: func(p gossip.Peer) { n.follower.shun(p.Address) },
+	}
+}
+
+// starts tells whether this node does not know yet what it needs to serve.
+func (n *Node) starts() bool {
+	known, _ := n.config.Current()
+	return known.Table == nil || n.entries.known() == 0
+}
+
 // informants are the nodes that can tell this one what it needs: those of its data centre
 // if there are any.
 func (n *Node) informants() []gossip.Peer {
@@ -76,7 +127,7 @@
 			continue
 		}
 		all = append(all, p)
-		if p.DataCentre == n.settings.DataCentre {
+		if n.near(p) {
 			near = append(near, p)
 		}
 	}
@@ -86,15 +137,6 @@
 	return all
 }
 
-// awaitsOthers tells whether a node that starts leaves the store to others still.
-func (n *Node) awaitsOthers() bool {
-	age := boottime.Now() - n.started
-	if !n.starts() || n.seed() || age >= startPatience {
-		return false
-	}
-	return age < startWait || len(n.informants()) > 0
-}
-
 // seed tells whether this node is one of those that every node knows at its start.
 func (n *Node) seed() bool {
 	for _, seed := range n.settings.Seeds {
--- /dev/null
+++ b/node/start_test.go
@@ -0,0 +1,223 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/crocusreel/crocusreel/gossip"
+	"github.com/crocusreel/crocusreel/node"
+)
+
+// All nodes lose power at once and come back together: none knows anything, and callers
+// wait. The nodes read the same table of thousands of endpoints, from the store or from
+// each other over small links. If all ask the few that have it first, each answer comes
+// later than its asker waits, and none serves for as long as the nodes go on asking.
+func TestStartOfAllNodesAtOnce(t *testing.T) {
+	const (
+		// aim is the time in which all are to serve once the store answers.
+		aim = 2 * time.Second
+		// readers is the part of the nodes that may read the store when it is well.
+		readers = 0.125
+	)
+	cases := []struct {
+		name  string
+		world startOptions
+		// few is set where only that part may read it.
+		few bool
+		// late is how long the store takes before it answers anybody.
+		late time.Duration
+	}{
+		{name: "8 nodes", world: startOptions{nodes: 8, seeds: 3}},
+		{name: "100 nodes", world: startOptions{nodes: 100, seeds: 3}, few: true},
+		{name: "300 nodes", world: startOptions{nodes: 300, seeds: 3}, few: true},
+		{name: "410 nodes", world: startOptions{nodes: 410, seeds: 3}, few: true},
+		{name: "stale seeds", world: startOptions{nodes: 300, seeds: 3, dead: 2}, few: true},
+		{name: "slow store", world: startOptions{nodes: 300, seeds: 3, page: 60 * 4 * time.Millisecond}, late: 60 * 8 * 4 * time.Millisecond},
+		{name: "store turns a third away", world: startOptions{nodes: 300, seeds: 3, turnedAway: 3}},
+		{name: "store away at first", world: startOptions{nodes: 300, seeds: 3, away: 3 * time.Second}, late: 3 * time.Second},
+	}
+	for _, c := range cases {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := &startWorld{startOptions: c.world}
+					w.play(seed)
+					if took := w.lastServes - c.late; took > aim {
+						t.Errorf("the last node serves %v after the store", took)
+					}
+					if c.few && float64(w.storeReadings) > readers*float64(w.nodes) {
+						t.Errorf("%d nodes read the store", w.storeReadings)
+					}
+					if w.mostSent > node.WholesAtOnce*int(aim/node.WholesWindow+1) {
+						t.Errorf("a node sent the table %d times", w.mostSent)
+					}
+				})
+			})
+		}
+	}
+}
+
+const (
+	// tableTime is the time that the packed table takes on a small VM's link, and
+	// datagramTime the way of a datagram with a node's state.
+	tableTime    = 40 * time.Millisecond
+	datagramTime = 15 * time.Millisecond
+	// tablePages is the number of calls in which the store's table is read, pageTime that
+	// of one.
+	tablePages = 8
+	pageTime   = 8 * time.Millisecond
+	// storeBackoff is the pause after a failed call.
+	storeBackoff = 100 * time.Millisecond
+)
+
+// startOptions describe nodes that start at the same moment, and their store.
+type startOptions struct {
+	nodes, seeds int
+	// dead is the number of seeds that do not come back.
+	dead int
+	// page is the time of a call to the store; 0 for the usual one.
+	page time.Duration
+	// away is the time for which the store answers nobody, and turnedAway, if it is not 0,
+	// means that every so many nodes one has no answer at all.
+	away       time.Duration
+	turnedAway int
+}
+
+// startWorld is such nodes at their start.
+type startWorld struct {
+	startOptions
+	began time.Time
+	mu    sync.Mutex
+	// served is when each node began to serve, 0 while it has not.
+	served []time.Duration
+	pacers []node.Pacer
+	// linkFree is when each node's link has sent what it was given.
+	linkFree []time.Duration
+	sent     []int
+
+	lastServes    time.Duration
+	storeReadings int
+	mostSent      int
+}
+
+func (w *startWorld) now() time.Duration { return time.Since(w.began) }
+
+func (w *startWorld) play(seed uint64) {
+	w.began = time.Now()
+	w.served = make([]time.Duration, w.nodes)
+	w.pacers, w.linkFree, w.sent = make([]node.Pacer, w.nodes), make([]time.Duration, w.nodes), make([]int, w.nodes)
+	if w.page == 0 {
+		w.page = pageTime
+	}
+	random := rand.New(rand.NewPCG(seed, 1))
+	var all sync.WaitGroup
+	for i := w.dead; i < w.nodes; i++ {
+		delay := time.Duration(random.Int64N(int64(300 * time.Millisecond)))
+		draw := random.Float64()
+		all.Go(func() { w.start(i, delay, draw) })
+	}
+	all.Wait()
+	for i := w.dead; i < w.nodes; i++ {
+		w.lastServes = max(w.lastServes, w.served[i])
+		w.mostSent = max(w.mostSent, w.sent[i])
+	}
+}
+
+// start is the life of one node until it serves.
+func (w *startWorld) start(i int, delay time.Duration, draw float64) {
+	time.Sleep(delay)
+	s := node.NewStarter(node.StarterOptions{
+		Now:        w.now,
+		Draw:       draw,
+		Seed:       i < w.seeds,
+		Lacking:    func() bool { return !w.serves(i, w.now()) },
+		Informants: w.ready,
+		Ask:        func(_ context.Context, p gossip.Peer) error { return w.ask(i, p) },
+		Shun:       func(gossip.Peer) {},
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for !w.serves(i, w.now()) {
+			if !s.Waits() && w.readStore(i) {
+				w.learned(i)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	for !w.serves(i, w.now()) {
+		if !s.Learn(context.Background()) {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	<-done
+}
+
+func (w *startWorld) serves(i int, at time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.served[i] != 0 && w.served[i] <= at
+}
+
+func (w *startWorld) learned(i int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.served[i] == 0 {
+		w.served[i] = w.now()
+	}
+}
+
+// ready are the nodes whose datagram has come by now that says that they serve.
+func (w *startWorld) ready() []gossip.Peer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var ready []gossip.Peer
+	for i, at := range w.served {
+		if at != 0 && at+datagramTime <= w.now() {
+			ready = append(ready, gossip.Peer{Address: fmt.Sprint(i), Ready: true})
+		}
+	}
+	return ready
+}
+
+// ask sends the table from one node to another.
+func (w *startWorld) ask(to int, p gossip.Peer) error {
+	var from int
+	if _, err := fmt.Sscan(p.Address, &from); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	allowed := node.Take(&w.pacers[from], w.now())
+	if allowed {
+		w.sent[from]++
+		w.linkFree[from] = max(w.linkFree[from], w.now()) + tableTime
+	}
+	arrives := w.linkFree[from]
+	w.mu.Unlock()
+	if !allowed {
+		return connect.NewError(connect.CodeResourceExhausted, node.ErrBusy)
+	}
+	time.Sleep(arrives - w.now())
+	w.learned(to)
+	return nil
+}
+
+// readStore reads the table from the store.
+func (w *startWorld) readStore(i int) bool {
+	w.mu.Lock()
+	w.storeReadings++
+	w.mu.Unlock()
+	if w.now() < w.away || (w.turnedAway != 0 && i%w.turnedAway == 0) {
+		time.Sleep(storeBackoff)
+		return false
+	}
+	time.Sleep(tablePages * w.page)
+	return true
+}
