--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -104,6 +104,15 @@
 	return append([]*exchangev1.NodeState(nil), n.heard[count:]...)
 }
 
+// elsewhere returns addresses of nodes that are not heard of.
+func elsewhere(count int) []string {
+	var addresses []string
+	for i := range count {
+		addresses = append(addresses, fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+i/200, 1+i%200))
+	}
+	return addresses
+}
+
 var _ = Describe("nodes that gossip", func() {
 	// A new node knows one other node only, as after a start with one good seed.
 	It("learn of all through one, and tell what has changed", func() {
@@ -183,6 +192,33 @@
 		Expect(far.heardCount()).To(BeNumerically(">", farBefore))
 	})
 
+	// A node dies that others of its data centre send callers to, and there are hundreds of
+	// nodes elsewhere. Each round to all of them takes longer the more they are; were a loss
+	// nearby to show after some of these rounds only, callers would be sent to the dead node
+	// for many seconds.
+	It("lose one nearby as soon with hundreds of others elsewhere", func() {
+		a, b := start(own(71), 1), start(own(72), 1)
+		a.Add(b.ip)
+		a.Add(elsewhere(200)...)
+		b.Add(elsewhere(200)...)
+		Eventually(a.live, 2*time.Second).Should(Equal([]string{b.ip}))
+		time.Sleep(time.Second)
+		b.stop()
+		Eventually(a.lostNodes, 1500*time.Millisecond).Should(Equal([]string{b.ip}))
+	})
+
+	// All nodes start at once, and each knows the seeds only. A seed that answers with its
+	// next round, which comes seconds later once it knows hundreds of nodes, keeps them from
+	// serving for as long.
+	It("answer one that they have not heard of at once", func() {
+		a := startIn("far", own(81), 1)
+		a.Add(elsewhere(300)...)
+		time.Sleep(500 * time.Millisecond)
+		b := start(own(82), 1)
+		b.Add(a.ip)
+		Eventually(b.live, 400*time.Millisecond, 10*time.Millisecond).Should(Equal([]string{a.ip}))
+	})
+
 	// New work is told at once: a node that learns of it a round later chooses the same
 	// engine meanwhile.
 	It("tell of new work before the next round", func() {
--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -33,12 +34,26 @@
 )
 
 // sites numbers the sites, so that no two specs use the same addresses; ownNet keeps apart
-// two runs of the suite at the same time, which would not get each other's ports.
+// runs of the suite at the same time, which would not get each other's ports.
 var (
 	sites  atomic.Int32
-	ownNet = 1 + os.Getpid()%250
+	ownNet int
 )
 
+// claimNet finds a second part of loopback addresses that no other run of the suite has, and
+// keeps it: process IDs alone are not enough, since those of two runs may differ by just as
+// much as there are parts.
+func claimNet() (part int, claim net.Listener, err error) {
+	const parts = 250
+	for i := range parts {
+		part = 1 + (os.Getpid()+i)%parts
+		if claim, err = net.Listen("tcp", fmt.Sprintf("127.%d.99.254:%d", part, callerPort)); err == nil {
+			return part, claim, nil
+		}
+	}
+	return 0, nil, err
+}
+
 // site is a small deployment.
 type site struct {
 	store  *platform.Store
--- a/tests/node/suite_test.go
+++ b/tests/node/suite_test.go
@@ -23,6 +23,10 @@
 }
 
 var _ = BeforeSuite(func() {
+	part, claim, err := claimNet()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(claim.Close)
+	ownNet = part
 	dir, err := os.MkdirTemp("", "crocusreel-node-")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(os.RemoveAll, dir)
