Keep the list of live nodes until it changes; look only at doubted endpoints; half as many rounds nearby

Two resting feeds asked fifty times a second each whom to follow, and each time all live nodes were listed and sorted; each request did so for its share of the retry budget; each datagram and each answer of the store went through all endpoints for those that are missing or leave by their health check. Feeds that rest look twenty times a second.

--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -29,10 +29,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var stayed []string
-	for id, e := range f.byID {
+	for e := range f.doubted {
 		if e.byHealth && f.now()-e.left >= after {
 			e.stay()
-			stayed = append(stayed, id)
+			stayed = append(stayed, e.ID)
 			f.dispatchLocked(e.Service)
 		}
 	}
@@ -48,6 +48,7 @@
 		return false
 	}
 	e.byHealth = true
+	f.doubted[e] = struct{}{}
 	e.markLeaving(f.now())
 	return true
 }
@@ -57,7 +58,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var keys []EndpointKey
-	for _, e := range f.byID {
+	for e := range f.doubted {
 		if e.byHealth {
 			keys = append(keys, e.key)
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -21,10 +21,12 @@
 	byKey    map[EndpointKey]*Endpoint
 	services map[string][]*Endpoint
 	// used are the endpoints on which this node runs something or holds room.
-	used   map[*Endpoint]struct{}
-	queues map[line]*queue
-	remote map[string]remoteNode
-	random *rand.Rand
+	used map[*Endpoint]struct{}
+	// doubted are the endpoints that are missing, or leave by their health check alone.
+	doubted map[*Endpoint]struct{}
+	queues  map[line]*queue
+	remote  map[string]remoteNode
+	random  *rand.Rand
 	// Changed is called when other nodes should be told at once what this one runs and
 	// what waits on it: the nodes of the given data centre, or all if it is empty. It
 	// must not block.
@@ -44,6 +46,7 @@
 		byID:       make(map[string]*Endpoint),
 		byKey:      make(map[EndpointKey]*Endpoint),
 		used:       make(map[*Endpoint]struct{}),
+		doubted:    make(map[*Endpoint]struct{}),
 		services:   make(map[string][]*Endpoint),
 		queues:     make(map[line]*queue),
 		remote:     make(map[string]remoteNode),
@@ -152,6 +155,7 @@
 	}
 	if tentative {
 		e.missingAt = f.now()
+		f.doubted[e] = struct{}{}
 		return
 	}
 	f.dropLocked(e)
@@ -164,10 +168,12 @@
 	defer f.mu.Unlock()
 	var gone []string
 	now := f.now()
-	for id, e := range f.byID {
+	for e := range f.doubted {
 		if e.missingAt != 0 && now-e.missingAt >= after {
-			gone = append(gone, id)
+			gone = append(gone, e.ID)
 			f.dropLocked(e)
+		} else if e.missingAt == 0 && !e.byHealth {
+			delete(f.doubted, e)
 		}
 	}
 	return gone
@@ -178,6 +184,7 @@
 	e.markLeaving(f.now())
 	delete(f.byID, e.ID)
 	delete(f.byKey, e.key)
+	delete(f.doubted, e)
 	all := f.services[e.Service]
 	for i, other := range all {
 		if other == e {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -28,7 +29,7 @@
 	// one request behind. Callers are sent to nodes of their own data centre, and work is kept
 	// there, so that nodes hear of a loss nearby in a second when there are hundreds of them.
 	interval = 150 * time.Millisecond
-	fullRate = 16
+	fullRate = 8
 	// shortestGap is the least time between two rounds. New work is told at once: nodes
 	// that learn of it 150 ms later all choose the same engine meanwhile, and the last
 	// of their callers waits two seconds for its prompt to be read.
@@ -42,9 +43,6 @@
 	// fifths of all bytes between the data centres of 64 nodes (0.124 against 0.073 GB),
 	// and nobody needs them that often: a node that was just found is told everything.
 	fullEvery = 6 * time.Second
-	// farShare makes the rounds to other data centres rarer: their bytes are dear, and what
-	// matters there at once, new work and strikes, is told beside the rounds.
-	farShare = 2
 	// liveFor is how long a node counts as live after its last datagram, in intervals:
 	// a lost datagram and a late one in a row must not take a node out.
 	liveFor = 6
@@ -126,12 +124,16 @@
 	audience   audience
 	// known is the number of peers.
 	known atomic.Int32
+	// view is what Live returns until something in it changes, or until viewUntil at the
+	// latest; nil if it has to be made.
+	view      []Peer
+	viewUntil time.Duration
 }
 
 // rounds are the regular ones to a group of nodes.
 type rounds struct {
-	// members is the number of nodes that the period is for: those of this data centre, or,
-	// for the others, farShare times all.
+	// members is the number of nodes that the period is for: those of this data centre, or
+	// all, since bytes between data centres are dear.
 	members int
 	// last is when all of them were last told.
 	last time.Duration
@@ -232,18 +234,31 @@
 	}
 }
 
-// Live returns the nodes heard of lately, ordered by address.
+// Live returns the nodes heard of lately, ordered by address. The result is shared and
+// must not be changed: it is asked for with each request and many times a second besides,
+// and to make it anew each time would take a small VM's processor once there are hundreds.
 func (g *Gossip) Live() []Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var live []Peer
+	now := g.o.Now()
+	if g.view == nil || now >= g.viewUntil {
+		g.view, g.viewUntil = g.liveLocked(now)
+	}
+	return g.view
+}
+
+// liveLocked returns the live nodes and until when they are, if nothing is heard.
+func (g *Gossip) liveLocked(now time.Duration) (live []Peer, until time.Duration) {
+	live, until = []Peer{}, now+g.near.liveTime()
 	for _, p := range g.peers {
-		if p.live && g.o.Now()-p.heard < g.groupLocked(p).liveTime() {
+		ends := p.heard + g.groupLocked(p).liveTime()
+		if p.live && now < ends {
 			live = append(live, p.Peer)
+			until = min(until, ends)
 		}
 	}
 	sort.Slice(live, func(i, j int) bool { return live[i].Address < live[j].Address })
-	return live
+	return slices.Clip(live), until
 }
 
 // Run exchanges datagrams until ctx ends.
@@ -375,6 +390,7 @@
 			p.live, p.full = false, 0
 			g.o.Log.Info("node lost", zap.String("node", address), zap.Duration("quiet", quiet))
 			lost = append(lost, address)
+			g.view = nil
 		}
 		switch {
 		case quiet >= forgetAfter:
@@ -389,7 +405,7 @@
 			to.found = append(to.found, address)
 		}
 	}
-	g.near.members, g.far.members = near, farShare*len(g.peers)
+	g.near.members, g.far.members = near, len(g.peers)
 	g.known.Store(int32(len(g.peers)))
 	return to, lost
 }
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -52,9 +52,16 @@
 		// Its addresses come with the next whole datagram; it is asked for by telling
 		// the node of this one.
 		p.live, p.sent, p.full = false, 0, 0
+		g.view = nil
 		g.wake()
 		return false
 	}
+	before, wasLive := p.Peer, p.live
+	defer func() {
+		if p.Peer != before || !wasLive {
+			g.view = nil
+		}
+	}()
 	p.incarnation, p.sequence = s.GetIncarnation(), s.GetSequence()
 	p.heard = g.o.Now()
 	if !p.live || p.Ready != s.GetReady() || p.Leaving != s.GetLeaving() {
--- a/node/feed.go
+++ b/node/feed.go
@@ -35,7 +35,7 @@
 	// groups, as when several engines leave, and each call has its price.
 	gather = 40 * time.Millisecond
 	// directCheck is how often a feed that rests looks whether it is needed.
-	directCheck = 20 * time.Millisecond
+	directCheck = 50 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed question. All
 	// nodes ask together after an outage, so the pause grows and has jitter.
 	firstBackoff   = 50 * time.Millisecond
