--- a/fleet/holding.go
+++ b/fleet/holding.go
@@ -25,8 +25,7 @@
 	backupShare = 0.7
 	// backupUpTo is the part of the memory of all engines that may be promised to answers for
 	// there to be backups at all. Where memory decides how many answers are on time, backups
-	// cost more than they save: at engines that were promised nine tenths of theirs, they
-	// took a twentieth of the worth.
+	// cost more than they save.
 	backupUpTo = 0.5
 	// backupSpread is the range of a random addition, as for moves.
 	backupSpread = 0.1
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -45,8 +45,7 @@
 	// their way there already: moves queue on the target's link, too. Copies of all nodes
 	// count, since two engines that leave at once would else send everything to the
 	// emptiest third. It is so much that a near engine is taken while it has room and no
-	// other copy: with a tenth of it, twice as many streams were lost at departures, since
-	// a far copy holds up all others of its engine.
+	// other copy: a far copy holds up all others of its engine.
 	copyCost = 10.0
 	// farCopy is how many times longer a copy to another data centre takes.
 	farCopy = 2.0
@@ -55,8 +54,8 @@
 	moveSpread = 0.25
 	// memoryShare is the part of an engine's memory that may be promised to long answers.
 	// What is promised is what each run is expected to need at its end, and runs end at
-	// different times: at 1.06 engines were measured to be 0.8 full, and 10 to 15 runs in a
-	// thousand were preempted. With 0.98, one first event in fifteen fewer was in time.
+	// different times: engines that are promised a little more than they have are rarely
+	// full, and work starts sooner.
 	memoryShare = 1.06
 	// shortShare is that part for short answers. They hold their memory for less than a
 	// second, so that the difference, the size of one, always comes free soon.
@@ -64,8 +63,7 @@
 	// moveShare is that part for runs that move: a run that finds no target is lost.
 	moveShare = 1.10
 	// lateShare is that part for work that is late already. Room that it took would be
-	// missing for what comes next and could be in time. With 0.85 one first event in
-	// fifty fewer was in time where memory binds, without it one in fourteen.
+	// missing for what comes next and could be in time.
 	lateShare = 0.70
 	// shortOutput is the length in tokens up to which an answer is short: it is made
 	// within half a second.
--- a/fleet/turn.go
+++ b/fleet/turn.go
@@ -7,9 +7,8 @@
 
 // Nodes learn of new room at the same moment: an engine registers, or a node tells that
 // a run has ended. If every node with waiting work took that room at once, an engine
-// would be given several times the work that it holds: twelve nodes were seen to send
-// 60,000 tokens within 5 ms to an engine of 21,834, whose callers then waited 7 s and
-// gave up, while other engines stayed half empty. So waiting work takes its turn. Nodes
+// would be given several times the work that it holds, whose callers wait and give up while
+// other engines stay half empty. So waiting work takes its turn. Nodes
 // tell which request is first in their line, and the node whose request is the most
 // urgent and the oldest takes room at once. The others hear of it within milliseconds and
 // look again. A node that is silent, or whose request is too large for the room, holds
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -39,9 +39,8 @@
 	// with many answers dies.
 	urgentGap = 2 * time.Millisecond
 	// fullEvery is the time between two datagrams to a node that also carry addresses;
-	// those between are shorter by far. At one a second with 32 addresses, they were two
-	// fifths of all bytes between the data centres of 64 nodes (0.124 against 0.073 GB),
-	// and nobody needs them that often: a node that was just found is told everything.
+	// those between are shorter by far. Nobody needs addresses often: a node that was just
+	// found is told everything.
 	fullEvery = 6 * time.Second
 	// liveFor is how long a node counts as live after its last datagram, in intervals:
 	// a lost datagram and a late one in a row must not take a node out.
@@ -52,9 +51,8 @@
 	probeEvery  = time.Second
 	forgetAfter = time.Minute
 	// TellAllUpTo is the usual number of nodes up to which all are told of new work at
-	// once. With 64 nodes, telling only the data centres that use the endpoint first saved no
-	// byte between them, since work then went there more often, and one first event in
-	// thirty fewer was in time. Beyond, bytes grow with the square of the number of nodes.
+	// once: work goes to other data centres more often, and starts later, where the nodes
+	// there hear of it late. Beyond, bytes grow with the square of the number of nodes.
 	TellAllUpTo = 128
 	// maxDatagram bounds a datagram in bytes: the network's packets hold no more.
 	maxDatagram = 1400
--- a/node/feed.go
+++ b/node/feed.go
@@ -28,8 +28,7 @@
 	// store's slowest answers are some hundred times slower than its usual 4 ms.
 	answerSlack = 500 * time.Millisecond
 	// emptyPause is the pause before a store in which nothing was ever written is read again.
-	// Without it, seven nodes that were there before the operator's first configuration made
-	// 330 calls, half of their day's.
+	// Nodes may be there long before the operator's first configuration.
 	emptyPause = 100 * time.Millisecond
 	// gather is the pause after a change before the next question: changes come in
 	// groups, as when several engines leave, and each call has its price.
--- a/node/follow.go
+++ b/node/follow.go
@@ -17,9 +17,8 @@
 )
 
 // One node, the reader, follows the store. The first node of each other data centre follows
-// the reader, and the other nodes follow the first one of theirs. The store's calls then
-// hardly grow with the nodes: a day of 63 nodes with faults took 967 in place of 3,849 with
-// a reader in each of four data centres, three hundredths of what its answers were worth. Each node
+// the reader, and the other nodes follow each other in a tree below the first one of theirs.
+// The store's calls then hardly grow with the nodes, and no node answers many. Each node
 // tells the others whether the store answers it, so that nobody follows a node that was
 // turned away and learns from others, with a delay: whoever followed it would hear of a
 // leaving endpoint seconds late. Where all of a data centre have lost the store, they follow
