--- a/node/export_test.go
+++ b/node/export_test.go
@@ -116,3 +116,9 @@
 	WholesAtOnce = wholesAtOnce
 	WholesWindow = wholesWindow
 )
+
+// Fill adds what a follower lacks that knows the given version.
+var Fill = (*entries).fill
+
+// WholeListing returns the table that an answer holds.
+var WholeListing = wholeListing
