Pack changes for followers, bound whole tables by their bytes, tell addresses rarely where rounds are rare

The busiest is the reader, which sends each of nine followers 22 KB/s of rows that are much alike: packed, 3,000 of them take 42 KB in place of 0.5 MB. At 300 each round to other data centres (5.6 s) also carried addresses (every 6 s). A table of 46 endpoints is 1 KB, and four of them in 0.15 s held up starts for no reason. Waits at the start are half as long.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -42,6 +42,9 @@
 	// those between are shorter by far. Nobody needs addresses often: a node that was just
 	// found is told everything.
 	fullEvery = 6 * time.Second
+	// fullRounds is the least number of rounds between two of them: where rounds are rare,
+	// each datagram would else carry addresses.
+	fullRounds = 10
 	// liveFor is how long a node counts as live after its last datagram, in intervals:
 	// a lost datagram and a late one in a row must not take a node out.
 	liveFor = 6
@@ -58,7 +61,7 @@
 	maxDatagram = 1400
 	// maxKnown bounds the addresses of other nodes in a datagram to a node that was just
 	// found, and fewKnown in any other: those that a node lacks come with some other.
-	maxKnown = 32
+	maxKnown = 12
 	fewKnown = 4
 )
 
@@ -395,7 +398,7 @@
 			delete(g.peers, address)
 		case p.live:
 			if heard.includes(p.DataCentre) || (farToo && group == &g.far) || p.full == 0 {
-				to.addLive(address, p, now)
+				to.addLive(address, p, now, max(fullEvery, fullRounds*group.period()))
 			}
 		case p.sent == 0 || now-p.sent >= probeEvery:
 			p.sent = now
@@ -408,11 +411,12 @@
 	return to, lost
 }
 
-func (r *recipients) addLive(address string, p *peer, now time.Duration) {
+// addLive adds a live node, which is told its share of addresses again after the given time.
+func (r *recipients) addLive(address string, p *peer, now, fullAfter time.Duration) {
 	switch {
 	case p.full == 0:
 		r.found = append(r.found, address)
-	case now-p.full >= fullEvery:
+	case now-p.full >= fullAfter:
 		r.whole = append(r.whole, address)
 	default:
 		r.brief = append(r.brief, address)
--- a/node/entries.go
+++ b/node/entries.go
@@ -4,8 +4,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/crocusreel/crocusreel/exchange/exchangev1"
 	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/platform"
@@ -28,6 +26,14 @@
 	// packed is the whole table as it was at packedVersion, for nodes that start.
 	packed        []byte
 	packedVersion int64
+	// changes are those that followers were last told.
+	changes packedChanges
+}
+
+// packedChanges are the changes between two versions.
+type packedChanges struct {
+	since, version int64
+	data           []byte
 }
 
 // maxRemoved bounds the remembered removals: followers are a second behind at most.
@@ -96,11 +102,16 @@
 	return e.version
 }
 
-// whole tells whether a follower that knows the given version needs the whole table.
-func (e *entries) whole(known int64) bool {
+// wholeSize is the size of the whole table, packed, for a follower that needs it, in bytes;
+// 0 for one that knows a version from which the changes are known.
+func (e *entries) wholeSize(known int64) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return known < e.version && known < e.floor
+	if known >= e.floor {
+		return 0
+	}
+	e.packLocked()
+	return len(e.packed)
 }
 
 // fill adds what a follower that knows the given version lacks.
@@ -112,14 +123,28 @@
 	if e.version <= known {
 		return
 	}
-	since := known
 	if resp.EndpointsWhole = known < e.floor; resp.GetEndpointsWhole() {
-		since = e.packLocked()
+		resp.Endpoints = e.sinceLocked(e.packLocked())
 		resp.EndpointsPacked = e.packed
+		return
 	}
-	resp.Endpoints = e.sinceLocked(since)
+	if e.changes.since == known && e.changes.version == e.version {
+		resp.EndpointsPacked = e.changes.data
+		return
+	}
+	rows := e.sinceLocked(known)
+	if len(rows) < packFrom {
+		resp.Endpoints = rows
+		return
+	}
+	e.changes = packedChanges{since: known, version: e.version, data: packRows(rows)}
+	resp.EndpointsPacked = e.changes.data
 }
 
+// packFrom is the number of changed rows from which they are packed, once for all followers:
+// rows are much alike, and packed they take a tenth of their bytes.
+const packFrom = 8
+
 // sinceLocked returns the rows that were changed or removed after a version.
 func (e *entries) sinceLocked(version int64) (rows []*exchangev1.Row) {
 	for _, row := range e.rows {
@@ -145,11 +170,6 @@
 	if e.packed != nil && e.packedVersion >= e.floor && float64(changes) <= repackShare*float64(len(e.rows)) {
 		return e.packedVersion
 	}
-	list := &exchangev1.RowList{Version: e.version, Rows: e.sinceLocked(0)}
-	data, err := proto.Marshal(list)
-	if err != nil {
-		panic(err) // rows are texts and bytes, which have an encoding
-	}
-	e.packed, e.packedVersion = deflate(data), e.version
+	e.packed, e.packedVersion = packRows(e.sinceLocked(0)), e.version
 	return e.packedVersion
 }
--- a/node/entries_test.go
+++ b/node/entries_test.go
@@ -1,9 +1,13 @@
 package node_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/crocusreel/crocusreel/exchange/exchangev1"
 	"github.com/crocusreel/crocusreel/node"
 	"github.com/crocusreel/crocusreel/platform"
 )
@@ -26,4 +30,51 @@
 		Expect(node.Replace(&e, platform.Listing{Version: 11, Rows: []platform.Row{row("a", 11)}}, 3)).To(BeFalse())
 		Expect(node.Update(&e, platform.Listing{Version: 13, Rows: []platform.Row{row("a", 13)}}, 4)).To(HaveLen(1))
 	})
+
+	// A follower is told of changes only, a few as they are and many packed, and one that
+	// starts of the whole table, packed some changes ago. Whichever comes, it must know what
+	// the node knows that it follows, or it sends work to endpoints that have left.
+	It("reach a follower whole, packed or not", func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		for range 30 {
+			var leader, follower node.Entries
+			version := int64(1)
+			node.Replace(&leader, platform.Listing{Version: version, Rows: []platform.Row{row("e0", 1)}}, 1)
+			for range 60 {
+				changed := platform.Listing{}
+				for range 1 + random.IntN(20) {
+					version++
+					changed.Rows = append(changed.Rows, platform.Row{
+						Key: fmt.Sprintf("e%d", random.IntN(60)), Version: version, Deleted: random.IntN(4) == 0,
+					})
+				}
+				changed.Version = version
+				node.Update(&leader, changed, 1)
+				if random.IntN(3) > 0 {
+					tell(&leader, &follower)
+				}
+				if random.IntN(20) == 0 {
+					follower = node.Entries{}
+				}
+			}
+			tell(&leader, &follower)
+			Expect(node.Rows(&follower)).To(Equal(node.Rows(&leader)))
+		}
+	})
 })
+
+// tell gives a follower what it lacks.
+func tell(leader, follower *node.Entries) {
+	GinkgoHelper()
+	resp := &exchangev1.SnapshotResponse{}
+	node.Fill(leader, resp, node.Known(follower))
+	if resp.GetEndpointsWhole() {
+		l, err := node.WholeListing(resp)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(node.Replace(follower, l, 1)).To(BeTrue())
+		return
+	}
+	l, err := node.ChangedRows(resp)
+	Expect(err).NotTo(HaveOccurred())
+	node.Update(follower, l, 1)
+}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -35,7 +35,7 @@
 	if known.Table == nil {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoConfiguration)
 	}
-	if n.entries.whole(req.Msg.GetEndpointsVersion()) && !n.wholes.take(boottime.Now()) {
+	if size := n.entries.wholeSize(req.Msg.GetEndpointsVersion()); size > 0 && !n.wholes.take(boottime.Now(), size) {
 		metrics.Count("snapshot_whole_refused")
 		return nil, connect.NewError(connect.CodeResourceExhausted, errBusy)
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -13,7 +13,6 @@
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/knowledge"
 	"github.com/crocusreel/crocusreel/peer"
-	"github.com/crocusreel/crocusreel/platform"
 )
 
 // One node, the reader, follows the store. The first node of each other data centre follows
@@ -178,9 +177,9 @@
 		n.endpointsListed(listing, seen)
 		return nil
 	}
-	listing := platform.Listing{Version: resp.GetEndpointsVersion()}
-	for _, row := range resp.GetEndpoints() {
-		listing.Rows = append(listing.Rows, readRow(row))
+	listing, err := changedRows(resp)
+	if err != nil {
+		return err
 	}
 	if resp.GetEndpointsVersion() >= known {
 		n.endpointsChanged(listing, seen)
--- a/node/pack.go
+++ b/node/pack.go
@@ -24,9 +24,9 @@
 // of which there are several times more with each round.
 
 const (
-	// wholesAtOnce is the number of whole tables that a node sends within wholesWindow: a
-	// packed table of thousands of endpoints takes some 40 ms of a small VM's link.
-	wholesAtOnce = 4
+	// wholeBytes is how much of whole tables a node sends within wholesWindow, of which the
+	// last may exceed it: less than half of what a small VM's link carries.
+	wholeBytes   = 128 << 10
 	wholesWindow = 150 * time.Millisecond
 )
 
@@ -39,17 +39,17 @@
 	sent  int
 }
 
-// take tells whether one more may be sent.
-func (p *pacer) take(now time.Duration) bool {
+// take tells whether one more of so many bytes may be sent.
+func (p *pacer) take(now time.Duration, size int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if now-p.began >= wholesWindow {
 		p.began, p.sent = now, 0
 	}
-	if p.sent >= wholesAtOnce {
+	if p.sent >= wholeBytes {
 		return false
 	}
-	p.sent++
+	p.sent += size
 	return true
 }
 
@@ -69,12 +69,23 @@
 	return p.data
 }
 
+// writers and readers are kept for the next message: each holds some hundred kilobytes.
+var (
+	writers = sync.Pool{New: func() any {
+		w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+		if err != nil {
+			panic(err) // the level is a constant
+		}
+		return w
+	}}
+	readers = sync.Pool{New: func() any { return flate.NewReader(bytes.NewReader(nil)) }}
+)
+
 func deflate(data []byte) []byte {
 	var packed bytes.Buffer
-	w, err := flate.NewWriter(&packed, flate.BestSpeed)
-	if err != nil {
-		panic(err) // the level is a constant
-	}
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
+	w.Reset(&packed)
 	_, _ = w.Write(data) // a buffer takes everything
 	_ = w.Close()
 	return packed.Bytes()
@@ -84,21 +95,45 @@
 const maxInflated = 8 * peer.MaxMessageBytes
 
 func inflate(packed []byte) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxInflated))
+	r := readers.Get().(io.ReadCloser)
+	defer readers.Put(r)
+	if err := r.(flate.Resetter).Reset(bytes.NewReader(packed), nil); err != nil {
+		return nil, eris.Wrap(err, "inflate")
+	}
+	data, err := io.ReadAll(io.LimitReader(r, maxInflated))
 	return data, eris.Wrap(err, "inflate")
 }
 
+func packRows(rows []*exchangev1.Row) []byte {
+	data, err := proto.Marshal(&exchangev1.RowList{Rows: rows})
+	if err != nil {
+		panic(err) // rows are texts and bytes, which have an encoding
+	}
+	return deflate(data)
+}
+
+func unpackRows(packed []byte) ([]*exchangev1.Row, error) {
+	if len(packed) == 0 {
+		return nil, nil
+	}
+	data, err := inflate(packed)
+	if err != nil {
+		return nil, err
+	}
+	var list exchangev1.RowList
+	if err := proto.Unmarshal(data, &list); err != nil {
+		return nil, eris.Wrap(err, "decode rows")
+	}
+	return list.GetRows(), nil
+}
+
 // wholeListing returns the table that an answer holds: the packed one, brought up to date.
 func wholeListing(resp *exchangev1.SnapshotResponse) (platform.Listing, error) {
 	listing := platform.Listing{Version: resp.GetEndpointsVersion()}
-	data, err := inflate(resp.GetEndpointsPacked())
+	rows, err := unpackRows(resp.GetEndpointsPacked())
 	if err != nil {
 		return listing, err
 	}
-	var list exchangev1.RowList
-	if err := proto.Unmarshal(data, &list); err != nil {
-		return listing, eris.Wrap(err, "decode endpoints")
-	}
 	newer := make(map[string]bool, len(resp.GetEndpoints()))
 	for _, row := range resp.GetEndpoints() {
 		newer[row.GetKey()] = true
@@ -106,7 +141,7 @@
 			listing.Rows = append(listing.Rows, readRow(row))
 		}
 	}
-	for _, row := range list.GetRows() {
+	for _, row := range rows {
 		if !newer[row.GetKey()] {
 			listing.Rows = append(listing.Rows, readRow(row))
 		}
@@ -114,6 +149,16 @@
 	return listing, nil
 }
 
+// changedRows returns the changes that an answer holds.
+func changedRows(resp *exchangev1.SnapshotResponse) (platform.Listing, error) {
+	listing := platform.Listing{Version: resp.GetEndpointsVersion()}
+	packed, err := unpackRows(resp.GetEndpointsPacked())
+	for _, row := range append(packed, resp.GetEndpoints()...) {
+		listing.Rows = append(listing.Rows, readRow(row))
+	}
+	return listing, err
+}
+
 func readRow(row *exchangev1.Row) platform.Row {
 	return platform.Row{Key: row.GetKey(), Value: row.GetData(), Version: row.GetVersion(), Deleted: row.GetDeleted()}
 }
--- a/node/start.go
+++ b/node/start.go
@@ -25,8 +25,8 @@
 	// startWait is the least time for which a node that starts waits for the first other one
 	// that is ready, and startSpread the most that is added. Those that are named as seeds do
 	// not wait.
-	startWait   = 150 * time.Millisecond
-	startSpread = 450 * time.Millisecond
+	startWait   = 80 * time.Millisecond
+	startSpread = 300 * time.Millisecond
 	// startPatience is how long it goes on asking once some are ready, which may be busy with
 	// others that start, before it reads the store as well.
 	startPatience = time.Second
