--- a/node/entries.go
+++ b/node/entries.go
@@ -146,12 +146,8 @@
 const packFrom = 8
 
 // sinceLocked returns the rows that were changed or removed after a version.
-func (e *entries) sinceLocked(version int64) (rows []*exchangev1.Row) {
-	for _, row := range e.rows {
-		if row.Version > version {
-			rows = append(rows, &exchangev1.Row{Key: row.Key, Data: row.Value, Version: row.Version})
-		}
-	}
+func (e *entries) sinceLocked(version int64) []*exchangev1.Row {
+	rows := e.presentLocked(version)
 	for key, removed := range e.removed {
 		if removed > version {
 			rows = append(rows, &exchangev1.Row{Key: key, Version: removed, Deleted: true})
@@ -160,6 +156,16 @@
 	return rows
 }
 
+// presentLocked returns the rows that were changed after a version and are there.
+func (e *entries) presentLocked(version int64) (rows []*exchangev1.Row) {
+	for _, row := range e.rows {
+		if row.Version > version {
+			rows = append(rows, &exchangev1.Row{Key: row.Key, Data: row.Value, Version: row.Version})
+		}
+	}
+	return rows
+}
+
 // repackShare is the part of the rows that may have changed since the table was packed.
 const repackShare = 0.1
 
@@ -170,6 +176,6 @@
 	if e.packed != nil && e.packedVersion >= e.floor && float64(changes) <= repackShare*float64(len(e.rows)) {
 		return e.packedVersion
 	}
-	e.packed, e.packedVersion = packRows(e.sinceLocked(0)), e.version
+	e.packed, e.packedVersion = packRows(e.presentLocked(0)), e.version
 	return e.packedVersion
 }
