--- a/node/export_test.go
+++ b/node/export_test.go
@@ -20,13 +20,20 @@
 	return &feed{
 		store: store, table: "t", wait: time.Second, log: zap.NewNop(), direct: direct, listed: drop, changed: drop,
 		learned:  func() int64 { return 0 },
-		patience: func() time.Duration { return longestBackoff },
+		patience: func() patience { return patienceOf(true) },
 
 		linkChanged: func() {},
 		othersRead:  func() bool { return false },
 	}
 }
 
+// NewFollowersFeed returns a feed of a node whose questions nobody waits for.
+func NewFollowersFeed(store *platform.Store) *Feed {
+	f := NewFeed(store, func() bool { return true })
+	f.patience = func() patience { return patienceOf(false) }
+	return f
+}
+
 // NewListingFeed returns a feed that tells of each reading of the whole table.
 func NewListingFeed(store *platform.Store, listed func(platform.Listing)) *Feed {
 	f := NewFeed(store, func() bool { return true })
--- a/node/feed.go
+++ b/node/feed.go
@@ -39,9 +39,8 @@
 	// nodes ask together after an outage, so the pause grows and has jitter.
 	firstBackoff   = 50 * time.Millisecond
 	longestBackoff = 500 * time.Millisecond
-	// lostRetry is the pause between two questions of a node to which the store was lost
-	// and that is not the first of its data centre: the first looks more often, and the
-	// others learn from it that the store is back.
+	// lostRetry is the pause between two questions of a node that the store does not answer
+	// and that is neither a seed nor the first of its data centre.
 	lostRetry = 2 * time.Second
 	// lossShown is the time after which a loss of the store shows at all nodes that have it:
 	// the longest question and some datagrams.
@@ -53,6 +52,20 @@
 	slowAnswer = 100 * time.Millisecond
 )
 
+// patience is the least and the longest pause between two questions while the store does
+// not answer.
+type patience struct{ least, most time.Duration }
+
+// patienceOf returns the patience of a node whose questions others wait for, or of any other
+// node. Hundreds of nodes may start while the store is away, and each call has its price: few
+// of them ask often, and the others hear from these within a datagram's time.
+func patienceOf(leads bool) patience {
+	if leads {
+		return patience{least: firstBackoff, most: longestBackoff}
+	}
+	return patience{least: lostRetry, most: lostRetry}
+}
+
 // feed follows one table of the store.
 type feed struct {
 	store *platform.Store
@@ -72,7 +85,7 @@
 	// learned returns the version up to which the table is known by other nodes' answers.
 	learned func() int64
 	// patience bounds the pause after a failed question.
-	patience func() time.Duration
+	patience func() patience
 
 	// version is the store's version up to which changes are known; 0 if the table
 	// must be read as a whole.
@@ -122,8 +135,9 @@
 			continue
 		}
 		f.failed(err)
-		pause(ctx, jitter(backoff))
-		backoff = min(2*backoff, f.patience())
+		bounds := f.patience()
+		pause(ctx, jitter(max(backoff, bounds.least)))
+		backoff = min(2*backoff, bounds.most)
 	}
 	return nil
 }
--- a/node/feed_test.go
+++ b/node/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -41,6 +42,23 @@
 		Eventually(listed, (pages+2)*600*time.Millisecond).Should(Receive(Equal(rows)))
 	})
 
+	// All nodes restart while the store is away. Were each of hundreds to ask as often as the
+	// few do from whom the others hear, their calls would cost more than they serve, and the
+	// store would have them to refuse as soon as it is back.
+	It("asks a store that is away rarely if nobody waits for its questions", func() {
+		var calls atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+			calls.Add(1)
+			rw.WriteHeader(http.StatusTooManyRequests)
+		}))
+		DeferCleanup(server.Close)
+		store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 1900*time.Millisecond)
+		DeferCleanup(cancel)
+		Expect(node.Run(node.NewFollowersFeed(store), ctx)).To(Succeed())
+		Expect(calls.Load()).To(BeNumerically("<=", 2))
+	})
+
 	// A node is cut off from the store for a while and then follows another node, which
 	// has the store. Were its own feed to count as lost for ever, it would take every
 	// removal of an endpoint for a passing one, and send work to endpoints that are gone.
--- a/node/follow.go
+++ b/node/follow.go
@@ -51,12 +51,7 @@
 )
 
 // storePatience bounds the pause between two questions while the store does not answer.
-func (n *Node) storePatience() time.Duration {
-	if n.firstInDataCentre() {
-		return longestBackoff
-	}
-	return lostRetry
-}
+func (n *Node) storePatience() patience { return patienceOf(n.seed() || n.firstInDataCentre()) }
 
 // follow learns from other nodes while this one does not follow the store, or while the
 // store does not answer it.
