--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -328,8 +328,9 @@
 
 // recipients are the nodes of one round, by what they are told.
 type recipients struct {
-	// brief get loads only, whole everything, and found as well all known addresses.
-	brief, whole, found []string
+	// brief get loads only, whole everything, and found many known addresses as well. Probed
+	// are those that are not heard of: whoever answers has its addresses from others.
+	brief, whole, found, probed []string
 }
 
 // round sends this node's state to every node that is due.
@@ -338,6 +339,7 @@
 	g.send(conn, to.brief, func(s *exchangev1.NodeState) { shorten(s) })
 	g.send(conn, to.whole, func(s *exchangev1.NodeState) { s.Known = g.someLive(fewKnown) })
 	g.send(conn, to.found, func(s *exchangev1.NodeState) { s.Known = g.someLive(maxKnown) })
+	g.send(conn, to.probed, func(*exchangev1.NodeState) {})
 }
 
 func (g *Gossip) send(conn net.PacketConn, targets []string, shape func(*exchangev1.NodeState)) {
@@ -402,8 +404,7 @@
 			}
 		case p.sent == 0 || now-p.sent >= probeEvery:
 			p.sent = now
-			// A node that does not know this one's addresses yet can do nothing with less.
-			to.found = append(to.found, address)
+			to.probed = append(to.probed, address)
 		}
 	}
 	g.near.members, g.far.members = near, len(g.peers)
