--- /dev/null
+++ b/tests/node/size_test.go
@@ -0,0 +1,133 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/internal/procstat"
+	"github.com/crocusreel/crocusreel/platform"
+)
+
+const (
+	// manyEntries is the number of endpoints' entries at the size that the system is built for.
+	manyEntries = 3000
+	// vmMemory is what a node's settings allow it, in MiB.
+	vmMemory = 134
+	// largestConfiguration is the size of the store's largest row, in bytes.
+	largestConfiguration = 64 << 10
+)
+
+// resident returns the memory of the node's process, in MiB.
+func (n *member) resident() float64 {
+	GinkgoHelper()
+	sample, err := procstat.Read(n.PID())
+	Expect(err).NotTo(HaveOccurred())
+	return sample.RSS
+}
+
+// badEntry returns the data of an entry that names no endpoint.
+func badEntry(i int) []byte {
+	return []byte([]string{
+		`{"service":"app","address":`,
+		`{"service":["app"],"address":"127.0.0.1:1","zone":"dc1","version":"v1","batch_size":24,"phase":"ready","sequence":1}`,
+		`{"service":"app","zone":"dc1","version":"v1","batch_size":24,"phase":"ready","sequence":1}`,
+		`{"service":"app","address":"127.0.0.1:1","zone":"dc1","version":"v1","batch_size":24,"phase":"asleep","sequence":1}`,
+		"\x00\xff\xfe",
+	}[i%5])
+}
+
+// fill writes so many entries, of which each third names no endpoint and the others are
+// engines that nobody is sent to.
+func (s *site) fill(count int) {
+	GinkgoHelper()
+	for from := 0; from < count; from += 100 {
+		var txn platform.Txn
+		for i := from; i < from+100; i++ {
+			data := fmt.Appendf(nil, `{"service":"idle","address":"127.0.0.1:%d","zone":"dc1","version":"v1","batch_size":24,`+
+				`"phase":"ready","cold_remaining_ms":0,"sequence":1}`, 1+i)
+			if i%3 == 0 {
+				data = badEntry(i)
+			}
+			txn.Writes = append(txn.Writes, platform.Write{Table: platform.TableEndpoints, Key: fmt.Sprintf("many-%04d", i), Value: data})
+		}
+		_, err := s.store.Commit(context.Background(), txn)
+		Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+// configureLargest writes a version of the configuration that fills the store's row.
+func (s *site) configureLargest() {
+	GinkgoHelper()
+	s.config++
+	routes := []map[string]any{
+		{"name": "calls", "host": "a.example", "prefix": "/calls/", "type": "idempotent", "service": "app", "max_attempts": 2, "timeout_ms": 3000},
+	}
+	text := func() []byte {
+		data, err := json.Marshal(map[string]any{
+			"version": s.config, "routes": routes, "services": []map[string]any{{"name": "app", "max_connections": 100}},
+			"tenants": []map[string]any{{"name": "ws", "api_keys": s.keys}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		return data
+	}
+	one := len(text())
+	for i := range (largestConfiguration - 2*one) / one {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r%d-%d", i, s.config), "host": "a.example", "prefix": fmt.Sprintf("/r%d/%d/", i, s.config), "type": "idempotent",
+			"service": "app", "max_attempts": 2, "timeout_ms": 3000, "comment": strings.Repeat("x", 100),
+		})
+	}
+	s.write(platform.Write{Table: platform.TableOperator, Key: platform.KeyConfiguration, Value: text()})
+}
+
+var _ = Describe("nodes before thousands of entries", func() {
+	// A third of three thousand entries comes from other writers: halves, other types, unknown
+	// phases, bytes. Callers of the endpoint among them must be served as before, by nodes
+	// that read the store and by those that hear from them, within the VM's memory.
+	It("serve although a third of them name no endpoint", func() {
+		s := newSite()
+		s.fill(manyEntries)
+		s.app("i1")
+		s.start(3)
+		for _, n := range s.nodes {
+			s.expectCall(n)
+			for range 20 {
+				Expect(s.send(n, "/calls/1", "key").status).To(Equal(http.StatusOK))
+			}
+			resident := n.resident()
+			AddReportEntry("resident memory, MiB", resident, ReportEntryVisibilityFailureOrVerbose)
+			Expect(resident).To(BeNumerically("<", vmMemory))
+		}
+	})
+
+	// The operator changes a configuration of the largest size three times a second. Each
+	// change must be in force in time, callers are served meanwhile, and nodes don't grow
+	// with the number of changes.
+	It("serve while a configuration of the largest size changes three times a second", func() {
+		s := newSite()
+		s.app("i1")
+		s.start(3)
+		for range 15 {
+			s.configureLargest()
+			for _, n := range s.nodes {
+				Expect(s.send(n, "/calls/1", "key").status).To(Equal(http.StatusOK))
+			}
+			time.Sleep(time.Second / 3)
+		}
+		s.keys = []string{"new"}
+		s.configureLargest()
+		for _, n := range s.nodes {
+			Eventually(func() int { return s.send(n, "/calls/1", "new").status }, 2*time.Second).Should(Equal(http.StatusOK))
+			resident := n.resident()
+			AddReportEntry("resident memory, MiB", resident, ReportEntryVisibilityFailureOrVerbose)
+			Expect(resident).To(BeNumerically("<", vmMemory))
+		}
+	})
+})
