--- a/tests/node/news_test.go
+++ b/tests/node/news_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,7 +16,8 @@
 	"github.com/crocusreel/crocusreel/platform"
 )
 
-// knows tells whether the node has logged that it knows the endpoint with the text.
+// knows tells whether the node has logged that it knows the endpoint with the text; no
+// endpoint stands for any line.
 func (s *site) knows(n *member, endpoint, text string) func() bool {
 	return func() bool {
 		log, err := os.ReadFile(filepath.Join(s.dir, n.ip+".log"))
@@ -23,7 +25,8 @@
 			return false
 		}
 		for line := range strings.Lines(string(log)) {
-			if strings.Contains(line, "endpoint="+endpoint+" ") && strings.Contains(line, text) {
+			named := endpoint == "" || strings.Contains(line, "endpoint="+endpoint+" ")
+			if named && strings.Contains(line, text) {
 				return true
 			}
 		}
@@ -125,6 +128,33 @@
 		}
 	})
 
+	// In a data centre of more than five nodes some follow one that itself follows. When that one
+	// stands still, alone or with the first of all, those below it wait for answers that do
+	// not come, and must find another one to follow in time.
+	DescribeTable("reaches nodes in time that follow a frozen node which follows another",
+		func(frozen ...int) {
+			const bound = 2 * time.Second
+			s := newSite()
+			s.app("i1")
+			s.start(8)
+			// By then all follow whom they follow for good.
+			time.Sleep(time.Second)
+			Expect(s.knows(s.nodes[6], "", "reader="+s.nodes[1].ip)()).To(BeTrue())
+			for _, i := range frozen {
+				s.nodes[i].Freeze()
+			}
+			s.register("x", "pool", "127.0.0.1:9", "draining")
+			began := time.Now()
+			for i, n := range s.nodes {
+				if !slices.Contains(frozen, i) {
+					Eventually(s.knows(n, "x", "leaving=true"), bound-time.Since(began), 10*time.Millisecond).Should(BeTrue(), n.ip)
+				}
+			}
+		},
+		Entry("the one in the middle", 1),
+		Entry("the one in the middle and the first", 0, 1),
+	)
+
 	// The reader stands still. Its followers wait for an answer that does not come.
 	It("reaches nodes in time whose reader is frozen", func() {
 		s := newSite()
