Tell all nodes at once when a node is ready or no longer is

Nodes that start in a data centre without a seed would wait for it for up to 5 s, as long as they wait for one that reads an empty store. A leaving node was also out of the others' address answers only with its next round.

--- a/node/configuration.go
+++ b/node/configuration.go
@@ -47,6 +47,7 @@
 		n.log.Info("configuration applied", zap.Int64("config_version", c.Version), zap.Int64("row", row),
 			zap.Int("routes", len(c.Routes)), zap.Int("workspaces_keys", len(c.Keys)))
 		n.limits.apply(c.Limits)
+		n.tellReadiness()
 		n.news.tell()
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -79,6 +79,8 @@
 	endpointFeed *feed
 	configFeed   *feed
 	starter      *starter
+	// toldReady is the readiness that the other nodes were last told of at once.
+	toldReady    atomic.Bool
 	packedConfig packedConfiguration
 	wholes       pacer
 	peerClient   *http.Client
@@ -239,6 +241,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, housekeepingEvery)
 		n.client.Prune()
+		n.tellReadiness()
 		n.fleet.Tick()
 	}
 	return nil
--- a/node/serve.go
+++ b/node/serve.go
@@ -44,6 +44,15 @@
 	return known.Table != nil && !n.gate.Leaving() && ages.Certain < n.keysLimit()
 }
 
+// tellReadiness has all nodes told at once when callers may be sent here, or no longer. Nodes
+// that start wait for the first one that is ready, and callers are sent to those that are;
+// the next regular round may be seconds away where there are hundreds of nodes.
+func (n *Node) tellReadiness() {
+	if now := n.ready(); n.toldReady.Swap(now) != now {
+		n.gossip.TellAll()
+	}
+}
+
 func (n *Node) readyHandler() http.Handler {
 	e := echo.New()
 	e.GET(platform.PathReady, func(c echo.Context) error {
@@ -172,6 +181,7 @@
 func (n *Node) leave(ctx context.Context, s os.Signal) {
 	stopsAt := time.Now().Add(n.settings.ShutdownGrace - leaveMargin)
 	n.gate.Leave(stopsAt)
+	n.tellReadiness()
 	n.log.Info("node leaving", zap.String("signal", s.String()), zap.Int("requests", n.gate.Inside()))
 	pause(ctx, min(leaveServing, time.Until(stopsAt)))
 	for time.Now().Before(stopsAt) && !n.gate.Close() {
