--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 generate:
 	buf generate
 
-# capacity measures slopes for docs/CAPACITY.md; its figures decide nothing.
+# capacity measures slopes of gateways, schedulers and controllers; its figures decide nothing.
 .PHONY: capacity
 capacity:
 	$(GO) test -count=1 -tags capacity -v ./tests/capacity
