Take a copy whose order is answered between the look for copies and the wait for it

Found by reading the change once more: an order that is answered after the node has looked for copies and before it asks whether one is under way left the stream given up with its copy at hand, the listed fault in a window of some microseconds. The node now goes by whether a copy has come since it looked.

--- a/relay/copies.go
+++ b/relay/copies.go
@@ -113,15 +113,25 @@
 
 // fromCopy continues a stream whose engine is gone, nil if that is not possible.
 func (l *leg) fromCopy(ctx context.Context, at *progress) *leg {
+	known := l.mover.copied()
 	if next := l.fromOne(ctx, at, l.copies(at)); next != nil {
 		return next
 	}
-	if l.deadly() || !l.mover.awaitOrder(ctx) {
+	if l.deadly() {
+		return nil
+	}
+	waited := l.mover.awaitOrder(ctx)
+	// The answer may also have come since the copies were looked at.
+	late := l.mover.copied()
+	fresh := late != nil && late != known
+	if waited {
+		metrics.Count("stream_awaited_copy")
+		l.Log.Info("stream waited for its copy", zap.String("request", l.r.ID), zap.String("endpoint", l.p.Instance().ID),
+			zap.Bool("copied", fresh), zap.Duration("pause", time.Since(at.lastAt)))
+	}
+	if !fresh {
 		return nil
 	}
-	metrics.Count("stream_awaited_copy")
-	l.Log.Info("stream waited for its copy", zap.String("request", l.r.ID), zap.String("endpoint", l.p.Instance().ID),
-		zap.Bool("copied", l.mover.copied() != nil), zap.Duration("pause", time.Since(at.lastAt)))
 	return l.fromOne(ctx, at, l.copies(at))
 }
 
--- a/relay/latenews_test.go
+++ b/relay/latenews_test.go
@@ -66,6 +66,7 @@
 		},
 		Entry("the answer first", worker.Dying{CutAfter: 40 * time.Millisecond, AnswerAfter: 5 * time.Millisecond}),
 		Entry("the cut first", worker.Dying{CutAfter: 5 * time.Millisecond, AnswerAfter: 40 * time.Millisecond}),
+		Entry("both at once", worker.Dying{CutAfter: 10 * time.Millisecond, AnswerAfter: 10 * time.Millisecond}),
 		Entry("the cut long before", worker.Dying{CutAfter: time.Millisecond, AnswerAfter: 400 * time.Millisecond}),
 	)
 
