--- a/fleet/benchmark_test.go
+++ b/fleet/benchmark_test.go
@@ -10,7 +10,7 @@
 	"github.com/crocusreel/crocusreel/fleet"
 )
 
-// Sizes of the benchmarks: a fleet of three hundred nodes before three thousand engines,
+// Sizes of what is measured: a fleet of three hundred nodes before three thousand engines,
 // with eight runs a node.
 const (
 	benchNodes   = 300
@@ -55,19 +55,24 @@
 	return loads
 }
 
-// BenchmarkSetRemote takes over one datagram of another node.
-func BenchmarkSetRemote(b *testing.B) {
-	f := newBenchFleet()
+// hear takes over datagrams of the other nodes in turn.
+func (b *benchFleet) hear(t *testing.B) {
 	told := make([][]fleet.Load, 64)
 	for i := range told {
-		told[i] = f.loads()
+		told[i] = b.loads()
 	}
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		f.SetRemote(benchNode(i%benchNodes), told[i%len(told)], nil)
+	t.ReportAllocs()
+	for i := 0; t.Loop(); i++ {
+		b.SetRemote(benchNode(i%benchNodes), told[i%len(told)], nil)
 	}
 }
 
+// BenchmarkSetRemote takes over one datagram of another node.
+func BenchmarkSetRemote(b *testing.B) {
+	f := newBenchFleet()
+	f.hear(b)
+}
+
 // BenchmarkSetRemoteWaiting does so while work waits here and all engines are full.
 func BenchmarkSetRemoteWaiting(b *testing.B) {
 	f := newBenchFleet()
@@ -84,14 +89,7 @@
 	for f.Waiting("pool") < 4 {
 		time.Sleep(time.Millisecond)
 	}
-	told := make([][]fleet.Load, 64)
-	for i := range told {
-		told[i] = f.loads()
-	}
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		f.SetRemote(benchNode(i%benchNodes), told[i%len(told)], nil)
-	}
+	f.hear(b)
 }
 
 // BenchmarkPlace places one generation and ends it.
--- a/node/benchmark_test.go
+++ b/node/benchmark_test.go
@@ -9,7 +9,7 @@
 	"github.com/crocusreel/crocusreel/platform"
 )
 
-// benchEndpoints is the number of endpoints in the benchmarks.
+// benchEndpoints is the number of endpoints that a node knows here.
 const benchEndpoints = 3000
 
 func benchRow(i int, version int64) platform.Row {
