Call the moving of runs from an engine that leaves a migration

Two ideas must not share one name: operators will evacuate data centres, which asks for no run to be moved. The file, its types and the log line change their names; behaviour does not. Ruled out: renaming 'move' as well, which is the platform-independent word of the mover.

--- a/answers/report.go
+++ b/answers/report.go
@@ -129,7 +129,7 @@
 		if l.fields["leaving"] == "true" {
 			r.leaving[l.fields["endpoint"]] = true
 		}
-	case "endpoint removed", "endpoint gone", "endpoint is evacuated", "endpoint leaves by its health check":
+	case "endpoint removed", "endpoint gone", "runs of a leaving endpoint migrate", "endpoint leaves by its health check":
 		r.leaving[l.fields["endpoint"]] = true
 	case "memory copied":
 		if l.fields["refused"] == "false" && l.fields["cause"] == "" {
--- a/relay/decisions_test.go
+++ b/relay/decisions_test.go
@@ -29,7 +29,7 @@
 		}
 		saved := 0
 		end, largest := time.Duration(0), 0
-		for _, r := range relay.EvacuationOrder(runs, spec) {
+		for _, r := range relay.MigrationOrder(runs, spec) {
 			Expect(r.Tokens).To(BeNumerically(">", largest))
 			largest = r.Tokens
 			if end += relay.MoveTime(r.Tokens, spec); end <= 1500*time.Millisecond {
@@ -57,7 +57,7 @@
 			{ID: "x", Tokens: 1200, Events: 45},
 		}
 		names := func(runs []relay.EngineRun) (ids []string) {
-			for _, r := range relay.EvacuationOrder(runs, spec) {
+			for _, r := range relay.MigrationOrder(runs, spec) {
 				ids = append(ids, r.ID)
 			}
 			return ids
--- a/relay/export_test.go
+++ b/relay/export_test.go
@@ -10,7 +10,7 @@
 
 // Names for tests of decisions that need no endpoint.
 var (
-	EvacuationOrder = evacuationOrder
+	MigrationOrder = migrationOrder
 	MoveTime        = moveTime
 	NewEventReader  = newEventReader
 	SplitEvent      = splitEvent
@@ -34,12 +34,12 @@
 // Departure is one engine that leaves, as one node sees it.
 type Departure struct {
 	relay *Relay
-	e     *evacuation
+	e     *migration
 }
 
 // NewDeparture returns the departure of an engine with the given runs.
 func NewDeparture(v *Vacated, runs []EngineRun, spec *routing.EngineSpec) *Departure {
-	e := &evacuation{order: evacuationOrder(runs, spec), spec: spec, engine: departing}
+	e := &migration{order: migrationOrder(runs, spec), spec: spec, engine: departing}
 	return &Departure{relay: &Relay{Vacated: v, Fleet: &fleet.Fleet{}}, e: e}
 }
 
--- a/relay/evacuation.go
+++ b/relay/migration.go
@@ -50,11 +50,11 @@
 	turnSlack = 2.2
 )
 
-// evacuationOrder returns the runs in the order in which they move. Small runs go first:
+// migrationOrder returns the runs in the order in which they move. Small runs go first:
 // with little time, more of them are saved. Nodes ask at slightly different moments, and
 // must find the same order all the same, so a run counts by its prompt, which does not grow.
 // A prompt that is still being read comes last.
-func evacuationOrder(runs []EngineRun, spec *routing.EngineSpec) []EngineRun {
+func migrationOrder(runs []EngineRun, spec *routing.EngineSpec) []EngineRun {
 	ordered := slices.Clone(runs)
 	size := func(r EngineRun) int {
 		if r.Events == 0 {
@@ -73,8 +73,8 @@
 	return spec.CopyTime(tokens) + moveOverhead
 }
 
-// evacuation is the departure of one engine.
-type evacuation struct {
+// migration is the departure of one engine.
+type migration struct {
 	ready chan struct{}
 	// began is when the first run asked for the order.
 	began time.Time
@@ -86,7 +86,7 @@
 
 // ahead returns the runs that move before the given one; all for a run that the engine
 // did not name.
-func (e *evacuation) ahead(runID string) []EngineRun {
+func (e *migration) ahead(runID string) []EngineRun {
 	for i, run := range e.order {
 		if run.ID == runID {
 			return e.order[:i]
@@ -95,17 +95,17 @@
 	return e.order
 }
 
-// evacuations are the departures under way, by endpoint.
-type evacuations struct {
+// migrations are the departures under way, by endpoint.
+type migrations struct {
 	mu  sync.Mutex
-	all map[fleet.Incarnation]*evacuation
+	all map[fleet.Incarnation]*migration
 }
 
-// maxEvacuations bounds the remembered departures; a node's runs leave few at a time.
-const maxEvacuations = 64
+// maxMigrations bounds the remembered departures; a node's runs leave few at a time.
+const maxMigrations = 64
 
-// evacuation returns the order in which the runs of the leaving endpoint move.
-func (l *Relay) evacuation(ctx context.Context, p *fleet.Placement, spec *routing.EngineSpec) *evacuation {
+// migration returns the order in which the runs of the leaving endpoint move.
+func (l *Relay) migration(ctx context.Context, p *fleet.Placement, spec *routing.EngineSpec) *migration {
 	id := p.Instance().Incarnation()
 	l.departures.mu.Lock()
 	e, known := l.departures.all[id]
@@ -114,15 +114,15 @@
 		known = false
 	}
 	if !known {
-		if l.departures.all == nil || len(l.departures.all) >= maxEvacuations {
-			l.departures.all = make(map[fleet.Incarnation]*evacuation)
+		if l.departures.all == nil || len(l.departures.all) >= maxMigrations {
+			l.departures.all = make(map[fleet.Incarnation]*migration)
 		}
-		e = &evacuation{ready: make(chan struct{}), began: time.Now()}
+		e = &migration{ready: make(chan struct{}), began: time.Now()}
 		l.departures.all[id] = e
 	}
 	l.departures.mu.Unlock()
 	if !known {
-		l.planEvacuation(e, p, spec)
+		l.planMigration(e, p, spec)
 		close(e.ready)
 	}
 	select {
@@ -132,7 +132,7 @@
 	return e
 }
 
-func (l *Relay) planEvacuation(e *evacuation, p *fleet.Placement, spec *routing.EngineSpec) {
+func (l *Relay) planMigration(e *migration, p *fleet.Placement, spec *routing.EngineSpec) {
 	e.spec = spec
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
@@ -148,15 +148,15 @@
 			zap.Int64("born", born), zap.Int64("reported_born", report.Born))
 		return
 	}
-	e.order = evacuationOrder(report.Runs, spec)
+	e.order = migrationOrder(report.Runs, spec)
 	e.engine = p.Instance().Incarnation().Key()
 	l.Vacated.endedAmong(e.order, e.engine)
-	l.Log.Info("endpoint is evacuated", zap.String("endpoint", p.Instance().ID), zap.Int("runs", len(report.Runs)),
+	l.Log.Info("runs of a leaving endpoint migrate", zap.String("endpoint", p.Instance().ID), zap.Int("runs", len(report.Runs)),
 		zap.Duration("leaves_in", report.LeavesIn), zap.Duration("since_notice", p.Departure().Since))
 }
 
 // awaitTurn waits until the runs before the given one have moved, or have had their time.
-func (l *Relay) awaitTurn(ctx context.Context, e *evacuation, runID string) {
+func (l *Relay) awaitTurn(ctx context.Context, e *migration, runID string) {
 	if l.Fleet.Without[fleet.MoveTurns] {
 		return
 	}
--- a/relay/evacuation_sim_test.go
+++ b/relay/migration_sim_test.go
@@ -72,7 +72,7 @@
 		byID[r.ID] = r
 	}
 	var all []run
-	for _, r := range relay.EvacuationOrder(plain, spec) {
+	for _, r := range relay.MigrationOrder(plain, spec) {
 		all = append(all, byID[r.ID])
 	}
 	return all
--- a/relay/mover.go
+++ b/relay/mover.go
@@ -95,7 +95,7 @@
 	if !await(ctx, m.begun) {
 		return
 	}
-	l.awaitTurn(ctx, l.evacuation(ctx, l.p, l.r.Service.Engine), l.r.ID)
+	l.awaitTurn(ctx, l.migration(ctx, l.p, l.r.Service.Engine), l.r.ID)
 	defer l.Vacated.leave(l.runKey())
 	for range moveTries {
 		if m.try(ctx) || ctx.Err() != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -164,7 +164,7 @@
 	// guards against work of keys that were taken away while the request waited.
 	Admit func(r *Request) *crocusreel.Refusal
 
-	departures evacuations
+	departures migrations
 }
 
 // Serve takes the request to its end.
