--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -207,6 +207,20 @@
 		Eventually(a.lostNodes, 1500*time.Millisecond).Should(Equal([]string{b.ip}))
 	})
 
+	// Guards against a node that restarts within a moment and hears of nobody for seconds: the
+	// others take it for live and go on leaving out the addresses that it knew before.
+	It("tell one that has restarted within a moment everything at once", func() {
+		a, b := start(own(71), 1), start(own(72), 1)
+		a.Add(b.ip)
+		Eventually(a.live, time.Second).Should(ConsistOf(b.ip))
+		Eventually(b.live, time.Second).Should(ConsistOf(a.ip))
+		a.stop()
+		time.Sleep(50 * time.Millisecond)
+		again := start(a.ip, 2)
+		again.Add(b.ip)
+		Eventually(again.live, 500*time.Millisecond, 5*time.Millisecond).Should(ConsistOf(b.ip))
+	})
+
 	// All nodes start at once, and each knows the seeds only. A seed that answers with its
 	// next round, which comes seconds later once it knows hundreds of nodes, keeps them from
 	// serving for as long.
