Tell a node everything that has started again, also if it was taken for live

Symptom: a node that was killed and started again within 0.9 s heard of no other node for up to 6 s: it was ready late or never while the store was away, and had the others' loads late. Cause: the others still took it for live and sent brief datagrams, which carry no addresses, until the next whole one was due (fullEvery); it dropped these as of an unknown incarnation and asked again, which changed nothing there. Ruled out: a lost datagram (the log shows an answer each 150 ms, none taken).

--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -57,6 +57,7 @@
 		return false
 	}
 	before, wasLive := p.Peer, p.live
+	started := s.GetIncarnation() != p.incarnation
 	defer func() {
 		if p.Peer != before || !wasLive {
 			g.view = nil
@@ -68,7 +69,7 @@
 		g.o.Log.Info("node heard", zap.String("node", s.GetAddress()), zap.Bool("ready", s.GetReady()),
 			zap.Bool("leaving", s.GetLeaving()), zap.Uint64("incarnation", s.GetIncarnation()))
 	}
-	if !p.live {
+	if !p.live || started {
 		// A node that was not live may have missed the addresses. One that has just started
 		// knows the seeds only, and waits for their answer.
 		p.full = 0
