--- /dev/null
+++ b/tests/node/evacuation_test.go
@@ -0,0 +1,176 @@
+package node_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/internal/standin/worker"
+	"github.com/crocusreel/crocusreel/platform"
+)
+
+// newsBound is the time within which all nodes must know of an evacuation.
+const newsBound = time.Second
+
+// evacuate gives or withdraws the order to evacuate a data centre.
+func (s *site) evacuate(dataCentre string, given bool) {
+	GinkgoHelper()
+	s.write(platform.Write{
+		Table: platform.TableOperator, Key: "evacuate/" + dataCentre, Value: []byte("{}"), Delete: !given,
+	})
+}
+
+// appIn starts a plain endpoint in a data centre.
+func (s *site) appIn(id, dataCentre string) *worker.Worker {
+	GinkgoHelper()
+	w, err := worker.Start(worker.Options{ID: id})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(w.Stop)
+	s.registerIn(id, "app", w.Address(), dataCentre)
+	return w
+}
+
+// engineIn starts an engine in a data centre.
+func (s *site) engineIn(id, dataCentre string, events int) *worker.Worker {
+	GinkgoHelper()
+	w, err := worker.Start(worker.Options{ID: id, Events: events, Gap: 10 * time.Millisecond, Memory: s.memory})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(w.Stop)
+	s.registerIn(id, "pool", w.Address(), dataCentre)
+	return w
+}
+
+func (s *site) registerIn(id, service, address, dataCentre string) {
+	GinkgoHelper()
+	data, err := json.Marshal(map[string]any{
+		"service": service, "address": address, "zone": dataCentre, "version": "v1", "batch_size": 24, "phase": "ready",
+		"cold_remaining_ms": 0, "sequence": 1,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	s.write(platform.Write{Table: platform.TableEndpoints, Key: id, Value: data})
+}
+
+// reaches sends calls through all nodes and returns how many of them ran at the endpoint.
+func (s *site) reaches(w *worker.Worker) func() int {
+	return func() int {
+		before := len(w.Runs())
+		for _, n := range s.nodes {
+			for range 8 {
+				s.send(n, "/calls/x", "key")
+			}
+		}
+		return len(w.Runs()) - before
+	}
+}
+
+var _ = Describe("the evacuation of a data centre", func() {
+	// Guards against work that is sent to endpoints which the operator is about to take away.
+	It("is in force at all nodes within a second, and so is its end", func() {
+		s := newSite()
+		s.dataCentres = []string{"dc1", "dc2", "dc2"}
+		s.appIn("i1", "dc1")
+		i2 := s.appIn("i2", "dc2")
+		s.start(3)
+		Eventually(s.reaches(i2)).Should(BeNumerically(">", 0))
+		for range 3 {
+			s.evacuate("dc2", true)
+			time.Sleep(newsBound)
+			Expect(s.reaches(i2)()).To(BeZero())
+			s.evacuate("dc2", false)
+			time.Sleep(newsBound)
+			Expect(s.reaches(i2)()).To(BeNumerically(">", 0))
+		}
+		// Withdrawn and given again within a moment.
+		s.evacuate("dc2", true)
+		s.evacuate("dc2", false)
+		s.evacuate("dc2", true)
+		time.Sleep(newsBound)
+		Expect(s.reaches(i2)()).To(BeZero())
+	})
+
+	// Guards against a node that starts, or reads the store late, and does not know the order.
+	It("is known to nodes that start while the store is away from them", func() {
+		s := newSite()
+		s.linked = true
+		s.dataCentres = []string{"dc1", "dc2", "dc2"}
+		s.appIn("i1", "dc1")
+		i2 := s.appIn("i2", "dc2")
+		s.start(3)
+		s.evacuate("dc2", true)
+		time.Sleep(newsBound)
+		for i := range s.nodes {
+			s.storeLink(i).Cut()
+		}
+		Expect(s.reaches(i2)()).To(BeZero())
+		s.nodes[2].Kill()
+		Expect(s.nodes[2].Start()).To(Succeed())
+		Eventually(s.nodes[2].ready, 5*time.Second, 20*time.Millisecond).Should(BeTrue())
+		Expect(s.reaches(i2)()).To(BeZero())
+	})
+
+	// Guards against callers who wait for a place that the operator has closed.
+	It("refuses work at once whose endpoints are all there", func() {
+		s := newSite()
+		i1 := s.appIn("i1", "dc1")
+		s.start(1)
+		Expect(s.send(s.nodes[0], "/calls/x", "key").status).To(Equal(http.StatusOK))
+		ran := len(i1.Runs())
+		s.evacuate("dc1", true)
+		time.Sleep(newsBound)
+		began := time.Now()
+		r := s.send(s.nodes[0], "/bookings/x", "key")
+		Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(r.body).To(ContainSubstring(`"evacuated"`))
+		Expect(r.body).To(ContainSubstring(`"not_run"`))
+		Expect(time.Since(began)).To(BeNumerically("<", 200*time.Millisecond))
+		Expect(i1.Runs()).To(HaveLen(ran))
+		s.evacuate("dc1", false)
+		time.Sleep(newsBound)
+		Expect(s.send(s.nodes[0], "/bookings/x", "key").status).To(Equal(http.StatusOK))
+	})
+
+	// Guards against streams that are cut because their data centre gets no new work.
+	It("lets streams go on that run there, and sends new ones elsewhere", func() {
+		s := newSite()
+		s.dataCentres = []string{"dc2"}
+		s.engineIn("e2", "dc2", 300)
+		s.start(1)
+		answers := make(chan reply, 1)
+		go func() {
+			defer GinkgoRecover()
+			answers <- s.send(s.nodes[0], "/drafts/x", "key")
+		}()
+		time.Sleep(500 * time.Millisecond)
+		e1 := s.engineIn("e1", "dc1", 20)
+		s.evacuate("dc2", true)
+		time.Sleep(newsBound)
+		Expect(s.send(s.nodes[0], "/drafts/y", "key").status).To(Equal(http.StatusOK))
+		Expect(e1.Runs()).To(HaveLen(1))
+		var got reply
+		Eventually(answers, 10*time.Second).Should(Receive(&got))
+		Expect(got.whole).To(BeTrue())
+		Expect(strings.Count(got.body, "id:")).To(Equal(300))
+	})
+
+	// Guards against rows that nobody meant as an order and that hide or undo a real one.
+	It("is kept among a thousand faulty rows", func() {
+		s := newSite()
+		s.dataCentres = []string{"dc1", "dc2"}
+		s.appIn("i1", "dc1")
+		i2 := s.appIn("i2", "dc2")
+		for i := range 1000 {
+			s.write(platform.Write{Table: platform.TableOperator, Key: fmt.Sprintf("evacuate/a%d", i), Value: []byte("\xff")})
+		}
+		s.write(platform.Write{Table: platform.TableOperator, Key: "evacuate/", Value: []byte("{}")})
+		s.start(2)
+		Expect(s.reaches(i2)()).To(BeNumerically(">", 0))
+		s.write(platform.Write{Table: platform.TableOperator, Key: "evacuate/dc2", Value: []byte("no object")})
+		time.Sleep(newsBound)
+		Expect(s.reaches(i2)()).To(BeZero())
+	})
+})
