--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -81,6 +81,13 @@
 	// leaving is closed once the instance is about to stop or was removed.
 	leaving   chan struct{}
 	isLeaving bool
+	// unusable is closed while the instance is leaving or its data centre is evacuated.
+	unusable    chan struct{}
+	isEvacuated bool
+	// returnedAt is when the evacuation of its data centre ended; 0 if there was none.
+	returnedAt time.Duration
+	// coldUsedAt is when this node last sent it a request.
+	coldUsedAt time.Duration
 	// missingAt is when the entry vanished although the instance may be alive; 0 if
 	// it is there.
 	missingAt time.Duration
@@ -100,6 +107,7 @@
 		Instance: in,
 		key:      in.Incarnation().Key(),
 		leaving:  make(chan struct{}),
+		unusable: make(chan struct{}),
 		remote:   make(map[string]Load),
 	}
 	e.life, e.end = context.WithCancelCause(context.Background())
@@ -152,10 +160,23 @@
 	e.left = now
 	e.isLeaving = true
 	close(e.leaving)
+	e.markUnusable()
+}
+
+// markUnusable closes the channel of that name once.
+func (e *Endpoint) markUnusable() {
+	select {
+	case <-e.unusable:
+	default:
+		close(e.unusable)
+	}
 }
 
 // stay takes back that the endpoint is leaving.
 func (e *Endpoint) stay() {
 	e.isLeaving, e.byHealth = false, false
 	e.leaving = make(chan struct{})
+	if !e.isEvacuated {
+		e.unusable = make(chan struct{})
+	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,7 +26,16 @@
 	doubted map[*Endpoint]struct{}
 	queues  map[line]*queue
 	remote  map[string]remoteNode
-	random  *rand.Rand
+	// evacuated holds since when each evacuated data centre is known to be one.
+	evacuated map[string]time.Duration
+	// wakeAt is when Wake was last asked for a call.
+	wakeAt time.Duration
+	random *rand.Rand
+	// Regions maps data centres to their regions, for work that is bound to some.
+	Regions map[string]string
+	// Nodes returns how many nodes there are, this one included, or more; 0 if that is not
+	// known. Cold endpoints are shared by it.
+	Nodes func() int
 	// Changed is called when other nodes should be told at once what this one runs and
 	// what waits on it: the nodes of the given data centre, or all if it is empty. It
 	// must not block.
@@ -53,6 +62,7 @@
 		Changed:    func(string) {},
 		Believed:   func(Exclusion) {},
 		Wake:       func(time.Duration) {},
+		Nodes:      func() int { return 1 },
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -121,6 +131,10 @@
 	}
 	if !known {
 		e = newEndpoint(in)
+		if _, is := f.evacuated[in.DataCentre]; is {
+			e.isEvacuated = true
+			e.markUnusable()
+		}
 		// Other nodes may have used it before this one heard of it.
 		for node, told := range f.remote {
 			if l, ok := told.loads[e.key]; ok {
--- a/fleet/holding.go
+++ b/fleet/holding.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/crocusreel/crocusreel/routing"
@@ -47,7 +46,8 @@
 	var best *Endpoint
 	bestCost := 0.0
 	for _, e := range f.services[w.Service.Name] {
-		if e == p.endpoint || e.isLeaving || e.missingAt != 0 || now < e.health.ejectedUntil || slices.Contains(w.Exclude, e.ID) {
+		if e == p.endpoint || !f.eligibleLocked(e, &w) || e.missingAt != 0 || now < e.health.ejectedUntil ||
+			f.coldLocked(e, w.Service, now) {
 			continue
 		}
 		load := e.total()
@@ -74,7 +74,7 @@
 func (f *Fleet) promisedLocked(s *routing.Service) float64 {
 	tokens, memory := 0, 0
 	for _, e := range f.services[s.Name] {
-		if e.isLeaving {
+		if e.isLeaving || e.isEvacuated {
 			continue
 		}
 		tokens += e.total().Tokens
@@ -89,20 +89,20 @@
 // Life ends once the endpoint has certainly died, and the backup with it.
 func (h *Holding) Life() context.Context { return h.endpoint.life }
 
-// Leaving is closed once the endpoint is about to stop.
-func (h *Holding) Leaving() <-chan struct{} {
+// Unusable is closed once the endpoint is about to stop or its data centre is evacuated.
+func (h *Holding) Unusable() <-chan struct{} {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
-	return h.endpoint.leaving
+	return h.endpoint.unusable
 }
 
 // Take turns the room into the place of the run, which goes on there with so many tokens
-// made; nil if the room was given back or the endpoint leaves.
+// made; nil if the room was given back, the endpoint leaves or its data centre is evacuated.
 func (h *Holding) Take(produced int) *Placement {
 	f := h.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if h.released || h.endpoint.isLeaving {
+	if h.released || h.endpoint.isLeaving || h.endpoint.isEvacuated {
 		return nil
 	}
 	h.releaseLocked()
--- a/fleet/mechanism.go
+++ b/fleet/mechanism.go
@@ -32,13 +32,15 @@
 	HealthChecks Mechanism = "health-checks"
 	// OneReader lets one node read the store for all.
 	OneReader Mechanism = "one-reader"
+	// ColdTurns bound what a cold endpoint gets from all nodes together.
+	ColdTurns Mechanism = "cold-turns"
 	// Retries repeat work that is safe to repeat, or certainly has not run.
 	Retries Mechanism = "retries"
 )
 
 // Mechanisms are all that can be left out.
 var Mechanisms = []Mechanism{
-	Moves, MoveTurns, Backups, Turns, ShortLine, LateBehind, UnreadBound, Ejection, HealthChecks, OneReader, Retries,
+	Moves, MoveTurns, Backups, Turns, ShortLine, LateBehind, UnreadBound, Ejection, HealthChecks, OneReader, ColdTurns, Retries,
 }
 
 // Without is a set of mechanisms that are left out. It does not change while it is in use.
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -88,6 +88,9 @@
 	StartWithin time.Duration
 	// Exclude are IDs of endpoints that were tried.
 	Exclude []string
+	// Bound is set for work that may run in Regions only.
+	Bound   bool
+	Regions []string
 	// late is set once StartWithin is over.
 	late bool
 	// from is the endpoint that a move leaves; nil for new work. moving is the memory that
@@ -108,14 +111,14 @@
 	now := f.now()
 	for _, ejectedToo := range []bool{false, true} {
 		for _, e := range endpoints {
-			if e.isLeaving || slices.Contains(w.Exclude, e.ID) {
+			if !f.eligibleLocked(e, w) {
 				continue
 			}
 			if !ejectedToo && f.ejectedLocked(e, now) {
 				continue
 			}
 			load := e.total()
-			if !f.fitsLocked(e, w, &load) {
+			if !f.fitsLocked(e, w, &load) || !f.takesColdLocked(e, w.Service, now) {
 				continue
 			}
 			if cost := f.costLocked(e, w, &load, now); best == nil || cost < bestCost {
@@ -133,13 +136,23 @@
 // none is, ejection is no longer a choice among endpoints and is ignored.
 func (f *Fleet) anyInServiceLocked(w *Want, now time.Duration) bool {
 	for _, e := range f.services[w.Service.Name] {
-		if !e.isLeaving && !f.ejectedLocked(e, now) && !slices.Contains(w.Exclude, e.ID) {
+		if f.eligibleLocked(e, w) && !f.ejectedLocked(e, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// eligibleLocked tells whether the work may be sent to the endpoint, whatever its load.
+func (f *Fleet) eligibleLocked(e *Endpoint, w *Want) bool {
+	return !e.isLeaving && !e.isEvacuated && !slices.Contains(w.Exclude, e.ID) && f.inRegionsLocked(e, w)
+}
+
+// inRegionsLocked tells whether the endpoint is in a region to which the work is bound.
+func (f *Fleet) inRegionsLocked(e *Endpoint, w *Want) bool {
+	return !w.Bound || slices.Contains(w.Regions, f.Regions[e.DataCentre])
+}
+
 func (f *Fleet) ejectedLocked(e *Endpoint, now time.Duration) bool {
 	return now < e.health.ejectedUntil && !f.Without[Ejection]
 }
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -55,6 +55,7 @@
 func (f *Fleet) placeLocked(e *Endpoint, d Demand) *Placement {
 	p := &Placement{fleet: f, endpoint: e, demand: d, reading: d.Prompt > 0}
 	f.used[e] = struct{}{}
+	f.useColdTurnLocked(e)
 	e.own.Count++
 	e.own.Tokens += p.tokens()
 	e.own.Unread += p.unread()
@@ -78,6 +79,13 @@
 	return p.endpoint.leaving
 }
 
+// Usable tells whether a run may go on at the endpoint.
+func (p *Placement) Usable() bool {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return !p.endpoint.isEvacuated
+}
+
 // tokens is the memory that the run is expected to need. An answer that has outgrown
 // its expectation is expected to go on for a while.
 func (p *Placement) tokens() int {
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -12,6 +12,7 @@
 type waiter struct {
 	want    *Want
 	since   time.Duration
+	// granted gets the place, or nil once no endpoint may run the work.
 	granted chan *Placement
 	turn    turn
 }
@@ -67,6 +68,10 @@
 // patience, or until ctx ends. With patience 0 it does not wait.
 func (f *Fleet) Acquire(ctx context.Context, w Want, patience time.Duration) (*Placement, *crocusreel.Refusal) {
 	f.mu.Lock()
+	if f.allEvacuatedLocked(&w) {
+		defer f.mu.Unlock()
+		return nil, refuseEvacuated(&w)
+	}
 	inTurn := patience <= 0 || f.aheadLocked(&w, w.Rank, f.now()) == 0
 	if q := f.queues[f.line(&w)]; inTurn && (q == nil || !q.ahead(w.Rank, f.now())) {
 		if e := f.pickLocked(&w); e != nil {
@@ -97,6 +102,9 @@
 	defer timer.Stop()
 	select {
 	case p := <-w.granted:
+		if p == nil {
+			return nil, refuseEvacuated(w.want)
+		}
 		p.Waited = f.now() - w.since
 		return p, nil
 	case <-timer.C:
@@ -110,6 +118,9 @@
 	}
 	select {
 	case p := <-w.granted:
+		if p == nil {
+			return nil, refuseEvacuated(w.want)
+		}
 		// The place was granted while the wait ended.
 		if ctx.Err() == nil {
 			return p, nil
@@ -214,7 +225,8 @@
 
 // grantLocked gives a waiter the place if it is its turn.
 func (f *Fleet) grantLocked(q *queue, w *waiter, e *Endpoint) {
-	if !f.mayClaimLocked(w) {
+	// The turns at a cold endpoint keep nodes apart already.
+	if !f.coldLocked(e, w.want.Service, f.now()) && !f.mayClaimLocked(w) {
 		return
 	}
 	q.remove(w)
@@ -235,18 +247,22 @@
 func (f *Fleet) refuseLocked(w *Want) *crocusreel.Refusal {
 	alive := 0
 	for _, e := range f.services[w.Service.Name] {
-		if !e.isLeaving {
+		if !e.isLeaving && f.inRegionsLocked(e, w) {
 			alive++
 		}
 	}
+	if alive == 0 && w.Bound {
+		return crocusreel.Refuse(crocusreel.ReasonNoEndpoint, crocusreel.OutcomeNotRun, noEndpointRetry,
+			"no endpoint of service %q is in service in regions %q", w.Service.Name, w.Regions)
+	}
 	if alive == 0 {
 		return crocusreel.Refuse(crocusreel.ReasonNoEndpoint, crocusreel.OutcomeNotRun, noEndpointRetry,
-			"no endpoint of service %s is in service", w.Service.Name)
+			"no endpoint of service %q is in service", w.Service.Name)
 	}
 	waiting := f.waitingLocked(w.Service.Name)
 	retry := min(shortestRetry+time.Duration(waiting)*waitPerRequest, longestRetry)
 	return crocusreel.Refuse(crocusreel.ReasonQueueFull, crocusreel.OutcomeNotRun, retry,
-		"%d endpoints of service %s have no room, %d requests wait here", alive, w.Service.Name, waiting)
+		"%d endpoints of service %q have no room, %d requests wait here", alive, w.Service.Name, waiting)
 }
 
 // Waiting returns the number of requests that wait for a service.
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -15,6 +15,7 @@
 			n.applyConfiguration(row.Value, row.Version, seen)
 		}
 	}
+	n.evacuationsListed(l)
 }
 
 // configurationChanged takes changes of the operator's table. Without one for the
@@ -31,6 +32,7 @@
 		known, _ := n.config.Current()
 		n.config.Confirm(known.Row, seen)
 	}
+	n.evacuationsChanged(l.Rows)
 }
 
 func (n *Node) applyConfiguration(data []byte, row int64, seen knowledge.Seen) {
@@ -46,8 +48,36 @@
 	if n.config.Apply(routing.NewTable(c), row, data, seen) {
 		n.log.Info("configuration applied", zap.Int64("config_version", c.Version), zap.Int64("row", row),
 			zap.Int("routes", len(c.Routes)), zap.Int("workspaces_keys", len(c.Keys)))
+		n.warnOfRegions(c)
 		n.limits.apply(c.Limits)
 		n.tellReadiness()
 		n.news.tell()
 	}
 }
+
+// warnOfRegions logs regions to which work is bound and that the settings do not name: such
+// work runs nowhere.
+func (n *Node) warnOfRegions(c *routing.Configuration) {
+	known := make(map[string]bool)
+	for _, region := range n.settings.Regions {
+		known[region] = true
+	}
+	warn := func(field, name string, regions []string) {
+		for _, region := range regions {
+			if !known[region] {
+				n.log.Warn("region is not known", zap.String(field, name), zap.String("region", region),
+					zap.Int64("config_version", c.Version))
+			}
+		}
+	}
+	for i := range c.Routes {
+		warn("route", c.Routes[i].Name, c.Routes[i].Regions)
+	}
+	told := make(map[*routing.Workspace]bool)
+	for _, ws := range c.Keys {
+		if !told[ws] {
+			told[ws] = true
+			warn("workspace", ws.Name, ws.Regions)
+		}
+	}
+}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -22,14 +22,17 @@
 	timer := time.NewTimer(time.Duration(req.Msg.GetWaitMs()) * time.Millisecond)
 	defer timer.Stop()
 	changed := n.news.wait()
+	// Taken before the configuration, which is then at least as new.
+	evacuations := n.evacuationsMessage(req.Msg.GetEvacuationsVersion())
 	known, ages := n.config.Current()
-	if known.Row <= req.Msg.GetConfigVersion() && n.entries.known() <= req.Msg.GetEndpointsVersion() {
+	if evacuations == nil && known.Row <= req.Msg.GetConfigVersion() && n.entries.known() <= req.Msg.GetEndpointsVersion() {
 		select {
 		case <-changed:
 		case <-timer.C:
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
+		evacuations = n.evacuationsMessage(req.Msg.GetEvacuationsVersion())
 		known, ages = n.config.Current()
 	}
 	if known.Table == nil {
@@ -45,6 +48,7 @@
 		AnsweredAgeMs: uint64(ages.Answered.Milliseconds()) + 1,
 		Unsteady:      n.tentative(),
 		Away:          n.storeAway(),
+		Evacuations:   evacuations,
 	}
 	if known.Row > req.Msg.GetConfigVersion() {
 		resp.Config = &exchangev1.Row{Key: platform.KeyConfiguration, Version: known.Row}
--- a/node/follow.go
+++ b/node/follow.go
@@ -133,6 +133,8 @@
 		ConfigVersion:    known.Row,
 		EndpointsVersion: endpoints,
 		WaitMs:           uint32(wait.Milliseconds()),
+
+		EvacuationsVersion: n.evacuations.Version(),
 	}))
 	if err != nil {
 		return err
@@ -152,6 +154,7 @@
 		n.applyConfiguration(data, c.GetVersion(), seen)
 	}
 	n.config.Confirm(resp.Msg.GetConfigVersion(), seen)
+	n.evacuationsFromPeer(resp.Msg.GetEvacuations(), address)
 	age := millis(resp.Msg.GetEndpointsAgeMs())
 	return n.endpointsFromPeer(resp.Msg, endpoints, knowledge.Seen{Certain: asked - age, Answered: answered - age})
 }
--- a/node/health.go
+++ b/node/health.go
@@ -73,8 +73,18 @@
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	metrics.Count("health_checks")
-	goesOn, err := n.engines.Health(ctx, in.Address, path, in.ID)
-	if err != nil || goesOn {
+	answer, err := n.engines.Health(ctx, in.Address, path, in.ID)
+	if err != nil {
+		n.log.Debug("health check not answered", zap.String("endpoint", in.ID), zap.Error(err))
+		return
+	}
+	if answer.ColdFault != nil {
+		n.log.Warn("health answer not readable", zap.String("endpoint", in.ID), zap.Error(answer.ColdFault))
+	}
+	if answer.GoesOn {
+		if answer.Cold > 0 && n.fleet.SetCold(in.Incarnation().Key(), answer.Cold) {
+			n.log.Info("endpoint is cold by its health check", zap.String("endpoint", in.ID), zap.Duration("for", answer.Cold))
+		}
 		return
 	}
 	if n.fleet.Unhealthy(in.Incarnation().Key()) {
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,6 +62,12 @@
 
 	store    *platform.Store
 	config   *knowledge.Configuration
+	// evacuations are the operator's, evacuated their names as they were last put in force
+	// under evacuationsMu.
+	evacuations   knowledge.Evacuations
+	evacuationsMu sync.Mutex
+	evacuated     []string
+	population    population
 	fleet    *fleet.Fleet
 	gossip   *gossip.Gossip
 	relay    *relay.Relay
@@ -116,6 +123,10 @@
 		Log:         log,
 	})
 	n.fleet.Name, n.fleet.Without = s.IP, without
+	n.evacuations.Known = n.knowsDataCentre
+	metrics.GaugeFunc("evacuations", func() any { return n.fleet.Evacuations() })
+	n.fleet.Regions = s.Regions
+	n.fleet.Nodes = n.population.count
 	n.fleet.Changed = n.tell
 	n.fleet.Believed = n.believed
 	n.fleet.Wake = func(after time.Duration) { time.AfterFunc(after, n.fleet.Tick) }
@@ -143,10 +154,7 @@
 	n.configFeed = &feed{
 		store: n.store, table: platform.TableOperator, wait: changesWait, log: log,
 		listed: n.configurationListed, changed: n.configurationChanged,
-		learned: func() int64 {
-			known, _ := n.config.Current()
-			return known.Row
-		},
+		learned: n.evacuations.Version,
 		patience: n.storePatience, linkChanged: n.gossip.TellAll, othersRead: n.othersRead,
 	}
 	n.configFeed.direct = func() bool { return n.asksStore(n.configFeed) }
@@ -241,6 +249,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, housekeepingEvery)
 		n.client.Prune()
+		n.countNodes()
 		n.tellReadiness()
 		n.fleet.Tick()
 	}
--- a/node/serve.go
+++ b/node/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -41,7 +42,7 @@
 // ready tells whether callers may be sent here.
 func (n *Node) ready() bool {
 	known, ages := n.config.Current()
-	return known.Table != nil && !n.gate.Leaving() && ages.Certain < n.keysLimit()
+	return known.Table != nil && n.evacuations.Version() > 0 && !n.gate.Leaving() && ages.Certain < n.keysLimit()
 }
 
 // tellReadiness has all nodes told at once when callers may be sent here, or no longer. Nodes
@@ -99,7 +100,8 @@
 }
 
 // addresses lists ready nodes: those of the caller's data centre if there are enough,
-// else those of its region, else all.
+// else those of its region; else those of the regions to which the host's routes are bound,
+// so that the caller's request does not leave them needlessly; else all.
 func (n *Node) addresses(q platform.AddressQuestion) []string {
 	nodes := n.gossip.Live()
 	if n.ready() {
@@ -109,27 +111,48 @@
 			Ready:         true,
 		})
 	}
-	var near, regional, all []string
+	bound := n.hostRegions(q.Host)
+	var near, regional, home, all []string
 	for _, p := range nodes {
 		if !p.Ready || p.Leaving {
 			continue
 		}
 		all = append(all, p.CallerAddress)
+		region := n.settings.Regions[p.DataCentre]
 		if p.DataCentre == q.DataCentre {
 			near = append(near, p.CallerAddress)
 		}
-		if n.settings.Regions[p.DataCentre] == q.Region {
+		if region == q.Region {
 			regional = append(regional, p.CallerAddress)
 		}
+		if region == q.Region || slices.Contains(bound, region) {
+			home = append(home, p.CallerAddress)
+		}
+	}
+	enough := enoughNearby
+	if len(bound) > 0 {
+		enough = 1
 	}
 	for _, list := range [][]string{near, regional} {
-		if len(list) >= enoughNearby {
+		if len(list) >= enough {
 			return list[:min(len(list), maxAddresses)]
 		}
 	}
+	if len(bound) > 0 && len(home) > 0 {
+		all = home
+	}
 	return all[:min(len(all), maxAddresses)]
 }
 
+// hostRegions returns the regions to which routes of the host are bound.
+func (n *Node) hostRegions(host string) []string {
+	known, _ := n.config.Current()
+	if known.Table == nil {
+		return nil
+	}
+	return known.Table.HostRegions(host)
+}
+
 const (
 	// leaveMargin is the time before the platform kills the process in which it ends
 	// by itself.
--- a/node/start.go
+++ b/node/start.go
@@ -131,7 +131,7 @@
 // starts tells whether this node does not know yet what it needs to serve.
 func (n *Node) starts() bool {
 	known, _ := n.config.Current()
-	return known.Table == nil || n.entries.known() == 0
+	return known.Table == nil || n.entries.known() == 0 || n.evacuations.Version() == 0
 }
 
 // informants are the nodes that can tell this one what it needs: those of its data centre
--- a/relay/copies.go
+++ b/relay/copies.go
@@ -74,7 +74,7 @@
 		return false
 	}
 	select {
-	case <-l.backup.Leaving():
+	case <-l.backup.Unusable():
 		return false
 	default:
 		return true
@@ -94,7 +94,7 @@
 // and the backup.
 func (l *leg) copies(at *progress) []copyOfRun {
 	var all []copyOfRun
-	if m := l.mover.copied(); m != nil && m.target.Life().Err() == nil {
+	if m := l.mover.copied(); m != nil && m.target.Life().Err() == nil && m.target.Usable() {
 		all = append(all, copyOfRun{
 			engine: m.target.Instance(),
 			resume: Resume{Source: m.source, Handle: m.handle, LastEvent: at.last},
--- a/relay/mover.go
+++ b/relay/mover.go
@@ -84,7 +84,7 @@
 	if l.sound() {
 		// The run goes on from its backup; the link is left to runs without one.
 		l.Vacated.leave(l.runKey())
-		if !await(ctx, l.backup.Leaving()) {
+		if !await(ctx, l.backup.Unusable()) {
 			return
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -197,7 +197,10 @@
 }
 
 func (j *job) want() fleet.Want {
+	regions, bound := routing.Regions(j.r.Route, j.r.Workspace)
 	return fleet.Want{
+		Bound:   bound,
+		Regions: regions,
 		Service: j.r.Service,
 		Demand:  fleet.Demand{Prompt: j.r.Size.Prompt, Output: j.r.Size.expectedOutput()},
 		Longest: j.r.Size.MaxOutput,
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -37,6 +37,8 @@
 	// Public routes need no key.
 	Public   bool
 	Backends []Backend
+	// Regions are those in which the route's requests may run; empty for all.
+	Regions []string
 }
 
 // Backend is a service that takes a share of a route's requests.
@@ -53,6 +55,11 @@
 	// MaxConnections bounds the connections that one endpoint accepts from all
 	// nodes together.
 	MaxConnections int
+	// ColdStart is how long an endpoint stays cold after its start.
+	ColdStart time.Duration
+	// ColdPerSecond is how many requests a second a cold endpoint bears from all nodes
+	// together; 0 for no bound.
+	ColdPerSecond float64
 	// Engine describes model engines; nil for a plain service.
 	Engine *EngineSpec
 }
@@ -103,6 +110,8 @@
 	// Priority goes before the priority of the route if Ranked is set.
 	Priority int
 	Ranked   bool
+	// Regions are those in which the workspace's requests may run; empty for all.
+	Regions []string
 }
 
 // Configuration is one version of everything that operators wrote.
--- a/routing/table.go
+++ b/routing/table.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -77,3 +78,29 @@
 	}
 	return rank
 }
+
+// Regions returns the regions in which a request may run; bound is false if it may run in
+// any. Where route and workspace both name regions, both bind: there may be none left.
+func Regions(r *Route, ws *Workspace) (regions []string, bound bool) {
+	if ws == nil || len(ws.Regions) == 0 {
+		return r.Regions, len(r.Regions) > 0
+	}
+	if len(r.Regions) == 0 {
+		return ws.Regions, true
+	}
+	for _, region := range r.Regions {
+		if slices.Contains(ws.Regions, region) {
+			regions = append(regions, region)
+		}
+	}
+	return regions, true
+}
+
+// HostRegions returns the regions to which routes of a host are bound, empty if none is.
+func (t *Table) HostRegions(host string) []string {
+	var regions []string
+	for _, r := range t.hosts[hostname(host)] {
+		regions = append(regions, r.Regions...)
+	}
+	return regions
+}
