--- /dev/null
+++ b/fleet/evacuation_test.go
@@ -0,0 +1,146 @@
+package fleet_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/fleet"
+)
+
+var _ = Describe("an evacuated data centre", func() {
+	var w *world
+
+	BeforeEach(func() {
+		w = newWorld()
+		w.engine("near", "dc1")
+		w.engine("far", "dc2")
+	})
+
+	// Guards against new work, also for lack of any other room, at endpoints that are to be emptied.
+	It("gets no work, however full the others are", func() {
+		w.Evacuate([]string{"dc1"})
+		for range 8 {
+			Expect(w.running(generation(3000, 500)).Instance().ID).To(Equal("far"))
+		}
+		Expect(w.refused(generation(30_000, 500)).Reason).To(Equal(crocusreel.ReasonQueueFull))
+	})
+
+	// Guards against a copy, a backup or a resumed run, which is a request too.
+	It("gets neither copies nor backups, and no run goes on there", func() {
+		backed := *pool
+		engine := *pool.Engine
+		engine.CanBackUp = true
+		backed.Engine = &engine
+		want := fleet.Want{Service: &backed, Demand: fleet.Demand{Prompt: 1000, Output: 400}, Longest: 400}
+		p := w.running(want)
+		Expect(p.Instance().ID).To(Equal("near"))
+		held := w.Hold(p, want)
+		Expect(held.Instance().ID).To(Equal("far"))
+		target := w.Target(p, want)
+		Expect(target.Instance().ID).To(Equal("far"))
+
+		w.Evacuate([]string{"dc2"})
+		Expect(held.Unusable()).To(BeClosed())
+		Expect(held.Take(10)).To(BeNil())
+		Expect(target.Usable()).To(BeFalse())
+		Expect(w.Target(p, want)).To(BeNil())
+		Expect(w.Hold(p, want)).To(BeNil())
+
+		w.Evacuate(nil)
+		Expect(target.Usable()).To(BeTrue())
+		Expect(held.Unusable()).NotTo(BeClosed())
+		Expect(held.Take(10)).NotTo(BeNil())
+	})
+
+	// Guards against callers who wait for room that cannot come.
+	It("ends the wait of work that could run nowhere else at once", func() {
+		w.place(generation(33_000, 500))
+		w.place(generation(33_000, 500))
+		refusals := make(chan *crocusreel.Refusal, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, refusal := w.Acquire(context.Background(), generation(3000, 500), time.Minute)
+			refusals <- refusal
+		}()
+		Eventually(func() int { return w.Waiting("pool") }).Should(Equal(1))
+		w.Evacuate([]string{"dc1"})
+		Consistently(refusals, "50ms").ShouldNot(Receive())
+		w.Evacuate([]string{"dc1", "dc2"})
+		var refusal *crocusreel.Refusal
+		Eventually(refusals).Should(Receive(&refusal))
+		Expect(refusal.Reason).To(Equal(crocusreel.ReasonEvacuated))
+		Expect(refusal.Outcome).To(Equal(crocusreel.OutcomeNotRun))
+		Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+		Expect(w.Waiting("pool")).To(BeZero())
+		Expect(w.refused(generation(3000, 500)).Reason).To(Equal(crocusreel.ReasonEvacuated))
+	})
+
+	It("includes endpoints that register while it is evacuated, and is told with what runs there", func() {
+		running := w.place(generation(3000, 500))
+		w.Evacuate([]string{"dc1", "dc3"})
+		w.now += 2 * time.Second
+		w.engine("new", "dc3")
+		Expect(w.place(generation(3000, 500)).Instance().ID).To(Equal("far"))
+		Expect(w.Evacuations()).To(Equal([]fleet.Evacuation{
+			{DataCentre: "dc1", Since: 2 * time.Second, Endpoints: 1, Running: 1},
+			{DataCentre: "dc3", Since: 2 * time.Second, Endpoints: 1},
+		}))
+		running.Release(fleet.Good)
+	})
+})
+
+var _ = Describe("work that is bound to regions", func() {
+	var w *world
+
+	bound := func(regions ...string) fleet.Want {
+		want := generation(3000, 500)
+		want.Bound, want.Regions = true, regions
+		return want
+	}
+
+	BeforeEach(func() {
+		w = newWorld()
+		w.Regions = map[string]string{"dc1": "north", "dc2": "south", "dc3": "south"}
+		w.engine("e1", "dc1")
+		w.engine("e2", "dc2")
+		w.engine("elsewhere", "unknown")
+	})
+
+	// Guards against data that leaves the regions to which its owner has bound it.
+	It("runs there only, however full they are", func() {
+		for range 8 {
+			Expect(w.running(bound("south")).Instance().ID).To(Equal("e2"))
+		}
+		large := bound("south")
+		large.Demand = fleet.Demand{Prompt: 30_000, Output: 500}
+		Expect(w.refused(large).Reason).To(Equal(crocusreel.ReasonQueueFull))
+	})
+
+	It("has no copy or backup outside of them", func() {
+		p := w.running(bound("north"))
+		Expect(w.Target(p, bound("north"))).To(BeNil())
+		Expect(w.Target(p, bound("north", "south")).Instance().ID).To(Equal("e2"))
+	})
+
+	It("is refused where no region is left, is known or is in service", func() {
+		for _, regions := range [][]string{nil, {"west"}} {
+			refusal := w.refused(bound(regions...))
+			Expect(refusal.Reason).To(Equal(crocusreel.ReasonNoEndpoint))
+			Expect(refusal.Outcome).To(Equal(crocusreel.OutcomeNotRun))
+		}
+		w.Remove("e2", false)
+		Expect(w.refused(bound("south")).Reason).To(Equal(crocusreel.ReasonNoEndpoint))
+	})
+
+	// Guards against work that goes to another region because its own is evacuated.
+	It("is refused at once while its regions are evacuated", func() {
+		w.Evacuate([]string{"dc2"})
+		Expect(w.refused(bound("south")).Reason).To(Equal(crocusreel.ReasonEvacuated))
+		w.engine("e3", "dc3")
+		Expect(w.place(bound("south")).Instance().ID).To(Equal("e3"))
+	})
+})
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -10,8 +10,8 @@
 
 // waiter is one piece of work that waits for a place.
 type waiter struct {
-	want    *Want
-	since   time.Duration
+	want  *Want
+	since time.Duration
 	// granted gets the place, or nil once no endpoint may run the work.
 	granted chan *Placement
 	turn    turn
--- a/node/node.go
+++ b/node/node.go
@@ -60,24 +60,24 @@
 	incarnation uint64
 	started     time.Duration
 
-	store    *platform.Store
-	config   *knowledge.Configuration
+	store  *platform.Store
+	config *knowledge.Configuration
 	// evacuations are the operator's, evacuated their names as they were last put in force
 	// under evacuationsMu.
 	evacuations   knowledge.Evacuations
 	evacuationsMu sync.Mutex
 	evacuated     []string
 	population    population
-	fleet    *fleet.Fleet
-	gossip   *gossip.Gossip
-	relay    *relay.Relay
-	client   *h1.Client
-	engines  *platform.Engines
-	gate     *entry.Gate
-	entries  entries
-	registry registry
-	follower follower
-	news     news
+	fleet         *fleet.Fleet
+	gossip        *gossip.Gossip
+	relay         *relay.Relay
+	client        *h1.Client
+	engines       *platform.Engines
+	gate          *entry.Gate
+	entries       entries
+	registry      registry
+	follower      follower
+	news          news
 	// unsteadyPeer is set while the node that this one follows has the store back only
 	// lately.
 	unsteadyPeer atomic.Bool
@@ -154,7 +154,7 @@
 	n.configFeed = &feed{
 		store: n.store, table: platform.TableOperator, wait: changesWait, log: log,
 		listed: n.configurationListed, changed: n.configurationChanged,
-		learned: n.evacuations.Version,
+		learned:  n.evacuations.Version,
 		patience: n.storePatience, linkChanged: n.gossip.TellAll, othersRead: n.othersRead,
 	}
 	n.configFeed.direct = func() bool { return n.asksStore(n.configFeed) }
--- a/relay/export_test.go
+++ b/relay/export_test.go
@@ -11,10 +11,10 @@
 // Names for tests of decisions that need no endpoint.
 var (
 	MigrationOrder = migrationOrder
-	MoveTime        = moveTime
-	NewEventReader  = newEventReader
-	SplitEvent      = splitEvent
-	LeftKey         = runKey
+	MoveTime       = moveTime
+	NewEventReader = newEventReader
+	SplitEvent     = splitEvent
+	LeftKey        = runKey
 )
 
 // Next gives tests the events of a reader.
