--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -83,31 +83,37 @@
 	return all
 }
 
-// allEvacuatedLocked tells whether all endpoints that could run the work are in evacuated data
-// centres.
-func (f *Fleet) allEvacuatedLocked(w *Want) bool {
-	if len(f.evacuated) == 0 {
-		return false
+// unservableLocked returns the refusal of work that no endpoint may run: those in its regions
+// are all in evacuated data centres, or there is none; nil for other work.
+func (f *Fleet) unservableLocked(w *Want) *crocusreel.Refusal {
+	if len(f.evacuated) == 0 && !w.Bound {
+		return nil
 	}
 	evacuated := 0
 	for _, e := range f.services[w.Service.Name] {
 		switch {
 		case e.isLeaving || !f.inRegionsLocked(e, w):
 		case !e.isEvacuated:
-			return false
+			return nil
 		default:
 			evacuated++
 		}
 	}
-	return evacuated > 0
+	switch {
+	case evacuated > 0:
+		return refuseEvacuated(w)
+	case w.Bound:
+		return refuseNoneInRegions(w)
+	default:
+		return nil
+	}
 }
 
-// refuseUnservableLocked ends the wait of work whose endpoints are all in evacuated data
-// centres.
+// refuseUnservableLocked ends the wait of work that no endpoint may run any more.
 func (f *Fleet) refuseUnservableLocked() {
 	for _, q := range f.queues {
 		for _, w := range slices.Clone(q.waiting) {
-			if f.allEvacuatedLocked(w.want) {
+			if f.unservableLocked(w.want) != nil {
 				q.remove(w)
 				w.granted <- nil
 			}
@@ -119,3 +125,8 @@
 	return crocusreel.Refuse(crocusreel.ReasonEvacuated, crocusreel.OutcomeNotRun, evacuatedRetry,
 		"all endpoints of service %q are in evacuated data centres", w.Service.Name)
 }
+
+func refuseNoneInRegions(w *Want) *crocusreel.Refusal {
+	return crocusreel.Refuse(crocusreel.ReasonNoEndpoint, crocusreel.OutcomeNotRun, noEndpointRetry,
+		"no endpoint of service %q is in service in regions %q", w.Service.Name, w.Regions)
+}
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -68,9 +68,9 @@
 // patience, or until ctx ends. With patience 0 it does not wait.
 func (f *Fleet) Acquire(ctx context.Context, w Want, patience time.Duration) (*Placement, *crocusreel.Refusal) {
 	f.mu.Lock()
-	if f.allEvacuatedLocked(&w) {
+	if refusal := f.unservableLocked(&w); refusal != nil {
 		defer f.mu.Unlock()
-		return nil, refuseEvacuated(&w)
+		return nil, refusal
 	}
 	inTurn := patience <= 0 || f.aheadLocked(&w, w.Rank, f.now()) == 0
 	if q := f.queues[f.line(&w)]; inTurn && (q == nil || !q.ahead(w.Rank, f.now())) {
@@ -252,8 +252,7 @@
 		}
 	}
 	if alive == 0 && w.Bound {
-		return crocusreel.Refuse(crocusreel.ReasonNoEndpoint, crocusreel.OutcomeNotRun, noEndpointRetry,
-			"no endpoint of service %q is in service in regions %q", w.Service.Name, w.Regions)
+		return refuseNoneInRegions(w)
 	}
 	if alive == 0 {
 		return crocusreel.Refuse(crocusreel.ReasonNoEndpoint, crocusreel.OutcomeNotRun, noEndpointRetry,
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -146,3 +146,11 @@
 	}
 	return rows
 }
+
+// Population gives tests the record of how many nodes there are.
+type Population = population
+
+var (
+	PopulationSee   = (*population).see
+	PopulationCount = (*population).count
+)
--- /dev/null
+++ b/tests/node/regions_test.go
@@ -0,0 +1,102 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/internal/standin/worker"
+	"github.com/crocusreel/crocusreel/platform"
+)
+
+// threeRegions is a site of three data centres, each in a region of its own, with an
+// endpoint and a node in each.
+func threeRegions(bound map[string][]string) (s *site, apps []*worker.Worker) {
+	GinkgoHelper()
+	s = newSite()
+	s.regions = map[string]string{"dc1": "north", "dc2": "south", "dc3": "east"}
+	s.dataCentres = []string{"dc1", "dc2", "dc3"}
+	for i, dataCentre := range s.dataCentres {
+		apps = append(apps, s.appIn(fmt.Sprintf("i%d", i+1), dataCentre))
+	}
+	s.start(3)
+	s.bound = bound
+	s.configure()
+	time.Sleep(newsBound)
+	return s, apps
+}
+
+// ran sends bookings through all nodes and returns how many ran at each endpoint, and how many
+// were refused.
+func (s *site) ran(apps []*worker.Worker) (counts []int, refused int) {
+	for _, w := range apps {
+		counts = append(counts, -len(w.Runs()))
+	}
+	for _, n := range s.nodes {
+		for range 6 {
+			if r := s.send(n, "/bookings/x", "key"); r.status == http.StatusServiceUnavailable {
+				refused++
+			}
+		}
+	}
+	for i, w := range apps {
+		counts[i] += len(w.Runs())
+	}
+	return counts, refused
+}
+
+var _ = Describe("requests that are bound to regions", func() {
+	// Guards against data that is sent to a region where its owner does not allow it.
+	It("run in those of their route and workspace, at whichever node they come", func() {
+		s, apps := threeRegions(map[string][]string{"bookings": {"south", "east"}, "ws": {"south", "north"}})
+		counts, refused := s.ran(apps)
+		Expect(counts).To(Equal([]int{0, 18, 0}))
+		Expect(refused).To(BeZero())
+	})
+
+	// Guards against work that leaves its region because that is lost or evacuated.
+	It("are refused while their region is evacuated or has no endpoint", func() {
+		s, apps := threeRegions(map[string][]string{"bookings": {"south"}})
+		s.evacuate("dc2", true)
+		time.Sleep(newsBound)
+		counts, refused := s.ran(apps)
+		Expect(counts).To(Equal([]int{0, 0, 0}))
+		Expect(refused).To(Equal(18))
+		s.evacuate("dc2", false)
+		time.Sleep(newsBound)
+		counts, _ = s.ran(apps)
+		Expect(counts).To(Equal([]int{0, 18, 0}))
+		s.write(platform.Write{Table: platform.TableEndpoints, Key: "i2", Delete: true})
+		time.Sleep(newsBound)
+		counts, _ = s.ran(apps)
+		Expect(counts).To(Equal([]int{0, 0, 0}))
+	})
+
+	// Guards against a name of no region that opens all of them.
+	It("run nowhere if no region is known that both allow", func() {
+		for _, bound := range []map[string][]string{
+			{"bookings": {"atlantis"}},
+			{"bookings": {"south"}, "ws": {"north"}},
+		} {
+			s, apps := threeRegions(bound)
+			counts, refused := s.ran(apps)
+			Expect(counts).To(Equal([]int{0, 0, 0}))
+			Expect(refused).To(Equal(18))
+		}
+	})
+
+	// Guards against callers whose bodies are sent to a node of a third region.
+	It("are sent to nodes of the caller's region, else of theirs, else anywhere", func() {
+		s, _ := threeRegions(map[string][]string{"bookings": {"south"}})
+		at := func(i int) string { return fmt.Sprintf("%s:%d", s.nodes[i].ip, callerPort) }
+		Expect(s.nodes[2].addressesFor("dc1", "north")).To(ConsistOf(at(0)))
+		Expect(s.nodes[2].addressesFor("dc3", "east")).To(ConsistOf(at(2)))
+		s.nodes[0].Kill()
+		Eventually(func() []string { return s.nodes[2].addressesFor("dc1", "north") }, 3*time.Second).Should(ConsistOf(at(1)))
+		s.nodes[1].Kill()
+		Eventually(func() []string { return s.nodes[2].addressesFor("dc1", "north") }, 3*time.Second).Should(ConsistOf(at(2)))
+	})
+})
--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -70,6 +70,10 @@
 	linked bool
 	// dataCentres are those of the nodes, in order; nodes beyond are in dc1.
 	dataCentres []string
+	// regions are those of data centres; others are in north. bound holds the regions to
+	// which the routes of that name, or the workspace ws, are bound.
+	regions map[string]string
+	bound   map[string][]string
 	// addresses are those of engines, by ID.
 	addresses map[string]string
 	links     []*rig.Link
@@ -98,20 +102,30 @@
 func (s *site) configure() {
 	GinkgoHelper()
 	s.config++
+	routes := []map[string]any{
+		{"name": "calls", "host": "a.example", "prefix": "/calls/", "type": "idempotent", "service": "app", "max_attempts": 2, "timeout_ms": 3000, "target_latency_ms": 200},
+		{"name": "bookings", "host": "a.example", "prefix": "/bookings/", "type": "non_idempotent", "service": "app", "max_attempts": 1, "timeout_ms": 3000},
+		{"name": "drafts", "host": "a.example", "prefix": "/drafts/", "type": "streaming", "service": "pool", "max_attempts": 1, "timeout_ms": 20000, "target_latency_ms": 1000},
+	}
+	for _, route := range routes {
+		if regions := s.bound[route["name"].(string)]; regions != nil {
+			route["allowed_regions"] = regions
+		}
+	}
+	tenant := map[string]any{"name": "ws", "api_keys": s.keys}
+	if regions := s.bound["ws"]; regions != nil {
+		tenant["allowed_regions"] = regions
+	}
 	data, err := json.Marshal(map[string]any{
 		"version": s.config,
-		"routes": []map[string]any{
-			{"name": "calls", "host": "a.example", "prefix": "/calls/", "type": "idempotent", "service": "app", "max_attempts": 2, "timeout_ms": 3000, "target_latency_ms": 200},
-			{"name": "bookings", "host": "a.example", "prefix": "/bookings/", "type": "non_idempotent", "service": "app", "max_attempts": 1, "timeout_ms": 3000},
-			{"name": "drafts", "host": "a.example", "prefix": "/drafts/", "type": "streaming", "service": "pool", "max_attempts": 1, "timeout_ms": 20000, "target_latency_ms": 1000},
-		},
+		"routes":  routes,
 		"services": []map[string]any{
 			{"name": "app", "max_connections": 100},
 			{"name": "pool", "max_connections": 100, "health_path": "/healthz", "runtime": map[string]any{
 				"batch_size": 24, "kv_capacity": 34360, "kv_bytes": 18432, "link_mbps": 2700, "migrations": true, "stride": 4,
 			}},
 		},
-		"tenants": []map[string]any{{"name": "ws", "api_keys": s.keys}},
+		"tenants": []map[string]any{tenant},
 	})
 	Expect(err).NotTo(HaveOccurred())
 	s.write(platform.Write{Table: platform.TableOperator, Key: platform.KeyConfiguration, Value: data})
@@ -211,9 +225,10 @@
 	settings := fmt.Sprintf(`node_name=node-%[1]s
 ip=%[1]s
 zone=%[9]s
-region=north
-zones.dc1=north
-zones.dc2=north
+region=%[10]s
+zones.dc1=%[11]s
+zones.dc2=%[12]s
+zones.dc3=%[13]s
 listen.frontend=%[1]s:%[2]d
 listen.ready=%[1]s:%[3]d
 listen.control_plane=%[1]s:%[4]d
@@ -226,7 +241,8 @@
 bounds.grace_s=8
 bounds.retry_slack=50
 platform.address=%[8]s
-`, ip, callerPort, readyPort, peerPort, addressPort, gossipPort, seeds, s.front("store of "+ip, s.addr), dataCentre)
+`, ip, callerPort, readyPort, peerPort, addressPort, gossipPort, seeds, s.front("store of "+ip, s.addr), dataCentre,
+		s.regionOf(dataCentre), s.regionOf("dc1"), s.regionOf("dc2"), s.regionOf("dc3"))
 	path := filepath.Join(s.dir, ip+".conf")
 	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
 	log := filepath.Join(s.dir, ip+".log")
@@ -249,11 +265,21 @@
 	return n
 }
 
+func (s *site) regionOf(dataCentre string) string {
+	if region, named := s.regions[dataCentre]; named {
+		return region
+	}
+	return "north"
+}
+
 var client = &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // addresses asks the node where to connect; nil if it does not answer.
-func (n *member) addresses() []string {
-	resp, err := client.Get(fmt.Sprintf("http://%s:%d/lookup?name=a.example&zone=dc1&region=north", n.ip, addressPort))
+func (n *member) addresses() []string { return n.addressesFor("dc1", "north") }
+
+// addressesFor asks for a caller in the given data centre and region.
+func (n *member) addressesFor(dataCentre, region string) []string {
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d/lookup?name=a.example&zone=%s&region=%s", n.ip, addressPort, dataCentre, region))
 	if err != nil {
 		return nil
 	}
