--- a/cmd/crocusreel/main.go
+++ b/cmd/crocusreel/main.go
@@ -28,6 +28,7 @@
   crocusreel config apply --operator 10.0.0.1:7002 --key-file operator.key ./service
   crocusreel status --operator 10.0.0.1:7002 --key-file operator.key --output json
   crocusreel vm drain vm-3 --operator 10.0.0.1:7002 --key-file operator.key
+  crocusreel evacuations 10.1.0.19:9464 10.2.0.13:9464
   crocusreel explain 6f1c... --gateway 10.0.0.1:7000 --key-file caller.key
 
 Exit codes: 0 done, 1 failed, 2 bad usage, settings or configuration,
@@ -35,14 +36,15 @@
 5 an answer under load was broken.`
 
 type commandLine struct {
-	Config     configCommand     `cmd:"" help:"Check, compare and apply the configuration."`
-	Status     statusCommand     `cmd:"" help:"Show VMs, endpoints, the orders lease and the configuration version."`
-	VM         vmCommand         `cmd:"" name:"vm" help:"Take VMs out of service."`
-	Explain    explainCommand    `cmd:"" help:"Show what a gateway knows of a recent request."`
-	Answers    answersCommand    `cmd:"" help:"Read the logs of all nodes and tell where the answers went, and why."`
-	Load       loadCommand       `cmd:"" help:"Send a seeded mix of requests and report what callers saw."`
-	Demo       demoCommand       `cmd:"" help:"Start the whole system on loopback, use it and stop it."`
-	Experiment experimentCommand `cmd:"" help:"Compare scheduling policies on loopback and write tables and plots."`
+	Config      configCommand      `cmd:"" help:"Check, compare and apply the configuration."`
+	Status      statusCommand      `cmd:"" help:"Show VMs, endpoints, the orders lease and the configuration version."`
+	Evacuations evacuationsCommand `cmd:"" help:"Show which data centres nodes on the platform know to be evacuated, and what runs there still."`
+	VM          vmCommand          `cmd:"" name:"vm" help:"Take VMs out of service."`
+	Explain     explainCommand     `cmd:"" help:"Show what a gateway knows of a recent request."`
+	Answers     answersCommand     `cmd:"" help:"Read the logs of all nodes and tell where the answers went, and why."`
+	Load        loadCommand        `cmd:"" help:"Send a seeded mix of requests and report what callers saw."`
+	Demo        demoCommand        `cmd:"" help:"Start the whole system on loopback, use it and stop it."`
+	Experiment  experimentCommand  `cmd:"" help:"Compare scheduling policies on loopback and write tables and plots."`
 }
 
 func main() {
--- a/cmd/crocusreel/main_test.go
+++ b/cmd/crocusreel/main_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -43,3 +47,24 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(doc).To(gomega.Equal(config.Document{Base: "a", Overlays: map[string]string{"dc1": "b"}}))
 }
+
+func TestReadEvacuations(t *testing.T) {
+	g := gomega.NewWithT(t)
+	body := `{"gauges":{"evacuations":[{"data_centre":"dc1","since_ns":2000000000,"endpoints":12,"running":3}]}}`
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	known, err := readEvacuations(address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var text strings.Builder
+	printEvacuations(&text, []nodeEvacuations{{Node: address, Evacuations: known}, {Node: "other"}})
+	g.Expect(text.String()).To(gomega.ContainSubstring("dc1\t2s\t12\t3\n"))
+	g.Expect(text.String()).To(gomega.ContainSubstring("other\t-"))
+
+	body = `{}`
+	_, err = readEvacuations(address)
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("not those of a node")))
+	server.Close()
+	_, err = readEvacuations(address)
+	g.Expect(exitCode(err)).To(gomega.Equal(exitUnreachable))
+}
--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -10,12 +10,12 @@
 
 // Evacuation is a data centre to whose endpoints nothing is sent.
 type Evacuation struct {
-	DataCentre string
+	DataCentre string `json:"data_centre"`
 	// Since is the time for which this node has known of it.
-	Since time.Duration
+	Since time.Duration `json:"since_ns"`
 	// Endpoints are in service there, and Running is what this node still runs on them.
-	Endpoints int
-	Running   int
+	Endpoints int `json:"endpoints"`
+	Running   int `json:"running"`
 }
 
 // evacuatedRetry is when callers may come back whose service has endpoints in evacuated data
