--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -135,14 +135,20 @@
 			}
 		}
 	}
+	return mostInASecond(sent), first
+}
+
+// mostInASecond returns the most of the times, in order, that lie within one second.
+func mostInASecond(sent []time.Duration) int {
 	slices.Sort(sent)
-	for from, to := 0, 0; to < len(sent); to++ {
+	most, from := 0, 0
+	for to := range sent {
 		for sent[to]-sent[from] >= time.Second {
 			from++
 		}
 		most = max(most, to-from+1)
 	}
-	return most, first
+	return most
 }
 
 func senderOfTurns(name string, _ []string, heard int) sender {
