Take a later version of the same evacuations, so that it is not told again without end

Cause: a node that had learned the set {} at version 100 kept that version when another one, which had read it at 200, told it; each of its questions was then answered at once, and it asked again: some hundred times a second and follower. It came when a node had started later than those that follow it.

--- a/knowledge/evacuations.go
+++ b/knowledge/evacuations.go
@@ -42,8 +42,8 @@
 // that somebody wrote by mistake must not fill the memory, nor keep out a real order.
 const maxUnknownEvacuations = 256
 
-// Replace takes the whole set as of a version. It returns false if that is not later than the
-// known one.
+// Replace takes the whole set as of a version, if that is later than the known one. It returns
+// whether the set has changed.
 func (e *Evacuations) Replace(set EvacuationSet) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -51,7 +51,8 @@
 		return false
 	}
 	if e.version > 0 && maps.Equal(e.orders, set.Orders) {
-		// The version stays, so that followers are not told the same set again.
+		// The version is taken all the same: whoever told it would tell it again.
+		e.version = set.Version
 		return false
 	}
 	e.version, e.orders = set.Version, make(map[string]int64, len(set.Orders))
