Name no node to callers that is gone for seconds: bound how long silent nodes count as live

Now 5 s or three rounds, whichever is longer, and where losses of other data centres show later than 5 s their callers are sent to the asked node's own. Cost: a node is lost after three missing datagrams in place of six where rounds are rare (75 near nodes: 4.2 s, kept at 5).

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -48,6 +48,10 @@
 	// liveFor is how long a node counts as live after its last datagram, in intervals:
 	// a lost datagram and a late one in a row must not take a node out.
 	liveFor = 6
+	// longestLive bounds that time, so that callers are not told of nodes that are gone, as
+	// long as it is leastLiveFor intervals: two datagrams may be lost.
+	longestLive  = 5 * time.Second
+	leastLiveFor = 3
 	// probeEvery is the time between datagrams to a node that is not heard of, and
 	// forgetAfter the time after which it is given up. A node that was cut off that
 	// long finds the others through the store.
@@ -146,7 +150,9 @@
 }
 
 // liveTime is how long a node of the group counts as live after its last datagram.
-func (r *rounds) liveTime() time.Duration { return liveFor * r.period() }
+func (r *rounds) liveTime() time.Duration {
+	return max(min(liveFor*r.period(), longestLive), leastLiveFor*r.period())
+}
 
 // begin tells whether a round is due, and begins it.
 func (r *rounds) begin(now time.Duration) bool {
@@ -248,6 +254,13 @@
 	return g.view
 }
 
+// FarLiveTime is how long a node of another data centre counts as live after its last datagram.
+func (g *Gossip) FarLiveTime() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.far.liveTime()
+}
+
 // liveLocked returns the live nodes and until when they are, if nothing is heard.
 func (g *Gossip) liveLocked(now time.Duration) (live []Peer, until time.Duration) {
 	live, until = []Peer{}, now+g.near.liveTime()
--- /dev/null
+++ b/node/addresses_test.go
@@ -0,0 +1,55 @@
+package node_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/crocusreel/crocusreel/gossip"
+	"github.com/crocusreel/crocusreel/node"
+	"github.com/crocusreel/crocusreel/platform"
+)
+
+// Guards against callers who are sent to nodes that are gone, or needlessly to another region.
+func TestAddressesForACaller(t *testing.T) {
+	regions := map[string]string{"dc1": "north", "dc2": "north", "dc3": "south"}
+	var all []gossip.Peer
+	for _, dataCentre := range []string{"dc1", "dc2", "dc3"} {
+		for _, n := range []string{"a", "b"} {
+			all = append(all, gossip.Peer{CallerAddress: dataCentre + n, DataCentre: dataCentre, Ready: true})
+		}
+	}
+	cases := []struct {
+		name   string
+		caller string
+		fresh  bool
+		bound  []string
+		// gone are addresses of nodes that are not ready.
+		gone []string
+		want []string
+	}{
+		{name: "own data centre", caller: "dc1", fresh: true, want: []string{"dc1a", "dc1b"}},
+		{name: "another one", caller: "dc2", fresh: true, want: []string{"dc2a", "dc2b"}},
+		{name: "another one whose losses show late", caller: "dc2", want: []string{"dc1a", "dc1b"}},
+		{name: "another region whose losses show late", caller: "dc3", want: []string{"dc3a", "dc3b"}},
+		{name: "too few nearby", caller: "dc1", fresh: true, gone: []string{"dc1a"}, want: []string{"dc1b", "dc2a", "dc2b"}},
+		{name: "too few in the region", caller: "dc3", fresh: true, gone: []string{"dc3a"}, want: []string{"dc1a", "dc1b", "dc2a", "dc2b", "dc3b"}},
+		{name: "bound, one is enough", caller: "dc3", fresh: true, bound: []string{"south"}, gone: []string{"dc3a"}, want: []string{"dc3b"}},
+		{name: "bound elsewhere", caller: "dc3", fresh: true, bound: []string{"north"}, gone: []string{"dc3a", "dc3b"}, want: []string{"dc1a", "dc1b", "dc2a", "dc2b"}},
+		{
+			name: "bound to a region without nodes", caller: "dc3", fresh: true, bound: []string{"south"}, gone: []string{"dc3a", "dc3b"},
+			want: []string{"dc1a", "dc1b", "dc2a", "dc2b"},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			nodes := slices.Clone(all)
+			for i := range nodes {
+				nodes[i].Ready = !slices.Contains(c.gone, nodes[i].CallerAddress)
+			}
+			question := platform.AddressQuestion{Host: "a.example", DataCentre: c.caller, Region: regions[c.caller]}
+			if got := node.ChooseAddresses(nodes, regions, c.bound, "dc1", c.fresh, question); !slices.Equal(got, c.want) {
+				t.Errorf("%v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -154,3 +154,9 @@
 	PopulationSee   = (*population).see
 	PopulationCount = (*population).count
 )
+
+// ChooseAddresses answers an address question at a node of the data centre own.
+func ChooseAddresses(nodes []gossip.Peer, regions map[string]string, bound []string, own string, farFresh bool, q platform.AddressQuestion) []string {
+	v := addressView{nodes: nodes, regions: regions, bound: bound, own: own, farFresh: farFresh}
+	return v.choose(q)
+}
--- a/node/serve.go
+++ b/node/serve.go
@@ -99,9 +99,7 @@
 	return min(ttl, n.settings.AddressTTLLimit)
 }
 
-// addresses lists ready nodes: those of the caller's data centre if there are enough,
-// else those of its region; else those of the regions to which the host's routes are bound,
-// so that the caller's request does not leave them needlessly; else all.
+// addresses lists ready nodes for a caller.
 func (n *Node) addresses(q platform.AddressQuestion) []string {
 	nodes := n.gossip.Live()
 	if n.ready() {
@@ -111,26 +109,56 @@
 			Ready:         true,
 		})
 	}
-	bound := n.hostRegions(q.Host)
+	v := addressView{
+		nodes: nodes, regions: n.settings.Regions, bound: n.hostRegions(q.Host),
+		own: n.settings.DataCentre, farFresh: n.gossip.FarLiveTime() <= addressFreshness,
+	}
+	return v.choose(q)
+}
+
+// addressFreshness is the time within which a node that is gone may still be named.
+const addressFreshness = 5 * time.Second
+
+// addressView is what address answers are made from.
+type addressView struct {
+	nodes   []gossip.Peer
+	regions map[string]string
+	// bound are the regions to which the host's routes are bound; empty for none.
+	bound []string
+	// own is this node's data centre; farFresh tells whether losses in others show within
+	// addressFreshness.
+	own      string
+	farFresh bool
+}
+
+// choose lists nodes of the caller's data centre if there are enough, else those of its region;
+// else those of the regions to which the host's routes are bound, so that the caller's request
+// does not leave them needlessly; else all. Where losses elsewhere show late, a caller of
+// another data centre of the region is sent to this one.
+func (v *addressView) choose(q platform.AddressQuestion) []string {
+	dataCentre := q.DataCentre
+	if !v.farFresh && v.regions[v.own] == q.Region {
+		dataCentre = v.own
+	}
 	var near, regional, home, all []string
-	for _, p := range nodes {
+	for _, p := range v.nodes {
 		if !p.Ready || p.Leaving {
 			continue
 		}
 		all = append(all, p.CallerAddress)
-		region := n.settings.Regions[p.DataCentre]
-		if p.DataCentre == q.DataCentre {
+		region := v.regions[p.DataCentre]
+		if p.DataCentre == dataCentre {
 			near = append(near, p.CallerAddress)
 		}
 		if region == q.Region {
 			regional = append(regional, p.CallerAddress)
 		}
-		if region == q.Region || slices.Contains(bound, region) {
+		if region == q.Region || slices.Contains(v.bound, region) {
 			home = append(home, p.CallerAddress)
 		}
 	}
 	enough := enoughNearby
-	if len(bound) > 0 {
+	if len(v.bound) > 0 {
 		enough = 1
 	}
 	for _, list := range [][]string{near, regional} {
@@ -138,7 +166,7 @@
 			return list[:min(len(list), maxAddresses)]
 		}
 	}
-	if len(bound) > 0 && len(home) > 0 {
+	if len(v.bound) > 0 && len(home) > 0 {
 		all = home
 	}
 	return all[:min(len(all), maxAddresses)]
