Give cold engines few generations at a time without turns while nodes hear each other

Cause: turns of 75 nodes at a cold engine are spread over all of them, and few have work that waits: a new engine, the only one with room, stood half empty for its first second, and nothing looked again when it was warm.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -15,6 +15,11 @@
 // used soon is lost, so that nodes with unused turns cannot all send at the same moment. A
 // lost datagram or a late one changes nothing, as long as a node does not take the others for
 // fewer than they are.
+//
+// Generations take so long that few of them at a time are few a second. While nodes hear each
+// other, a cold engine gets them without turns up to a small number, which they tell each other
+// as they do all loads: the nodes on which work waits are few, and their turns would leave the
+// engine idle.
 
 const (
 	// coldShare is the part of what a cold endpoint bears that nodes send it. The rest is for
@@ -22,8 +27,18 @@
 	coldShare = 0.8
 	// coldTurnLength is how long a turn can be used.
 	coldTurnLength = 100 * time.Millisecond
+	// leastGeneration is the least time that a generation takes.
+	leastGeneration = 250 * time.Millisecond
 )
 
+// Population is how many nodes there are.
+type Population struct {
+	// Nodes is their number, this one included, or more; 0 if it is not known.
+	Nodes int
+	// Heard tells whether this node hears at least half of them.
+	Heard bool
+}
+
 // coldTurn returns when the node's last turn at a cold endpoint began and when the next one
 // begins. Rate is what the endpoint bears a second.
 func coldTurn(node string, endpoint EndpointKey, nodes int, rate float64, now time.Duration) (began, next time.Duration) {
@@ -47,29 +62,46 @@
 	return x
 }
 
-// coldLocked tells whether the endpoint is cold and its service bounds what it may get.
-func (f *Fleet) coldLocked(e *Endpoint, s *routing.Service, now time.Duration) bool {
+// coldUntilLocked returns until when the endpoint gets a bounded number of requests; 0 if it
+// is not cold or its service has no bound.
+func (f *Fleet) coldUntilLocked(e *Endpoint, s *routing.Service, now time.Duration) time.Duration {
 	if s.ColdPerSecond <= 0 || f.Without[ColdTurns] {
-		return false
+		return 0
+	}
+	until := e.warmUntil
+	if e.returnedAt != 0 {
+		until = max(until, e.returnedAt+s.ColdStart)
+	}
+	if now >= until {
+		return 0
 	}
-	return now < e.warmUntil || (e.returnedAt != 0 && now < e.returnedAt+s.ColdStart)
+	return until
+}
+
+// coldLocked tells whether the endpoint gets a bounded number of requests.
+func (f *Fleet) coldLocked(e *Endpoint, s *routing.Service, now time.Duration) bool {
+	return f.coldUntilLocked(e, s, now) != 0
 }
 
 // takesColdLocked tells whether this node may send a request to the endpoint now, as far as
-// that is cold. If not, it notes when work that waits has to be looked at again.
-func (f *Fleet) takesColdLocked(e *Endpoint, s *routing.Service, now time.Duration) bool {
-	if !f.coldLocked(e, s, now) {
+// that is cold. If not, it has waiting work looked at again when that changes.
+func (f *Fleet) takesColdLocked(e *Endpoint, s *routing.Service, load *Load, now time.Duration) bool {
+	until := f.coldUntilLocked(e, s, now)
+	if until == 0 {
 		return true
 	}
-	nodes := f.Nodes()
-	if nodes <= 0 {
+	population := f.Population()
+	if population.Nodes <= 0 {
 		return false
 	}
-	began, next := coldTurn(f.Name, e.key, nodes, s.ColdPerSecond, now)
+	if s.Engine != nil && population.Heard && float64(load.Count) < s.ColdPerSecond*leastGeneration.Seconds() {
+		return true
+	}
+	began, next := coldTurn(f.Name, e.key, population.Nodes, s.ColdPerSecond, now)
 	if now-began < coldTurnLength && e.coldUsedAt < began {
 		return true
 	}
-	f.wakeLocked(now, next-now)
+	f.wakeLocked(now, min(next, until)-now)
 	return false
 }
 
--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -38,7 +38,7 @@
 	t := &turns{service: &routing.Service{Name: "app", ColdPerSecond: rate, ColdStart: time.Minute}}
 	t.f = fleet.New("dc1", func() time.Duration { return t.now })
 	t.f.Name = name
-	t.f.Nodes = func() int { return believes }
+	t.f.Population = func() fleet.Population { return fleet.Population{Nodes: believes, Heard: true} }
 	t.f.Update(fleet.Instance{ID: "cold", Service: "app", DataCentre: "dc1", Slots: 1 << 20, Warming: 24 * time.Hour})
 	return t
 }
--- a/fleet/coldreturn_test.go
+++ b/fleet/coldreturn_test.go
@@ -79,7 +79,7 @@
 	for i := range returnNodes {
 		f := fleet.New(centre(i%returnCentres), w.now)
 		f.Name = fmt.Sprintf("10.0.0.%d-%d", i, random.Uint32())
-		f.Nodes = func() int { return returnNodes }
+		f.Population = func() fleet.Population { return fleet.Population{Nodes: returnNodes, Heard: true} }
 		f.Wake = func(after time.Duration) { time.AfterFunc(after, f.Tick) }
 		f.Changed = func(string) { time.AfterFunc(returnNews, func() { w.tell(f) }) }
 		for e := range returnCentres * w.perCentre {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,9 +33,8 @@
 	random *rand.Rand
 	// Regions maps data centres to their regions, for work that is bound to some.
 	Regions map[string]string
-	// Nodes returns how many nodes there are, this one included, or more; 0 if that is not
-	// known. Cold endpoints are shared by it.
-	Nodes func() int
+	// Population returns how many nodes share cold endpoints; it must not block.
+	Population func() Population
 	// Changed is called when other nodes should be told at once what this one runs and
 	// what waits on it: the nodes of the given data centre, or all if it is empty. It
 	// must not block.
@@ -62,7 +61,7 @@
 		Changed:    func(string) {},
 		Believed:   func(Exclusion) {},
 		Wake:       func(time.Duration) {},
-		Nodes:      func() int { return 1 },
+		Population: func() Population { return Population{Nodes: 1, Heard: true} },
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -118,7 +118,7 @@
 				continue
 			}
 			load := e.total()
-			if !f.fitsLocked(e, w, &load) || !f.takesColdLocked(e, w.Service, now) {
+			if !f.fitsLocked(e, w, &load) || !f.takesColdLocked(e, w.Service, &load, now) {
 				continue
 			}
 			if cost := f.costLocked(e, w, &load, now); best == nil || cost < bestCost {
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -226,7 +226,7 @@
 // grantLocked gives a waiter the place if it is its turn.
 func (f *Fleet) grantLocked(q *queue, w *waiter, e *Endpoint) {
 	// The turns at a cold endpoint keep nodes apart already.
-	if !f.coldLocked(e, w.want.Service, f.now()) && !f.mayClaimLocked(w) {
+	if !(w.want.Service.Engine == nil && f.coldLocked(e, w.want.Service, f.now())) && !f.mayClaimLocked(w) {
 		return
 	}
 	q.remove(w)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -19,8 +19,9 @@
 // node is one node on a loopback address of its own.
 type node struct {
 	*gossip.Gossip
-	ip   string
-	stop context.CancelFunc
+	ip string
+	// stop ends the node and waits until its address is free again.
+	stop func()
 
 	mu    sync.Mutex
 	heard []*exchangev1.NodeState
@@ -63,18 +64,18 @@
 			n.lost = append(n.lost, address)
 		},
 	})
-	var ctx context.Context
-	ctx, n.stop = context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
+	n.stop = func() {
+		cancel()
+		<-done
+	}
 	go func() {
 		defer GinkgoRecover()
 		defer close(done)
 		Expect(n.Run(ctx)).To(Succeed())
 	}()
-	DeferCleanup(func() {
-		n.stop()
-		<-done
-	})
+	DeferCleanup(n.stop)
 	return n
 }
 
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -151,8 +151,8 @@
 type Population = population
 
 var (
-	PopulationSee   = (*population).see
-	PopulationCount = (*population).count
+	PopulationSee     = (*population).see
+	PopulationCurrent = (*population).current
 )
 
 // ChooseAddresses answers an address question at a node of the data centre own.
--- a/node/node.go
+++ b/node/node.go
@@ -126,7 +126,7 @@
 	n.evacuations.Known = n.knowsDataCentre
 	metrics.GaugeFunc("evacuations", func() any { return n.fleet.Evacuations() })
 	n.fleet.Regions = s.Regions
-	n.fleet.Nodes = n.population.count
+	n.fleet.Population = n.population.current
 	n.fleet.Changed = n.tell
 	n.fleet.Believed = n.believed
 	n.fleet.Wake = func(after time.Duration) { time.AfterFunc(after, n.fleet.Tick) }
--- a/node/population.go
+++ b/node/population.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/boottime"
 )
 
@@ -19,39 +20,43 @@
 // within populationMemory. A node that takes the others for fewer than they are would send
 // a cold endpoint more than its part.
 type population struct {
-	most    [populationBuckets]int
-	current int64
+	most   [populationBuckets]int
+	latest int64
 	// known is the count for readers; 0 before another node was heard where there should be
-	// others.
+	// others. heard tells whether at least half of them are live.
 	known atomic.Int64
+	heard atomic.Bool
 }
 
 // see records how many nodes are live; one goroutine calls it.
 func (p *population) see(now time.Duration, nodes int) {
 	const length = populationMemory / populationBuckets
-	for bucket := int64(now / length); p.current < bucket; p.current++ {
-		if bucket-p.current > populationBuckets {
-			p.current = bucket - populationBuckets
+	for bucket := int64(now / length); p.latest < bucket; p.latest++ {
+		if bucket-p.latest > populationBuckets {
+			p.latest = bucket - populationBuckets
 		}
-		p.most[(p.current+1)%populationBuckets] = 0
+		p.most[(p.latest+1)%populationBuckets] = 0
 	}
-	at := &p.most[p.current%populationBuckets]
+	at := &p.most[p.latest%populationBuckets]
 	*at = max(*at, nodes)
 	most := 0
 	for _, n := range p.most {
 		most = max(most, n)
 	}
 	p.known.Store(int64(most))
+	p.heard.Store(2*nodes >= most)
 }
 
-// count returns the number of nodes; 0 if it is not known.
-func (p *population) count() int { return int(p.known.Load()) }
+// current returns what is known.
+func (p *population) current() fleet.Population {
+	return fleet.Population{Nodes: int(p.known.Load()), Heard: p.heard.Load()}
+}
 
 // countNodes takes the live nodes into account. A node that has heard nobody, although its
 // settings name others, does not know how many there are.
 func (n *Node) countNodes() {
 	nodes := len(n.gossip.Live()) + 1
-	if nodes == 1 && n.population.count() == 0 && n.hasOtherSeeds() {
+	if nodes == 1 && n.population.known.Load() == 0 && n.hasOtherSeeds() {
 		return
 	}
 	n.population.see(boottime.Now(), nodes)
--- a/node/population_test.go
+++ b/node/population_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/node"
 )
 
@@ -11,23 +12,24 @@
 // a cold endpoint more than its part.
 func TestPopulationRemembersNodesThatAreNotHeard(t *testing.T) {
 	var p node.Population
-	if got := node.PopulationCount(&p); got != 0 {
-		t.Errorf("%d nodes before any was heard", got)
+	if got := node.PopulationCurrent(&p); got.Nodes != 0 {
+		t.Errorf("%d nodes before any was heard", got.Nodes)
 	}
 	now := 3 * time.Hour
-	see := func(after time.Duration, nodes, want int) {
+	see := func(after time.Duration, nodes, want int, heard bool) {
 		t.Helper()
 		now += after
 		node.PopulationSee(&p, now, nodes)
-		if got := node.PopulationCount(&p); got != want {
-			t.Errorf("%d nodes, want %d", got, want)
+		if got := node.PopulationCurrent(&p); got != (fleet.Population{Nodes: want, Heard: heard}) {
+			t.Errorf("%+v, want %d nodes, heard %t", got, want, heard)
 		}
 	}
-	see(0, 75, 75)
-	see(time.Second, 1, 75)
-	see(8*time.Minute, 2, 75)
-	see(time.Second, 88, 88)
-	see(11*time.Minute, 7, 7)
-	see(24*time.Hour, 3, 3)
-	see(time.Second, 0, 3)
+	see(0, 75, 75, true)
+	see(time.Second, 1, 75, false)
+	see(time.Second, 38, 75, true)
+	see(8*time.Minute, 37, 75, false)
+	see(time.Second, 88, 88, true)
+	see(11*time.Minute, 7, 7, true)
+	see(24*time.Hour, 3, 3, true)
+	see(time.Second, 0, 3, false)
 }
