--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -20,57 +20,46 @@
 // Weights of the choice among endpoints. The unit is the share of an engine's memory
 // in use; for plain services the share of slots.
 const (
-	// otherDataCentreCost keeps work in its data centre while loads are about equal:
-	// bytes between data centres cost money and each event takes a millisecond more.
+	// otherDataCentreCost keeps work in its data centre while loads are about equal.
 	otherDataCentreCost = 0.08
 	// unreadCost is for each second of prompts that wait to be read before this one.
 	unreadCost = 1.0
-	// readRate is the number of prompt tokens that an engine reads in a second, for
-	// unreadCost; engines differ by a third.
+	// readRate is the number of prompt tokens that a busy engine reads in a second.
 	readRate = 7500.0
-	// maxUnread is the number of prompt tokens waiting to be read on an engine from which
-	// it is given no further prompt: 0.6 s. What waits there holds memory that it does not
-	// use yet, and cannot go elsewhere when another engine has read its prompts.
+	// maxUnread is the number of unread prompt tokens on an engine beyond which it gets no
+	// further prompt: waiting prompts hold memory and cannot go elsewhere.
 	maxUnread = 4500
-	// failureCost is for an endpoint all of whose recent results are failures.
+	// failureCost applies in full if all recent results are failures.
 	failureCost = 2.0
 	// warmingCost keeps work from an endpoint that has just started.
 	warmingCost = 0.25
 	// missingCost keeps work from an endpoint whose entry is missing.
 	missingCost = 0.5
-	// spread is the range of a random addition that keeps nodes, which choose from
-	// the same reports, from all choosing the same endpoint.
+	// spread is the range of a random addition: nodes choose from the same reports and
+	// would otherwise all choose the same endpoint.
 	spread = 0.04
-	// copyCost is for each second that a copy takes to a target, with those that are on
-	// their way there already: moves queue on the target's link, too. Copies of all nodes
-	// count, since two engines that leave at once would else send everything to the
-	// emptiest third. It is so much that a near engine is taken while it has room and no
-	// other copy: a far copy holds up all others of its engine.
+	// copyCost is for each second that a copy takes to a target, behind the copies of all
+	// nodes that are on their way there. It outweighs the other costs: a far copy holds up all
+	// others of its engine.
 	copyCost = 10.0
 	// farCopy is how many times longer a copy to another data centre takes.
 	farCopy = 2.0
-	// moveSpread replaces spread for moves: the nodes whose runs leave the same endpoint
-	// choose at the same moment, and see each other's choices too late.
+	// moveSpread replaces spread for moves, whose nodes choose at the same moment.
 	moveSpread = 0.25
-	// memoryShare is the part of an engine's memory that may be promised to long answers.
-	// What is promised is what each run is expected to need at its end, and runs end at
-	// different times: engines that are promised a little more than they have are rarely
-	// full, and work starts sooner.
+	// memoryShare is the part of an engine's memory that may be promised to long answers. A
+	// run is promised what it needs at its end, and runs end at different times.
 	memoryShare = 1.06
-	// shortShare is that part for short answers. They hold their memory for less than a
-	// second, so that the difference, the size of one, always comes free soon.
+	// shortShare is that part for short answers, which hold their memory briefly.
 	shortShare = 1.14
-	// moveShare is that part for runs that move: a run that finds no target is lost.
+	// moveShare is that part for runs that move: without a target they are lost.
 	moveShare = 1.10
-	// lateShare is that part for work that is late already. Room that it took would be
-	// missing for what comes next and could be in time.
+	// lateShare is that part for work that is late already; the rest is kept for work that
+	// can be in time.
 	lateShare = 0.70
-	// shortOutput is the length in tokens up to which an answer is short: it is made
-	// within half a second.
+	// shortOutput is the length in tokens up to which an answer is short.
 	shortOutput = 64
-	// plainOvercommit is how many requests, in multiples of its slots, a plain
-	// service's endpoint is given. Those beyond its slots wait in its own queue, which
-	// is shorter than the way back here.
+	// plainOvercommit is how many requests, in multiples of its slots, an endpoint of a plain
+	// service is given; those beyond its slots wait in its own queue.
 	plainOvercommit = 2.0
 )
 
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -13,16 +13,15 @@
 	"github.com/crocusreel/crocusreel/platform"
 )
 
-// missingGrace is how long an endpoint stays in use whose entry vanished around an
-// outage of the store: entries expire while heartbeats cannot be written, and come back
-// within two seconds if their endpoints live. One that is missing longer is gone.
+// missingGrace is how long an endpoint stays in use whose entry vanished around an outage of
+// the store. Entries expire while heartbeats cannot be written and come back within two seconds.
 const missingGrace = 2100 * time.Millisecond
 
 // outageShadow is the time after an outage in which entries may still vanish by it.
 const outageShadow = 2 * time.Second
 
-// registry takes the endpoints' entries one listing at a time: the store's answers and
-// those of other nodes come in goroutines of their own, and the newer one must win.
+// registry serializes listings of endpoints, which come from the store and from other nodes
+// in different goroutines.
 type registry struct {
 	mu sync.Mutex
 	// faulty holds the version of each entry that names no endpoint, so that it is logged
@@ -33,8 +32,8 @@
 // maxFaulty bounds the remembered faulty entries; beyond, some are logged again.
 const maxFaulty = 1024
 
-// ownEndpoints takes what the store itself says: whether the node that was followed before
-// had lost the store no longer matters.
+// ownEndpoints takes answers of the store itself. What was known of the store through the
+// followed node no longer matters.
 func (n *Node) ownEndpoints(take func(platform.Listing, knowledge.Seen)) func(platform.Listing, knowledge.Seen) {
 	return func(l platform.Listing, seen knowledge.Seen) {
 		n.unsteadyPeer.Store(false)
@@ -43,10 +42,9 @@
 	}
 }
 
-// tentative tells whether entries may be missing although their endpoints live, as around
-// an outage of the store. A store that turned away this node alone is none: were removals
-// tentative after it, those who follow this node would send work to an endpoint for two
-// seconds after it has left.
+// tentative tells whether entries may be missing although their endpoints live, as around an
+// outage of the store. A loss of this node alone is no outage: its followers would go on using
+// endpoints that have left.
 func (n *Node) tentative() bool {
 	outage := n.endpointFeed.unsteady(outageShadow) && !n.endpointFeed.lostHereOnly()
 	return outage || n.unsteadyPeer.Load()
