--- a/tests/retries_test.go
+++ b/tests/retries_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -57,6 +58,17 @@
 		return started - before, answered
 	}
 
+	// retries are the gateways' counters of work that was sent again, by reason.
+	retries := func(ctx SpecContext) string {
+		var all []string
+		for _, vm := range r.VMs {
+			vars, err := r.Vars(ctx, vm.GatewayVars)
+			Expect(err).NotTo(HaveOccurred())
+			all = append(all, fmt.Sprintf("%s: %v", vm.CallerAddress, vars["retries"]))
+		}
+		return strings.Join(all, "; ")
+	}
+
 	// Every service loses all of its answers for a while. Each gateway could try each
 	// request at every service and so triple the load on services that struggle
 	// already, and go on doing so when they come back.
@@ -77,7 +89,9 @@
 			_, ok := count(ctx, fmt.Sprint("heal-", time.Now().UnixNano()), 4)
 			return ok
 		}).Should(Equal(4))
+		before := retries(ctx)
 		started, answered = count(ctx, "after-", calls)
+		AddReportEntry("sent again", fmt.Sprintf("before: %s; after: %s", before, retries(ctx)))
 		Expect(answered).To(Equal(calls))
 		Expect(started).To(Equal(calls))
 		AddReportEntry("after the outage", fmt.Sprintf("%d calls started %d runs", calls, started))
