Free the gossip's port before Run returns

Cause: at the end of the context the socket is closed in a goroutine of its own, and Run returned without waiting for it; a node that starts right after at the same address did not get the port. Run now waits for the close.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -281,8 +281,18 @@
 	if err != nil {
 		return eris.Wrap(err, "gossip")
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		_ = conn.Close()
+		close(closed)
+	})
+	defer func() {
+		if stop() {
+			_ = conn.Close()
+			return
+		}
+		<-closed // the port is free once Run returns
+	}()
 	go g.receive(ctx, conn)
 	for {
 		g.round(conn)
