Log the limits that endpoints name in answers

The incident's logs could not tell whether a limit was not read, kept by each node for itself, or passed over by repeats. Answers are now read for it: a line for each change, with the request whose answer said so, and counters of answers that name a limit, apart for first sendings and repeats. No decision uses it yet. The stand-in of endpoints can say such headers and records when requests arrive.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,6 +26,8 @@
 	doubted map[*Endpoint]struct{}
 	queues  map[line]*queue
 	remote  map[string]remoteNode
+	// notices hold what endpoints say of themselves, by incarnation.
+	notices map[EndpointKey]*noticed
 	// evacuated holds since when each evacuated data centre is known to be one.
 	evacuated map[string]time.Duration
 	// wakeAt is when Wake was last asked for a call.
@@ -41,6 +43,8 @@
 	Changed func(dataCentre string)
 	// Believed is told of each endpoint that is left out or taken back; it must not block.
 	Believed func(Exclusion)
+	// Noticed is told of each change of what an endpoint says of itself; it must not block.
+	Noticed func(NoticeChange)
 	// Wake is asked to call Tick after the given time; it must not block.
 	Wake func(after time.Duration)
 }
@@ -58,8 +62,10 @@
 		services:   make(map[string][]*Endpoint),
 		queues:     make(map[line]*queue),
 		remote:     make(map[string]remoteNode),
+		notices:    make(map[EndpointKey]*noticed),
 		Changed:    func(string) {},
 		Believed:   func(Exclusion) {},
+		Noticed:    func(NoticeChange) {},
 		Wake:       func(time.Duration) {},
 		Population: func() Population { return Population{Nodes: 1, Heard: true} },
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -255,5 +261,6 @@
 func (f *Fleet) Tick() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.pruneNoticesLocked()
 	f.dispatchAllLocked()
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -7,8 +7,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -107,6 +109,10 @@
 	streams map[string]*stream
 	closed  []string // requests whose connection was closed by the caller
 	leaving bool
+	// says are headers of all answers.
+	says map[string]string
+	// arrivals are when requests came, refused ones included.
+	arrivals []time.Time
 	// conns are those of streams, which the server no longer knows.
 	conns []net.Conn
 	// targets are those of the orders to copy.
@@ -139,11 +145,22 @@
 	mux.HandleFunc("GET /report", w.report)
 	mux.HandleFunc("GET /healthz", w.health)
 	mux.HandleFunc("/", w.serve)
-	w.server = &http.Server{Handler: mux}
+	w.server = &http.Server{Handler: w.withSayings(mux)}
 	go func() { _ = w.server.Serve(listener) }()
 	return w, nil
 }
 
+// withSayings sets the headers of all answers; those of answers that are written by hand are
+// set by head.
+func (w *Worker) withSayings(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		for name, value := range w.saying() {
+			rw.Header().Set(name, value)
+		}
+		next.ServeHTTP(rw, r)
+	})
+}
+
 // Address returns the IP:port.
 func (w *Worker) Address() string { return w.listener.Addr().String() }
 
@@ -207,6 +224,39 @@
 	w.leaving = true
 }
 
+// Say puts a header on all answers from now on, as the worker's limit; an empty value takes it away.
+func (w *Worker) Say(name, value string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.says == nil {
+		w.says = make(map[string]string)
+	}
+	w.says[name] = value
+	if value == "" {
+		delete(w.says, name)
+	}
+}
+
+// saying returns the headers of all answers.
+func (w *Worker) saying() map[string]string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.says)
+}
+
+// Arrivals returns when requests came, in order, refused ones included.
+func (w *Worker) Arrivals() []time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.arrivals)
+}
+
+func (w *Worker) arrived() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.arrivals = append(w.arrivals, time.Now())
+}
+
 func (w *Worker) health(rw http.ResponseWriter, _ *http.Request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -229,6 +279,7 @@
 	if err != nil {
 		return
 	}
+	w.arrived()
 	run := Run{ID: r.Header.Get("Crocusreel-Attempt-Id"), Header: r.Header.Clone(), Target: r.RequestURI, Body: body}
 	run.Resumed = r.Header.Get("Kv-From") != ""
 	fault := None
@@ -262,6 +313,9 @@
 }
 
 func (w *Worker) head(run Run, status int, framing string) string {
+	for name, value := range w.saying() {
+		framing += name + ": " + value + "\r\n"
+	}
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\nCrocusreel-Attempt-Id: %s\r\nCrocusreel-Response-Seal: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n%s\r\n",
 		status, http.StatusText(status), run.ID, Seal(w.options.ID, run.ID), framing)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/retry"
 	"github.com/crocusreel/crocusreel/routing"
 )
@@ -78,6 +79,8 @@
 	NotRun bool
 	// Misdirected tells that another instance has the endpoint's address.
 	Misdirected bool
+	// Notice is what the endpoint says of itself.
+	Notice fleet.Notice
 }
 
 // Protocol puts requests into the form that endpoints understand.
@@ -283,7 +286,7 @@
 	}
 	j.verdict.Attempts++
 	j.verdict.Endpoint = attempt.Instance.ID
-	return j.Client.Do(ctx, attempt.Instance.Address, &h1.Request{
+	resp, err := j.Client.Do(ctx, attempt.Instance.Address, &h1.Request{
 		Method: j.r.Method,
 		Target: j.r.Target,
 		Host:   j.r.Host,
@@ -292,6 +295,30 @@
 		Mine:   func(h http.Header) bool { return j.Protocol.Mine(j.r, h) },
 		Life:   p.Life(),
 	})
+	if err == nil {
+		j.note(attempt.Instance, resp)
+	}
+	return resp, err
+}
+
+// note takes what the endpoint says of itself in an answer; another instance may have given it.
+func (j *job) note(in fleet.Instance, resp *h1.Response) {
+	reply := j.Protocol.Reply(resp.StatusCode, resp.Header)
+	if reply.Misdirected {
+		return
+	}
+	if reply.Notice.Limited {
+		metrics.Count(j.limitedCounter())
+	}
+	j.Fleet.Note(in, reply.Notice, j.r.ID)
+}
+
+// limitedCounter tells first sendings to endpoints that name a limit from repeats.
+func (j *job) limitedCounter() string {
+	if j.verdict.Attempts > 1 {
+		return "answers_naming_limit_again"
+	}
+	return "answers_naming_limit_first"
 }
 
 func (j *job) end(refusal *crocusreel.Refusal, detail string) Verdict {
