--- /dev/null
+++ b/fleet/limit_test.go
@@ -0,0 +1,142 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/routing"
+)
+
+// Figures of the users' bound on an endpoint that names a limit.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitStep   = 20 * time.Millisecond
+	limitFor    = 12 * time.Second
+	limitSeeds  = 4
+)
+
+// limitAllows is how many requests the endpoint may get within limitWindow.
+func limitAllows(perSecond float64) int {
+	return int(limitFactor*perSecond*limitWindow.Seconds() + limitSlack)
+}
+
+// limitedNode is a node before one endpoint that has named a limit to it.
+type limitedNode struct {
+	f       *fleet.Fleet
+	now     time.Duration
+	in      fleet.Instance
+	service *routing.Service
+}
+
+func newLimitedNode(name string, believes int, perSecond float64) *limitedNode {
+	n := &limitedNode{
+		service: &routing.Service{Name: "app"},
+		in:      fleet.Instance{ID: "limited", Service: "app", DataCentre: "dc1", Slots: 1 << 20},
+	}
+	n.f = fleet.New("dc1", func() time.Duration { return n.now })
+	n.f.Name = name
+	n.f.Population = func() fleet.Population { return fleet.Population{Nodes: believes, Heard: true} }
+	n.f.Update(n.in)
+	n.f.Note(n.in, fleet.Notice{Limited: true, Limit: perSecond}, "r0")
+	return n
+}
+
+func (n *limitedNode) sends(now time.Duration) bool {
+	n.now = now
+	p, _ := n.f.Acquire(context.Background(), fleet.Want{Service: n.service}, 0)
+	return p != nil
+}
+
+// mostWithin returns the most of the times that lie within one span of the given length.
+func mostWithin(sent []time.Duration, length time.Duration) int {
+	slices.Sort(sent)
+	most, from := 0, 0
+	for to := range sent {
+		for sent[to]-sent[from] >= length {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
+// Guards against nodes that together send more than an endpoint takes from all of them, each of
+// them with work for it at every moment and no word between them.
+func TestLimitedEndpointIsNotOverrun(t *testing.T) {
+	for _, nodes := range []int{1, 7, 75, 300, 410} {
+		for _, perSecond := range []float64{0, 0.5, 2.2, 30} {
+			t.Run(fmt.Sprintf("%d nodes, %g a second", nodes, perSecond), func(t *testing.T) {
+				for seed := range uint64(limitSeeds) {
+					random := rand.New(rand.NewPCG(seed, 1))
+					var all []*limitedNode
+					var offsets []time.Duration
+					for i := range nodes {
+						all = append(all, newLimitedNode(fmt.Sprintf("10.0.%d.%d-%d", i/250, i%250, random.Uint32()), nodes, perSecond))
+						offsets = append(offsets, time.Hour+time.Duration(random.Int64N(int64(time.Hour))))
+					}
+					var sent []time.Duration
+					for now := time.Duration(0); now < limitFor; now += limitStep {
+						for i, n := range all {
+							if n.sends(offsets[i] + now) {
+								sent = append(sent, now)
+							}
+						}
+					}
+					if most := mostWithin(sent, limitWindow); most > limitAllows(perSecond) {
+						t.Errorf("seed %d: %d requests in %v, %d are allowed", seed, most, limitWindow, limitAllows(perSecond))
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against a node that hears nobody and takes the whole limit for its own.
+func TestNodeThatKnowsNoOthersSendsNothingToALimitedEndpoint(t *testing.T) {
+	n := newLimitedNode("10.0.0.1", 0, 4)
+	for now := time.Hour; now < time.Hour+limitWindow; now += limitStep {
+		if n.sends(now) {
+			t.Fatalf("a request at %v", now)
+		}
+	}
+}
+
+// Guards against a bound that goes on after the endpoint has ended it, or is kept for another
+// incarnation.
+func TestLimitEndsWithTheEndpointsWord(t *testing.T) {
+	n := newLimitedNode("10.0.0.1", 100, 0.5)
+	n.f.Note(n.in, fleet.Notice{}, "r1")
+	if !n.sends(time.Hour) || !n.sends(time.Hour) {
+		t.Error("no request after the limit was taken back")
+	}
+	n.f.Note(n.in, fleet.Notice{Limited: true, Limit: 0.5}, "r2")
+	reborn := n.in
+	reborn.Born = 1
+	n.f.Update(reborn)
+	if !n.sends(time.Hour) || !n.sends(time.Hour) {
+		t.Error("no request to an incarnation that has named no limit")
+	}
+}
+
+// Guards against a limit that is forgotten while the endpoint's entry is gone for a moment.
+func TestLimitOutlivesTheEntry(t *testing.T) {
+	n := newLimitedNode("10.0.0.1", 1, 0.5)
+	n.f.Remove(n.in.ID, false)
+	n.f.Update(n.in)
+	sent := 0
+	for now := time.Hour; now < time.Hour+limitWindow; now += limitStep {
+		if n.sends(now) {
+			sent++
+		}
+	}
+	if sent > limitAllows(0.5) {
+		t.Errorf("%d requests in %v, %d are allowed", sent, limitWindow, limitAllows(0.5))
+	}
+}
