Give turns at a rate a package of their own; tell waiting work the refusal that ends its wait

Turns serve more than cold endpoints. Work that waits for regions in which no endpoint is left was answered "evacuated" whatever had ended its wait; it now gets the refusal that was found. No other change of behaviour.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -1,20 +1,16 @@
 package fleet
 
 import (
-	"encoding/binary"
-	"hash/fnv"
-	"math"
 	"time"
 
+	"github.com/crocusreel/crocusreel/pace"
 	"github.com/crocusreel/crocusreel/routing"
 )
 
 // A cold endpoint bears few requests a second, from all nodes together, and crashes above
-// that. Nodes do not agree on who sends: each has turns of its own at each cold endpoint, one
-// in every nodes/rate seconds, at a time that a hash of both names gives. A turn that is not
-// used soon is lost, so that nodes with unused turns cannot all send at the same moment. A
-// lost datagram or a late one changes nothing, as long as a node does not take the others for
-// fewer than they are.
+// that. Nodes do not agree on who sends: each has turns of its own at each cold endpoint. A lost
+// datagram or a late one changes nothing, as long as a node does not take the others for fewer
+// than they are.
 //
 // Generations take so long that few of them at a time are few a second. While nodes hear each
 // other, a cold engine gets them without turns up to a small number, which they tell each other
@@ -25,8 +21,6 @@
 	// coldShare is the part of what a cold endpoint bears that nodes send it. The rest is for
 	// requests that were sent before its sender knew, and for late ones.
 	coldShare = 0.8
-	// coldTurnLength is how long a turn can be used.
-	coldTurnLength = 100 * time.Millisecond
 	// leastGeneration is the least time that a generation takes.
 	leastGeneration = 250 * time.Millisecond
 )
@@ -39,29 +33,6 @@
 	Heard bool
 }
 
-// coldTurn returns when the node's last turn at a cold endpoint began and when the next one
-// begins. Rate is what the endpoint bears a second.
-func coldTurn(node string, endpoint EndpointKey, nodes int, rate float64, now time.Duration) (began, next time.Duration) {
-	period := time.Duration(float64(nodes) / (coldShare * rate) * float64(time.Second))
-	h := fnv.New64a()
-	_, _ = h.Write(binary.BigEndian.AppendUint32(nil, uint32(endpoint)))
-	_, _ = h.Write([]byte(node))
-	phase := time.Duration(float64(mix(h.Sum64())) / math.MaxUint64 * float64(period))
-	began = now - (now+period-phase)%period
-	return began, began + period
-}
-
-// mix spreads a hash over all its bits (the finalizer of MurmurHash3): names that differ in the
-// last digit only would otherwise get turns close to each other.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
-}
-
 // coldUntilLocked returns until when the endpoint gets a bounded number of requests; 0 if it
 // is not cold or its service has no bound.
 func (f *Fleet) coldUntilLocked(e *Endpoint, s *routing.Service, now time.Duration) time.Duration {
@@ -97,8 +68,8 @@
 	if s.Engine != nil && population.Heard && float64(load.Count) < s.ColdPerSecond*leastGeneration.Seconds() {
 		return true
 	}
-	began, next := coldTurn(f.Name, e.key, population.Nodes, s.ColdPerSecond, now)
-	if now-began < coldTurnLength && e.coldUsedAt < began {
+	began, next := pace.Turn(f.Name, uint32(e.key), population.Nodes, coldShare*s.ColdPerSecond, now)
+	if now-began < pace.Length && e.coldUsedAt < began {
 		return true
 	}
 	f.wakeLocked(now, min(next, until)-now)
--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -113,9 +113,9 @@
 func (f *Fleet) refuseUnservableLocked() {
 	for _, q := range f.queues {
 		for _, w := range slices.Clone(q.waiting) {
-			if f.unservableLocked(w.want) != nil {
+			if refusal := f.unservableLocked(w.want); refusal != nil {
 				q.remove(w)
-				w.granted <- nil
+				w.ended <- waitEnd{refusal: refusal}
 			}
 		}
 	}
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -12,11 +12,17 @@
 type waiter struct {
 	want  *Want
 	since time.Duration
-	// granted gets the place, or nil once no endpoint may run the work.
-	granted chan *Placement
+	// ended gets the end of the wait.
+	ended chan waitEnd
 	turn    turn
 }
 
+// waitEnd is a place, or a refusal once no endpoint may run the work.
+type waitEnd struct {
+	place   *Placement
+	refusal *crocusreel.Refusal
+}
+
 // lateRank is added to the rank of work that can no longer start in time. Room that it
 // took would make work late that is still in time, and so on with each that follows: as
 // soon as more comes than there is room for, a line that is served by age alone is one
@@ -101,12 +107,11 @@
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
-	case p := <-w.granted:
-		if p == nil {
-			return nil, refuseEvacuated(w.want)
+	case end := <-w.ended:
+		if end.place != nil {
+			end.place.Waited = f.now() - w.since
 		}
-		p.Waited = f.now() - w.since
-		return p, nil
+		return end.place, end.refusal
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -117,15 +122,12 @@
 		f.Changed("")
 	}
 	select {
-	case p := <-w.granted:
-		if p == nil {
-			return nil, refuseEvacuated(w.want)
-		}
+	case end := <-w.ended:
 		// The place was granted while the wait ended.
-		if ctx.Err() == nil {
-			return p, nil
+		if end.place == nil || ctx.Err() == nil {
+			return end.place, end.refusal
 		}
-		go p.Release(Neutral)
+		go end.place.Release(Neutral)
 	default:
 	}
 	return nil, f.refuseLocked(w.want)
@@ -144,7 +146,7 @@
 	if f.Without[LateBehind] {
 		w.StartWithin = 0
 	}
-	entry := &waiter{want: w, since: f.now(), granted: make(chan *Placement, 1)}
+	entry := &waiter{want: w, since: f.now(), ended: make(chan waitEnd, 1)}
 	at := sort.Search(len(q.waiting), func(i int) bool { return q.waiting[i].want.Rank > w.Rank })
 	q.waiting = append(q.waiting, nil)
 	copy(q.waiting[at+1:], q.waiting[at:])
@@ -230,7 +232,7 @@
 		return
 	}
 	q.remove(w)
-	w.granted <- f.placeLocked(e, w.want.Demand)
+	w.ended <- waitEnd{place: f.placeLocked(e, w.want.Demand)}
 }
 
 // Bounds of the time after which refused callers are asked to come back.
--- /dev/null
+++ b/pace/pace.go
@@ -0,0 +1,38 @@
+// Package pace shares a rate among nodes that do not talk to each other: each has turns of its
+// own, at times that hashes of names give.
+package pace
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"time"
+)
+
+// Length is how long a turn can be used. A turn that is not used is lost, so that nodes with
+// unused turns cannot all use them at the same moment.
+const Length = 100 * time.Millisecond
+
+// Turn returns when a node's last turn at an endpoint began and when its next one begins, where
+// that many nodes together have perSecond turns a second. Nodes with clocks of different origins
+// have different turns all the same.
+func Turn(node string, endpoint uint32, nodes int, perSecond float64, now time.Duration) (began, next time.Duration) {
+	period := time.Duration(float64(nodes) / perSecond * float64(time.Second))
+	h := fnv.New64a()
+	_, _ = h.Write(binary.BigEndian.AppendUint32(nil, endpoint))
+	_, _ = h.Write([]byte(node))
+	phase := time.Duration(float64(mix(h.Sum64())) / math.MaxUint64 * float64(period))
+	began = now - (now+period-phase)%period
+	return began, began + period
+}
+
+// mix spreads a hash over all its bits (the finalizer of MurmurHash3): names that differ in the
+// last digit only would otherwise get turns close to each other.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
