--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -14,7 +14,7 @@
 	since time.Duration
 	// ended gets the end of the wait.
 	ended chan waitEnd
-	turn    turn
+	turn  turn
 }
 
 // waitEnd is a place, or a refusal once no endpoint may run the work.
