Keep the limits that endpoints name, over all nodes together

Callers saw lookups fail at endpoints in need, which got ten times what they had asked for.

Cause: the header was passed on to callers and was no input of any decision.

Now each node takes the limit by incarnation and sends in turns of its own, as for cold endpoints: they need no word between nodes, so that a lost datagram or a cut changes nothing, and their sum over all nodes stays under the limit. Turns hold for all ways in which an endpoint is chosen: first sendings, repeats, waiting work, targets of moves and runs that go on from a backup. Nodes tell each other the endpoint's last word, with its age; the later one counts. Work that can go only to such endpoints, and whose turn comes too late, is refused at once.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -76,9 +76,6 @@
 	return false
 }
 
-// useColdTurnLocked records that a request goes to the endpoint.
-func (f *Fleet) useColdTurnLocked(e *Endpoint) { e.coldUsedAt = f.now() }
-
 // wakeLocked has waiting work looked at after the given time at the latest.
 func (f *Fleet) wakeLocked(now, after time.Duration) {
 	at := now + after
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -88,6 +88,8 @@
 	returnedAt time.Duration
 	// coldUsedAt is when this node last sent it a request.
 	coldUsedAt time.Duration
+	// noticed is what it has said of itself; nil for nothing.
+	noticed *noticed
 	// missingAt is when the entry vanished although the instance may be alive; 0 if
 	// it is there.
 	missingAt time.Duration
--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -111,12 +111,20 @@
 
 // refuseUnservableLocked ends the wait of work that no endpoint may run any more.
 func (f *Fleet) refuseUnservableLocked() {
+	now := f.now()
 	for _, q := range f.queues {
+		ahead := 0
 		for _, w := range slices.Clone(q.waiting) {
-			if refusal := f.unservableLocked(w.want); refusal != nil {
-				q.remove(w)
-				w.ended <- waitEnd{refusal: refusal}
+			refusal := f.unservableLocked(w.want)
+			if refusal == nil {
+				refusal = f.beyondLocked(w.want, ahead, w.until-now)
+			}
+			if refusal == nil {
+				ahead++
+				continue
 			}
+			q.remove(w)
+			w.ended <- waitEnd{refusal: refusal}
 		}
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -136,6 +136,7 @@
 	}
 	if !known {
 		e = newEndpoint(in)
+		e.noticed = f.notices[e.key]
 		if _, is := f.evacuated[in.DataCentre]; is {
 			e.isEvacuated = true
 			e.markUnusable()
--- a/fleet/holding.go
+++ b/fleet/holding.go
@@ -47,7 +47,7 @@
 	bestCost := 0.0
 	for _, e := range f.services[w.Service.Name] {
 		if e == p.endpoint || !f.eligibleLocked(e, &w) || e.missingAt != 0 || now < e.health.ejectedUntil ||
-			f.coldLocked(e, w.Service, now) {
+			e.limited() || f.coldLocked(e, w.Service, now) {
 			continue
 		}
 		load := e.total()
@@ -97,12 +97,13 @@
 }
 
 // Take turns the room into the place of the run, which goes on there with so many tokens
-// made; nil if the room was given back, the endpoint leaves or its data centre is evacuated.
+// made; nil if the room was given back, the endpoint leaves or takes no request now, or its data
+// centre is evacuated.
 func (h *Holding) Take(produced int) *Placement {
 	f := h.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if h.released || h.endpoint.isLeaving || h.endpoint.isEvacuated {
+	if h.released || h.endpoint.isLeaving || h.endpoint.isEvacuated || !f.takesLimitedLocked(h.endpoint, f.now()) {
 		return nil
 	}
 	h.releaseLocked()
--- /dev/null
+++ b/fleet/limit.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/pace"
+)
+
+// An endpoint in need names the number of requests a second that it takes from all nodes together.
+// Each node sends it requests in turns of its own only (package pace): first sendings, repeats,
+// waiting work and runs that go on there alike. What one node is told the others hear by
+// datagrams; a node that hears nobody goes by the number of nodes that it last knew.
+
+const (
+	// limitShare is the part of a limit that nodes use. The rest is for requests whose sender
+	// did not know yet, and for turns that lie close together.
+	limitShare = 0.7
+	// leastLimit is the rate, in requests a second, for endpoints that name less: their
+	// answers alone tell when the limit ends.
+	leastLimit = 0.25
+)
+
+// limit is an endpoint's word on the requests that it takes.
+type limit struct {
+	named     bool
+	perSecond float64
+}
+
+func (l limit) notice() Notice { return Notice{Limited: l.named, Limit: l.perSecond} }
+
+// rate is the number of requests a second that all nodes together send.
+func (l limit) rate() float64 { return limitShare * max(l.perSecond, leastLimit) }
+
+// setLimitLocked takes an endpoint's word of the given time unless a later one is known.
+func (f *Fleet) setLimitLocked(key EndpointKey, n *noticed, said limit, at time.Duration) bool {
+	if at < n.limitAt {
+		return false
+	}
+	before := n.limit
+	n.limit, n.limitAt = said, at
+	e := f.byKey[key]
+	if e == nil || before == said {
+		return true
+	}
+	if said.named {
+		f.refuseUnservableLocked()
+	} else {
+		f.dispatchLocked(e.Service)
+	}
+	return true
+}
+
+// limited tells whether the endpoint has named a limit that holds.
+func (e *Endpoint) limited() bool { return e.noticed != nil && e.noticed.limit.named }
+
+// limitTurnLocked returns when this node may send the next request to an endpoint that has named
+// a limit: now if that is at once. Known is false if it may not send any, as it does not know how
+// many others do.
+func (f *Fleet) limitTurnLocked(e *Endpoint, now time.Duration) (at time.Duration, known bool) {
+	population := f.Population()
+	if population.Nodes <= 0 {
+		return 0, false
+	}
+	began, next := pace.Turn(f.Name, uint32(e.key), population.Nodes, e.noticed.limit.rate(), now)
+	if now-began < pace.Length && e.noticed.turnUsedAt < began {
+		return now, true
+	}
+	return next, true
+}
+
+// takesLimitedLocked tells whether this node may send a request to the endpoint now, as far as
+// its limit allows. If not, it has waiting work looked at again when that changes.
+func (f *Fleet) takesLimitedLocked(e *Endpoint, now time.Duration) bool {
+	if !e.limited() {
+		return true
+	}
+	at, known := f.limitTurnLocked(e, now)
+	if known && at > now {
+		f.wakeLocked(now, at-now)
+	}
+	return known && at <= now
+}
+
+// useTurnLocked records that a request goes to the endpoint.
+func (f *Fleet) useTurnLocked(e *Endpoint, now time.Duration) {
+	if !e.limited() {
+		return
+	}
+	e.noticed.turnUsedAt = now
+	metrics.Count("limit_turns_used")
+}
+
+// limitUnknownRetry is when callers may come back to a node that does not know how many others
+// there are: it hears of them within a second.
+const limitUnknownRetry = time.Second
+
+func refuseLimited(w *Want, retry time.Duration) *crocusreel.Refusal {
+	return crocusreel.Refuse(crocusreel.ReasonEndpointLimit, crocusreel.OutcomeNotRun, retry,
+		"all endpoints of service %q take a limited number of requests a second", w.Service.Name)
+}
+
+// beyondLocked returns the refusal of work that can only go to endpoints with a limit, and whose
+// turn comes after its patience, behind so many others; nil for other work.
+func (f *Fleet) beyondLocked(w *Want, ahead int, patience time.Duration) *crocusreel.Refusal {
+	now := f.now()
+	rate := 0.0
+	var soonest time.Duration
+	for _, e := range f.services[w.Service.Name] {
+		if !f.eligibleLocked(e, w) {
+			continue
+		}
+		if !e.limited() {
+			return nil
+		}
+		at, known := f.limitTurnLocked(e, now)
+		if !known {
+			return refuseLimited(w, limitUnknownRetry)
+		}
+		if rate == 0 || at < soonest {
+			soonest = at
+		}
+		rate += e.noticed.limit.rate() / float64(f.Population().Nodes)
+	}
+	if rate == 0 {
+		return nil
+	}
+	wait := soonest - now + time.Duration(float64(ahead)/rate*float64(time.Second))
+	if wait <= patience {
+		return nil
+	}
+	return refuseLimited(w, min(max(wait, shortestRetry), longestRetry))
+}
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Notice is what an endpoint says of itself in the head of an answer.
 type Notice struct {
@@ -20,18 +24,49 @@
 	Instance Instance
 	Notice   Notice
 	Before   Notice
-	// Request is the ID of the request whose answer said so.
+	// Request is the ID of the request whose answer said so; empty if another node told.
 	Request string
+	// Node is the node that told, and Age the time since the endpoint said so to it.
+	Node string
+	Age  time.Duration
 }
 
-// noticeMemory is how long a notice is remembered after its last change. Entries may vanish and
-// come back, and an incarnation is bound by what it said before.
-const noticeMemory = 10 * time.Minute
+const (
+	// noticeMemory is how long a notice is remembered of an incarnation that is not in
+	// service. Its entry may vanish and come back, and it is bound by what it said before.
+	noticeMemory = 10 * time.Minute
+	// limitTold is how long other nodes are told of an endpoint's last word on its limit. It
+	// is longer than the time between two answers of an endpoint with a very low limit.
+	limitTold = 15 * time.Second
+	// maxLimitsTold bounds the limits in a datagram, the newest first. Each takes 16 B.
+	maxLimitsTold = 24
+)
 
 // noticed is what an incarnation has said of itself.
 type noticed struct {
-	last    Notice
-	changed time.Duration
+	// own is the last word on its limit to this node, at the time ownAt.
+	own   limit
+	ownAt time.Duration
+	// limit is the last word on its limit to any node, as far as it is known here.
+	limit   limit
+	limitAt time.Duration
+	// turnUsedAt is when this node last sent it a request.
+	turnUsedAt time.Duration
+	// unreadable is set while it names figures that cannot be read.
+	unreadable bool
+}
+
+// noticedLocked returns what is known of an incarnation; make adds a record where there is none.
+func (f *Fleet) noticedLocked(key EndpointKey, make bool) *noticed {
+	known := f.notices[key]
+	if known == nil && make {
+		known = &noticed{}
+		f.notices[key] = known
+		if e := f.byKey[key]; e != nil {
+			e.noticed = known
+		}
+	}
+	return known
 }
 
 // Note takes what an incarnation says of itself in an answer that has just come. Request is the
@@ -40,34 +75,105 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	key := in.Incarnation().Key()
-	known := f.notices[key]
+	known := f.noticedLocked(key, !n.empty())
 	if known == nil {
-		if n.empty() {
-			return
+		return
+	}
+	before := known.limit
+	change := NoticeChange{Instance: in, Notice: n, Before: before.notice(), Request: request}
+	if n.Fault != nil {
+		// What was readable before holds on.
+		change.Notice = Notice{Limited: before.named, Limit: before.perSecond, Fault: n.Fault}
+		if !known.unreadable {
+			known.unreadable = true
+			f.Noticed(change)
 		}
-		known = &noticed{}
-		f.notices[key] = known
+		return
 	}
-	if sameNotice(known.last, n) {
+	known.unreadable = false
+	known.own, known.ownAt = limit{named: n.Limited, perSecond: n.Limit}, f.now()
+	f.setLimitLocked(key, known, known.own, known.ownAt)
+	if before != known.own {
+		f.Noticed(change)
+		f.Changed("")
+	}
+}
+
+// NoteAt takes what the endpoint at an address says of itself in an answer to an order or a check.
+// An answer that says nothing ends no limit: it may come from whatever has the address now.
+func (f *Fleet) NoteAt(address string, n Notice) {
+	if n.empty() {
 		return
 	}
-	change := NoticeChange{Instance: in, Notice: n, Before: known.last, Request: request}
-	known.last, known.changed = n, f.now()
-	f.Noticed(change)
+	f.mu.Lock()
+	var at []Instance
+	for _, e := range f.byID {
+		if e.Address == address {
+			at = append(at, e.Instance)
+		}
+	}
+	f.mu.Unlock()
+	if len(at) == 1 {
+		f.Note(at[0], n, "")
+	}
 }
 
-// sameNotice tells whether two notices say the same. Two figures that could not be read do.
-func sameNotice(a, b Notice) bool {
-	faults := (a.Fault == nil) == (b.Fault == nil)
-	a.Fault, b.Fault = nil, nil
-	return faults && a == b
+// LimitNews is an endpoint's last word on its limit to a node.
+type LimitNews struct {
+	Key     EndpointKey
+	Limited bool
+	Limit   float64
+	// Age is the time since the answer that said so.
+	Age time.Duration
+}
+
+// OwnLimits returns what endpoints lately said of their limits to this node, for the others.
+// What others told is not told onwards: its age would be wrong by the time on the way, and grow
+// less true with each node.
+func (f *Fleet) OwnLimits() []LimitNews {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	var news []LimitNews
+	for key, n := range f.notices {
+		if age := now - n.ownAt; n.ownAt != 0 && age < limitTold {
+			news = append(news, LimitNews{Key: key, Limited: n.own.named, Limit: n.own.perSecond, Age: age})
+		}
+	}
+	slices.SortFunc(news, func(a, b LimitNews) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Key, b.Key))
+	})
+	return news[:min(len(news), maxLimitsTold)]
+}
+
+// NoteRemote takes what endpoints said of their limits to another node.
+func (f *Fleet) NoteRemote(node string, news []LimitNews) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	for _, l := range news {
+		known := f.noticedLocked(l.Key, l.Limited)
+		if known == nil {
+			continue
+		}
+		before := known.limit
+		said := limit{named: l.Limited, perSecond: l.Limit}
+		if !f.setLimitLocked(l.Key, known, said, now-l.Age) || before == said {
+			continue
+		}
+		if e := f.byKey[l.Key]; e != nil {
+			f.Noticed(NoticeChange{
+				Instance: e.Instance, Notice: said.notice(), Before: before.notice(), Node: node, Age: l.Age,
+			})
+		}
+	}
 }
 
-// pruneNotices forgets notices of incarnations that are no longer in service.
+// pruneNoticesLocked forgets incarnations that are no longer in service.
 func (f *Fleet) pruneNoticesLocked() {
 	now := f.now()
 	for key, n := range f.notices {
-		if f.byKey[key] == nil && now-n.changed > noticeMemory {
+		if f.byKey[key] == nil && now-max(n.ownAt, n.limitAt) > noticeMemory {
 			delete(f.notices, key)
 		}
 	}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -107,7 +107,7 @@
 				continue
 			}
 			load := e.total()
-			if !f.fitsLocked(e, w, &load) || !f.takesColdLocked(e, w.Service, &load, now) {
+			if !f.fitsLocked(e, w, &load) || !f.takesColdLocked(e, w.Service, &load, now) || !f.takesLimitedLocked(e, now) {
 				continue
 			}
 			if cost := f.costLocked(e, w, &load, now); best == nil || cost < bestCost {
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -55,7 +55,9 @@
 func (f *Fleet) placeLocked(e *Endpoint, d Demand) *Placement {
 	p := &Placement{fleet: f, endpoint: e, demand: d, reading: d.Prompt > 0}
 	f.used[e] = struct{}{}
-	f.useColdTurnLocked(e)
+	now := f.now()
+	e.coldUsedAt = now
+	f.useTurnLocked(e, now)
 	e.own.Count++
 	e.own.Tokens += p.tokens()
 	e.own.Unread += p.unread()
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -12,6 +12,8 @@
 type waiter struct {
 	want  *Want
 	since time.Duration
+	// until is when the wait ends without a place.
+	until time.Duration
 	// ended gets the end of the wait.
 	ended chan waitEnd
 	turn  turn
@@ -90,7 +92,11 @@
 		defer f.mu.Unlock()
 		return nil, f.refuseLocked(&w)
 	}
-	waiting, refusal := f.enqueueLocked(&w)
+	if refusal := f.beyondLocked(&w, f.waitingInLineLocked(&w), patience); refusal != nil {
+		defer f.mu.Unlock()
+		return nil, refusal
+	}
+	waiting, refusal := f.enqueueLocked(&w, patience)
 	// What waits ahead may be too large for the room that there is.
 	f.dispatchLineLocked(f.line(&w))
 	if w.Service.Engine != nil {
@@ -133,7 +139,7 @@
 	return nil, f.refuseLocked(w.want)
 }
 
-func (f *Fleet) enqueueLocked(w *Want) (*waiter, *crocusreel.Refusal) {
+func (f *Fleet) enqueueLocked(w *Want, patience time.Duration) (*waiter, *crocusreel.Refusal) {
 	l := f.line(w)
 	q := f.queues[l]
 	if q == nil {
@@ -146,7 +152,8 @@
 	if f.Without[LateBehind] {
 		w.StartWithin = 0
 	}
-	entry := &waiter{want: w, since: f.now(), ended: make(chan waitEnd, 1)}
+	now := f.now()
+	entry := &waiter{want: w, since: now, until: now + patience, ended: make(chan waitEnd, 1)}
 	at := sort.Search(len(q.waiting), func(i int) bool { return q.waiting[i].want.Rank > w.Rank })
 	q.waiting = append(q.waiting, nil)
 	copy(q.waiting[at+1:], q.waiting[at:])
@@ -227,8 +234,9 @@
 
 // grantLocked gives a waiter the place if it is its turn.
 func (f *Fleet) grantLocked(q *queue, w *waiter, e *Endpoint) {
-	// The turns at a cold endpoint keep nodes apart already.
-	if !(w.want.Service.Engine == nil && f.coldLocked(e, w.want.Service, f.now())) && !f.mayClaimLocked(w) {
+	// The turns at a cold or limited endpoint keep nodes apart already.
+	apart := e.limited() || (w.want.Service.Engine == nil && f.coldLocked(e, w.want.Service, f.now()))
+	if !apart && !f.mayClaimLocked(w) {
 		return
 	}
 	q.remove(w)
@@ -273,6 +281,13 @@
 	return f.waitingLocked(service)
 }
 
+func (f *Fleet) waitingInLineLocked(w *Want) int {
+	if q := f.queues[f.line(w)]; q != nil {
+		return len(q.waiting)
+	}
+	return 0
+}
+
 func (f *Fleet) waitingLocked(service string) int {
 	waiting := 0
 	for l, q := range f.queues {
--- a/node/notices.go
+++ b/node/notices.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
+	"github.com/crocusreel/crocusreel/exchange/exchangev1"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 )
@@ -12,6 +15,7 @@
 	fields := []zap.Field{
 		zap.String("endpoint", c.Instance.ID), zap.Int64("born", c.Instance.Born), zap.String("service", c.Instance.Service),
 		zap.String("address", c.Instance.Address), zap.String("request", c.Request),
+		zap.String("node", c.Node), zap.Duration("age", c.Age),
 	}
 	if c.Notice.Fault != nil {
 		metrics.Count("endpoint_notice_unreadable")
@@ -31,3 +35,18 @@
 	metrics.Count("endpoint_limits_named")
 	n.log.Info("endpoint names a limit", append(fields, zap.Float64("requests_per_second", c.Notice.Limit))...)
 }
+
+// heardLimits takes what endpoints said of their limits to another node.
+func (n *Node) heardLimits(s *exchangev1.NodeState) {
+	if len(s.GetLimits()) == 0 {
+		return
+	}
+	news := make([]fleet.LimitNews, 0, len(s.GetLimits()))
+	for _, l := range s.GetLimits() {
+		news = append(news, fleet.LimitNews{
+			Key: fleet.EndpointKey(l.GetKey()), Limited: l.GetLimited(), Limit: l.GetRequestsPerSecond(),
+			Age: time.Duration(l.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	n.fleet.NoteRemote(s.GetAddress(), news)
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -44,6 +44,11 @@
 	for _, key := range n.fleet.UnhealthyKeys() {
 		s.LeavingEndpoints = append(s.LeavingEndpoints, uint32(key))
 	}
+	for _, l := range n.fleet.OwnLimits() {
+		s.Limits = append(s.Limits, &exchangev1.EndpointLimit{
+			Key: uint32(l.Key), Limited: l.Limited, RequestsPerSecond: l.Limit, AgeMs: uint32(l.Age.Milliseconds()),
+		})
+	}
 	for _, k := range n.relay.Strikes.Fresh(relay.StrikesTold) {
 		s.Strikes = append(s.Strikes, &exchangev1.Strike{Work: uint64(k.Work), Endpoint: k.Endpoint})
 	}
@@ -91,6 +96,7 @@
 	}
 	n.fleet.SetRemote(s.GetAddress(), loads, waiting)
 	n.heardLeaving(s)
+	n.heardLimits(s)
 	if len(s.GetVacated()) > 0 {
 		runs := make([]relay.RunKey, 0, len(s.GetVacated()))
 		for _, run := range s.GetVacated() {
