--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/notice"
 	"github.com/crocusreel/crocusreel/pace"
 )
 
@@ -28,7 +29,7 @@
 	perSecond float64
 }
 
-func (l limit) notice() Notice { return Notice{Limited: l.named, Limit: l.perSecond} }
+func (l limit) notice() notice.Notice { return notice.Notice{Limited: l.named, Limit: l.perSecond} }
 
 // rate is the number of requests a second that all nodes together send.
 func (l limit) rate() float64 { return limitShare * max(l.perSecond, leastLimit) }
--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/notice"
 	"github.com/crocusreel/crocusreel/routing"
 )
 
@@ -44,7 +45,7 @@
 	n.f.Name = name
 	n.f.Population = func() fleet.Population { return fleet.Population{Nodes: believes, Heard: true} }
 	n.f.Update(n.in)
-	n.f.Note(n.in, fleet.Notice{Limited: true, Limit: perSecond}, "r0")
+	n.f.Note(n.in, notice.Notice{Limited: true, Limit: perSecond}, "r0")
 	return n
 }
 
@@ -112,11 +113,11 @@
 // incarnation.
 func TestLimitEndsWithTheEndpointsWord(t *testing.T) {
 	n := newLimitedNode("10.0.0.1", 100, 0.5)
-	n.f.Note(n.in, fleet.Notice{}, "r1")
+	n.f.Note(n.in, notice.Notice{}, "r1")
 	if !n.sends(time.Hour) || !n.sends(time.Hour) {
 		t.Error("no request after the limit was taken back")
 	}
-	n.f.Note(n.in, fleet.Notice{Limited: true, Limit: 0.5}, "r2")
+	n.f.Note(n.in, notice.Notice{Limited: true, Limit: 0.5}, "r2")
 	reborn := n.in
 	reborn.Born = 1
 	n.f.Update(reborn)
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -4,26 +4,15 @@
 	"cmp"
 	"slices"
 	"time"
-)
-
-// Notice is what an endpoint says of itself in the head of an answer.
-type Notice struct {
-	// Limited is set if the endpoint names a limit, and Limit is the number of requests a
-	// second that it takes from all nodes together.
-	Limited bool
-	Limit   float64
-	// Fault is what is wrong with a figure that could not be read; nil if nothing is.
-	Fault error
-}
 
-// empty tells whether the endpoint said nothing.
-func (n Notice) empty() bool { return n == Notice{} }
+	"github.com/crocusreel/crocusreel/notice"
+)
 
 // NoticeChange is a change of what this node believes an endpoint to say of itself.
 type NoticeChange struct {
 	Instance Instance
-	Notice   Notice
-	Before   Notice
+	Notice   notice.Notice
+	Before   notice.Notice
 	// Request is the ID of the request whose answer said so; empty if another node told.
 	Request string
 	// Node is the node that told, and Age the time since the endpoint said so to it.
@@ -71,11 +60,11 @@
 
 // Note takes what an incarnation says of itself in an answer that has just come. Request is the
 // ID of the request that was answered.
-func (f *Fleet) Note(in Instance, n Notice, request string) {
+func (f *Fleet) Note(in Instance, n notice.Notice, request string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	key := in.Incarnation().Key()
-	known := f.noticedLocked(key, !n.empty())
+	known := f.noticedLocked(key, !n.Empty())
 	if known == nil {
 		return
 	}
@@ -83,7 +72,7 @@
 	change := NoticeChange{Instance: in, Notice: n, Before: before.notice(), Request: request}
 	if n.Fault != nil {
 		// What was readable before holds on.
-		change.Notice = Notice{Limited: before.named, Limit: before.perSecond, Fault: n.Fault}
+		change.Notice = notice.Notice{Limited: before.named, Limit: before.perSecond, Fault: n.Fault}
 		if !known.unreadable {
 			known.unreadable = true
 			f.Noticed(change)
@@ -101,8 +90,8 @@
 
 // NoteAt takes what the endpoint at an address says of itself in an answer to an order or a check.
 // An answer that says nothing ends no limit: it may come from whatever has the address now.
-func (f *Fleet) NoteAt(address string, n Notice) {
-	if n.empty() {
+func (f *Fleet) NoteAt(address string, n notice.Notice) {
+	if n.Empty() {
 		return
 	}
 	f.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/notice"
 	"github.com/crocusreel/crocusreel/retry"
 	"github.com/crocusreel/crocusreel/routing"
 )
@@ -80,7 +81,7 @@
 	// Misdirected tells that another instance has the endpoint's address.
 	Misdirected bool
 	// Notice is what the endpoint says of itself.
-	Notice fleet.Notice
+	Notice notice.Notice
 }
 
 // Protocol puts requests into the form that endpoints understand.
