Keep the limits of endpoints at the project's own API too

Plain services are called in turns of each gateway, by the number of gateways that are members; repeats and second calls for late ones take turns as well, and a call that no service takes in time is refused at once. Engines get permits from one scheduler, which paces them. The endpoints' own wire names the limit in Crocusreel-Request-Limit; the stand-ins can say so.

--- a/endpoint/http.go
+++ b/endpoint/http.go
@@ -11,6 +11,7 @@
 
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/internal/httponce"
+	"github.com/crocusreel/crocusreel/notice"
 )
 
 // Options of a client. Zero values take the defaults.
@@ -28,6 +29,9 @@
 	ProgressTimeout time.Duration
 	// MaxBody bounds a plain service's answer, in bytes. Default 16 MiB.
 	MaxBody int64
+	// Noticed takes what the endpoint says of itself in each answer; it must not block. Nil
+	// for nobody.
+	Noticed func(notice.Notice)
 }
 
 const (
@@ -88,6 +92,9 @@
 		defer cancel(nil)
 		return nil, sendError(ctx, sent, err)
 	}
+	if w.options.Noticed != nil {
+		w.options.Noticed(readNotice(resp.Header))
+	}
 	resp.Body = &watchedBody{body: resp.Body, dog: dog, ctx: ctx, cancel: cancel}
 	return resp, nil
 }
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -14,15 +14,6 @@
 // waiting work and runs that go on there alike. What one node is told the others hear by
 // datagrams; a node that hears nobody goes by the number of nodes that it last knew.
 
-const (
-	// limitShare is the part of a limit that nodes use. The rest is for requests whose sender
-	// did not know yet, and for turns that lie close together.
-	limitShare = 0.7
-	// leastLimit is the rate, in requests a second, for endpoints that name less: their
-	// answers alone tell when the limit ends.
-	leastLimit = 0.25
-)
-
 // limit is an endpoint's word on the requests that it takes.
 type limit struct {
 	named     bool
@@ -32,7 +23,7 @@
 func (l limit) notice() notice.Notice { return notice.Notice{Limited: l.named, Limit: l.perSecond} }
 
 // rate is the number of requests a second that all nodes together send.
-func (l limit) rate() float64 { return limitShare * max(l.perSecond, leastLimit) }
+func (l limit) rate() float64 { return pace.LimitRate(l.perSecond) }
 
 // setLimitLocked takes an endpoint's word of the given time unless a later one is known.
 func (f *Fleet) setLimitLocked(key EndpointKey, n *noticed, said limit, at time.Duration) bool {
--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -55,6 +55,17 @@
 	return p != nil
 }
 
+// sendsOf returns how many of so many requests at one moment are sent.
+func (n *limitedNode) sendsOf(requests int) int {
+	sent := 0
+	for range requests {
+		if n.sends(time.Hour) {
+			sent++
+		}
+	}
+	return sent
+}
+
 // mostWithin returns the most of the times that lie within one span of the given length.
 func mostWithin(sent []time.Duration, length time.Duration) int {
 	slices.Sort(sent)
@@ -114,14 +125,14 @@
 func TestLimitEndsWithTheEndpointsWord(t *testing.T) {
 	n := newLimitedNode("10.0.0.1", 100, 0.5)
 	n.f.Note(n.in, notice.Notice{}, "r1")
-	if !n.sends(time.Hour) || !n.sends(time.Hour) {
+	if n.sendsOf(2) != 2 {
 		t.Error("no request after the limit was taken back")
 	}
 	n.f.Note(n.in, notice.Notice{Limited: true, Limit: 0.5}, "r2")
 	reborn := n.in
 	reborn.Born = 1
 	n.f.Update(reborn)
-	if !n.sends(time.Hour) || !n.sends(time.Hour) {
+	if n.sendsOf(2) != 2 {
 		t.Error("no request to an incarnation that has named no limit")
 	}
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -104,8 +104,12 @@
 // attempt makes the call once, and a second time elsewhere if it is late. Attempts
 // after the first are paid for.
 func (c *call) attempt(ctx context.Context, number int) callResult {
-	spec, ok := c.g.balancer.pick(c.candidates())
-	if !ok {
+	spec, wait := c.choose()
+	if spec == nil && wait > 0 {
+		return callResult{refusal: crocusreel.Refuse(crocusreel.ReasonEndpointLimit, crocusreel.OutcomeNotRun, wait,
+			"all endpoints of %q take a limited number of calls a second", c.route.Prefix)}
+	}
+	if spec == nil {
 		return callResult{refusal: crocusreel.Refuse(crocusreel.ReasonNoEndpoint, crocusreel.OutcomeNotRun, lostRetryAfter, "no endpoint serves %q", c.route.Prefix)}
 	}
 	if number == 1 {
@@ -222,3 +226,34 @@
 	}
 	return specs
 }
+
+// choose returns the endpoint of the next exchange; nil if none takes a call now, with the time
+// until one does.
+func (c *call) choose() (spec *config.EndpointSpec, wait time.Duration) {
+	candidates := c.candidates()
+	for {
+		open, wait := c.open(candidates)
+		spec, ok := c.g.balancer.pick(open)
+		if !ok {
+			return nil, wait
+		}
+		if c.g.endpoints.notices.takeTurn(spec, c.g.state.Load().gateways()) {
+			return spec, 0
+		}
+	}
+}
+
+// open returns the candidates that take a call from this gateway now, and the time until the next
+// one of the others does.
+func (c *call) open(candidates []*config.EndpointSpec) (open []*config.EndpointSpec, wait time.Duration) {
+	gateways := c.g.state.Load().gateways()
+	for _, spec := range candidates {
+		until := c.g.endpoints.notices.untilTurn(spec, gateways)
+		if until == 0 {
+			open = append(open, spec)
+		} else if wait == 0 || until < wait {
+			wait = until
+		}
+	}
+	return open, wait
+}
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocusreel/crocusreel/config"
 	"github.com/crocusreel/crocusreel/endpoint"
+	"github.com/crocusreel/crocusreel/notice"
 )
 
 // endpoints keeps one client for each endpoint address, so that connections are
@@ -13,10 +14,16 @@
 	mu       sync.Mutex
 	engines  map[string]endpoint.Engine
 	services map[string]endpoint.Service
+	notices  *notices
 }
 
-func newEndpoints() *endpoints {
-	return &endpoints{engines: make(map[string]endpoint.Engine), services: make(map[string]endpoint.Service)}
+func newEndpoints(n *notices) *endpoints {
+	return &endpoints{engines: make(map[string]endpoint.Engine), services: make(map[string]endpoint.Service), notices: n}
+}
+
+// options are those of the client of the endpoint at an address.
+func (e *endpoints) options(address string) endpoint.Options {
+	return endpoint.Options{Noticed: func(said notice.Notice) { e.notices.note(address, said) }}
 }
 
 // engine returns the client of a configured engine.
@@ -33,7 +40,7 @@
 	defer e.mu.Unlock()
 	c, ok := e.engines[address]
 	if !ok {
-		c = endpoint.NewEngine(address, endpoint.Options{})
+		c = endpoint.NewEngine(address, e.options(address))
 		e.engines[address] = c
 	}
 	return c
@@ -44,7 +51,7 @@
 	defer e.mu.Unlock()
 	c, ok := e.services[address]
 	if !ok {
-		c = endpoint.NewService(address, endpoint.Options{})
+		c = endpoint.NewService(address, e.options(address))
 		e.services[address] = c
 	}
 	return c
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -219,7 +219,7 @@
 		Workspaces: []config.WorkspaceSpec{{Name: "w", MaxStreams: 10}},
 		Limits:     config.LimitSpec{Attempts: 3, RetryRatio: 0.1},
 	}
-	known := newEndpoints()
+	known := newEndpoints(newNotices("vm", time.Now, zap.NewNop()))
 	for name, e := range engines {
 		cfg.Endpoints = append(cfg.Endpoints, config.EndpointSpec{Name: name, Kind: config.KindEngine, Address: name})
 		known.engines[name] = e
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -99,8 +99,8 @@
 // second chooses another endpoint for a late call, if one is left and the budget
 // allows it.
 func (c *call) second() (*config.EndpointSpec, bool) {
-	spec, ok := c.g.balancer.pick(c.candidates())
-	if !ok || !c.g.payRetry(c.Workspace.Name, spec.Name, c.snap.config.Limits.RetryRatio) {
+	spec, _ := c.choose()
+	if spec == nil || !c.g.payRetry(c.Workspace.Name, spec.Name, c.snap.config.Limits.RetryRatio) {
 		return nil, false
 	}
 	c.excluded = append(c.excluded, spec.Name)
--- /dev/null
+++ b/gateway/limit_test.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/config"
+	"github.com/crocusreel/crocusreel/endpoint"
+	"github.com/crocusreel/crocusreel/peer/peerv1"
+)
+
+// Figures of the bound on an endpoint that names a limit.
+const (
+	limitPerSecond = 3.0
+	limitWindow    = 4 * time.Second
+	limitKnown     = 500 * time.Millisecond
+	limitAllowed   = int(1.5*limitPerSecond*4) + 5
+)
+
+// talkingService is a plain service whose answers carry headers.
+type talkingService struct {
+	*httptest.Server
+	mu       sync.Mutex
+	status   int
+	says     map[string]string
+	arrivals []time.Time
+}
+
+func newTalkingService(t *testing.T, status int, says map[string]string) *talkingService {
+	s := &talkingService{status: status, says: says}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if r.URL.Path != endpoint.PathHealth {
+			s.arrivals = append(s.arrivals, time.Now())
+		}
+		for name, value := range s.says {
+			w.Header().Set(name, value)
+		}
+		w.WriteHeader(s.status)
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func (s *talkingService) address() string { return strings.TrimPrefix(s.URL, "http://") }
+
+// mostWithin returns the most arrivals after the given time within one window.
+func (s *talkingService) mostWithin(after time.Time, window time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var late []time.Time
+	for _, at := range s.arrivals {
+		if at.After(after) {
+			late = append(late, at)
+		}
+	}
+	most, from := 0, 0
+	for to := range late {
+		for late[to].Sub(late[from]) >= window {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
+// gatewaysBefore returns so many gateways with a route to the services.
+func gatewaysBefore(t *testing.T, count int, services ...*talkingService) []*testGateway {
+	var members []*peerv1.Member
+	for i := range count {
+		members = append(members, &peerv1.Member{Id: fmt.Sprint("vm", i), GatewayAddress: fmt.Sprintf("10.0.0.%d:1", i)})
+	}
+	var all []*testGateway
+	for i := range count {
+		tg := newTestGateway(t, nil)
+		tg.endpoints = newEndpoints(newNotices(fmt.Sprint("vm", i), time.Now, zap.NewNop()))
+		cfg := *tg.state.Load().config
+		cfg.Limits.RetryRatio = 1
+		route := config.RouteSpec{Prefix: "/beds", TimeoutMS: 60_000, NonIdempotentMethods: []string{http.MethodPost}}
+		for n, s := range services {
+			name := fmt.Sprint("s", n)
+			cfg.Endpoints = append(cfg.Endpoints, config.EndpointSpec{Name: name, Kind: config.KindService, Address: s.address()})
+			route.Endpoints = append(route.Endpoints, name)
+		}
+		cfg.Routes = []config.RouteSpec{route}
+		tg.state.Store(newSnapshot(2, &cfg, members))
+		all = append(all, tg)
+	}
+	return all
+}
+
+// press calls through all gateways for the given time and returns the refusals.
+func press(gateways []*testGateway, length time.Duration) []*crocusreel.Refusal {
+	var mu sync.Mutex
+	var refusals []*crocusreel.Refusal
+	var callers sync.WaitGroup
+	end := time.Now().Add(length)
+	for _, tg := range gateways {
+		for range 4 {
+			callers.Go(func() {
+				for time.Now().Before(end) {
+					if _, refusal := tg.call(http.MethodGet, ""); refusal != nil {
+						mu.Lock()
+						refusals = append(refusals, refusal)
+						mu.Unlock()
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+	}
+	callers.Wait()
+	return refusals
+}
+
+// Guards against gateways that together call a service more often than it takes, by first calls,
+// repeats and second calls for late ones.
+func TestServiceThatNamesALimitIsNotOverrun(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		others int
+	}{{"beside one that is well", http.StatusOK}, {"beside one that refuses all calls", http.StatusServiceUnavailable}} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			limited := newTalkingService(t, http.StatusOK, map[string]string{endpoint.HeaderRequestLimit: fmt.Sprint(limitPerSecond)})
+			other := newTalkingService(t, c.others, map[string]string{endpoint.HeaderOutcome: refusedOutcome(c.others)})
+			began := time.Now()
+			refusals := press(gatewaysBefore(t, 3, limited, other), limitKnown+limitWindow+time.Second)
+			g.Expect(limited.mostWithin(began.Add(limitKnown), limitWindow)).To(gomega.BeNumerically("<=", limitAllowed))
+			if c.others == http.StatusOK {
+				g.Expect(refusals).To(gomega.BeEmpty())
+			}
+		})
+	}
+}
+
+func refusedOutcome(status int) string {
+	if status == http.StatusOK {
+		return ""
+	}
+	return string(crocusreel.OutcomeNotRun)
+}
+
+// Guards against calls that are held although no service takes them in time.
+func TestCallBeyondTheOnlyServicesLimitIsRefusedAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	limited := newTalkingService(t, http.StatusOK, map[string]string{endpoint.HeaderRequestLimit: "0.5"})
+	tg := gatewaysBefore(t, 3, limited)[0]
+	_, refusal := tg.call(http.MethodGet, "")
+	g.Expect(refusal).To(gomega.BeNil())
+	began := time.Now()
+	refused := 0
+	for range 20 {
+		if _, refusal = tg.call(http.MethodGet, ""); refusal != nil {
+			refused++
+			g.Expect(refusal.Reason).To(gomega.Equal(crocusreel.ReasonEndpointLimit))
+			g.Expect(refusal.Outcome).To(gomega.Equal(crocusreel.OutcomeNotRun))
+			g.Expect(refusal.RetryAfter).To(gomega.BeNumerically(">", 0))
+		}
+	}
+	g.Expect(refused).To(gomega.BeNumerically(">=", 18))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", time.Second))
+}
--- /dev/null
+++ b/gateway/notices.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/crocusreel/crocusreel/config"
+	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/notice"
+	"github.com/crocusreel/crocusreel/pace"
+)
+
+// notices hold what endpoints last said of themselves to this gateway, by address.
+type notices struct {
+	vm  string
+	now func() time.Time
+	log *zap.Logger
+
+	mu    sync.Mutex
+	known map[string]*noticed
+}
+
+// noticed is what one endpoint said.
+type noticed struct {
+	last notice.Notice
+	// turnUsed is when this gateway last used a turn.
+	turnUsed time.Duration
+}
+
+func newNotices(vm string, now func() time.Time, log *zap.Logger) *notices {
+	return &notices{vm: vm, now: now, log: log, known: make(map[string]*noticed)}
+}
+
+// note takes what the endpoint at an address says of itself in an answer that has just come.
+func (n *notices) note(address string, said notice.Notice) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known := n.known[address]
+	if known == nil {
+		if said.Empty() {
+			return
+		}
+		known = &noticed{}
+		n.known[address] = known
+	}
+	if said.Fault != nil {
+		// What was readable before holds on.
+		if known.last.Fault == nil {
+			known.last.Fault = said.Fault
+			metrics.Count("endpoint_notice_unreadable")
+			n.log.Warn("endpoint's answer not readable", zap.String("address", address), zap.Error(said.Fault))
+		}
+		return
+	}
+	if said.Limited != known.last.Limited || said.Limit != known.last.Limit {
+		n.log.Info("endpoint's limit changed", zap.String("address", address), zap.Bool("limited", said.Limited),
+			zap.Float64("requests_per_second", said.Limit), zap.Float64("before", known.last.Limit))
+	}
+	known.last = said
+}
+
+// of returns the last word of the endpoint at an address.
+func (n *notices) of(address string) notice.Notice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if known := n.known[address]; known != nil {
+		return known.last
+	}
+	return notice.Notice{}
+}
+
+// untilTurn is the time until this gateway may send the next call to an endpoint, one of so many
+// gateways; 0 for now.
+func (n *notices) untilTurn(e *config.EndpointSpec, gateways int) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.untilTurnLocked(e, gateways)
+}
+
+func (n *notices) untilTurnLocked(e *config.EndpointSpec, gateways int) time.Duration {
+	known := n.known[e.Address]
+	if known == nil || !known.last.Limited {
+		return 0
+	}
+	now := n.clock()
+	began, next := pace.Turn(n.vm, pace.Key(e.Name), max(gateways, 1), pace.LimitRate(known.last.Limit), now)
+	if now-began < pace.Length && known.turnUsed < began {
+		return 0
+	}
+	return next - now
+}
+
+// takeTurn uses up the turn of this gateway at an endpoint; it returns false if there is none.
+func (n *notices) takeTurn(e *config.EndpointSpec, gateways int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	wait := n.untilTurnLocked(e, gateways)
+	if known := n.known[e.Address]; wait == 0 && known != nil && known.last.Limited {
+		known.turnUsed = n.clock()
+		metrics.Count("limit_turns_used")
+	}
+	return wait == 0
+}
+
+// clock is a monotonic time; that of day may jump.
+func (n *notices) clock() time.Duration { return n.now().Sub(clockStart) }
+
+// clockStart lies long before any turn.
+var clockStart = time.Now().Add(-24 * time.Hour)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -23,6 +23,7 @@
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/internal/tlsreload"
 	"github.com/crocusreel/crocusreel/ledger"
+	"github.com/crocusreel/crocusreel/notice"
 	"github.com/crocusreel/crocusreel/peer"
 	"github.com/crocusreel/crocusreel/peer/peerv1"
 	"github.com/crocusreel/crocusreel/platform"
@@ -61,12 +62,13 @@
 	}
 	plat := platform.New(s.Platform.Address, milliseconds(s.Platform.TimeoutMS))
 	book := ledger.New(plat, plat, ledger.Options{Gateway: s.VM.ID, Now: time.Now, NewAttemptID: uuid.NewString})
-	known := newEndpoints()
+	known := newEndpoints(newNotices(s.VM.ID, time.Now, log))
 	client := peerTLS.HTTPClient()
 	manager := scheduler.NewManager(scheduler.Options{
 		VMID:    s.VM.ID,
 		Region:  s.VM.Region,
 		Engines: func(spec config.EndpointSpec) endpoint.Engine { return known.engineAt(spec.Address) },
+		Notice:  func(spec config.EndpointSpec) notice.Notice { return known.notices.of(spec.Address) },
 		Client:  client,
 		Scheme:  scheme(peerTLS),
 		Log:     log,
--- a/gateway/snapshot.go
+++ b/gateway/snapshot.go
@@ -47,6 +47,18 @@
 	return s
 }
 
+// gateways is the number of gateways that may send calls. One that counts as dead may be cut off
+// and go on.
+func (s *snapshot) gateways() int {
+	n := 0
+	for _, m := range s.members {
+		if m.GetGatewayAddress() != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // withMembers returns a copy with other members.
 func (s *snapshot) withMembers(members []*peerv1.Member) *snapshot {
 	c := *s
--- a/internal/standin/admin/faults.go
+++ b/internal/standin/admin/faults.go
@@ -2,6 +2,13 @@
 // see what reached them: fault settings, run records and a small client.
 package admin
 
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/crocusreel/crocusreel/endpoint"
+)
+
 // Paths of the administration API that every stand-in serves beside its own.
 const (
 	PathFaults       = "/admin/faults"
@@ -23,6 +30,7 @@
 // EngineFaults are the faults of an engine. Fractions are probabilities from 0 to 1
 // for each event; times are wall-clock milliseconds.
 type EngineFaults struct {
+	Sayings
 	// CrossedFrames is the fraction of frames before which a frame of another
 	// request and generation is sent.
 	CrossedFrames float64 `json:"crossed_frames,omitempty"`
@@ -66,8 +74,23 @@
 	LoseOrderAnswers float64 `json:"lose_order_answers,omitempty"`
 }
 
+// Sayings are what a stand-in says of itself in all its answers.
+type Sayings struct {
+	// RequestLimit is the number of requests a second that it takes from all gateways; 0 for
+	// none said.
+	RequestLimit float64 `json:"request_limit,omitempty"`
+}
+
+// Set puts the headers on an answer.
+func (s Sayings) Set(h http.Header) {
+	if s.RequestLimit > 0 {
+		h.Set(endpoint.HeaderRequestLimit, strconv.FormatFloat(s.RequestLimit, 'g', -1, 64))
+	}
+}
+
 // ServiceFaults are the faults of a plain service.
 type ServiceFaults struct {
+	Sayings
 	// Refuse refuses all calls with outcome not_run.
 	Refuse bool `json:"refuse,omitempty"`
 	// LoseAnswers is the fraction of calls that run but whose answer is lost.
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -16,6 +16,7 @@
 // Handler serves the engines' wire format and the administration API.
 func (e *Engine) Handler() http.Handler {
 	r := echo.New()
+	r.Use(e.say)
 	r.POST(endpoint.PathGenerate, e.handleGenerate)
 	r.POST(endpoint.PathGenerations+":id/resume", e.handleResume)
 	r.POST(endpoint.PathGenerations+":id/cancel", e.handleCancel)
@@ -32,6 +33,14 @@
 	return r
 }
 
+// say puts what the stand-in says of itself on each answer.
+func (e *Engine) say(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		e.currentFaults().Set(c.Response().Header())
+		return next(c)
+	}
+}
+
 func (e *Engine) handleGenerate(c echo.Context) error {
 	var req endpoint.GenerateRequest
 	if err := c.Bind(&req); err != nil {
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -84,6 +84,7 @@
 // Handler serves the service's API and the administration API.
 func (s *Server) Handler() http.Handler {
 	e := echo.New()
+	e.Use(s.say)
 	e.GET(endpoint.PathHealth, s.health)
 	e.POST(admin.PathFaults, s.setFaults)
 	e.GET(admin.PathFaults, func(c echo.Context) error { return c.JSON(http.StatusOK, s.currentFaults()) })
@@ -92,6 +93,14 @@
 	return e
 }
 
+// say puts what the stand-in says of itself on each answer.
+func (s *Server) say(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		s.currentFaults().Set(c.Response().Header())
+		return next(c)
+	}
+}
+
 func (s *Server) handle(c echo.Context) error {
 	f := s.currentFaults()
 	if f.Refuse {
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -13,6 +13,19 @@
 // unused turns cannot all use them at the same moment.
 const Length = 100 * time.Millisecond
 
+const (
+	// limitShare is the part of an endpoint's limit that is used. The rest is for requests whose
+	// sender did not know yet, and for turns that lie close together.
+	limitShare = 0.7
+	// leastLimit is the rate, in requests a second, for endpoints that name less: their answers
+	// alone tell when the limit ends.
+	leastLimit = 0.25
+)
+
+// LimitRate is the number of requests a second that are sent, by all together, to an endpoint
+// that takes perSecond.
+func LimitRate(perSecond float64) float64 { return limitShare * max(perSecond, leastLimit) }
+
 // Turn returns when a node's last turn at an endpoint began and when its next one begins, where
 // that many nodes together have perSecond turns a second. Nodes with clocks of different origins
 // have different turns all the same.
@@ -36,3 +49,10 @@
 	x ^= x >> 33
 	return x
 }
+
+// Key is the number of an endpoint that is known by its name.
+func Key(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum32()
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -8,6 +8,7 @@
 
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/config"
+	"github.com/crocusreel/crocusreel/notice"
 	"github.com/crocusreel/crocusreel/policy"
 )
 
@@ -101,6 +102,8 @@
 type hooks struct {
 	// poll asks for a load report of an engine at once.
 	poll func(engine string)
+	// notice returns what an engine last said of itself; nil if nobody listens.
+	notice func(config.EndpointSpec) notice.Notice
 	// log gets a line for each decision on a request and each change of belief.
 	log *zap.Logger
 	// count adds to a named event counter.
@@ -110,6 +113,9 @@
 }
 
 func newCore(vm string, h hooks) *core {
+	if h.notice == nil {
+		h.notice = func(config.EndpointSpec) notice.Notice { return notice.Notice{} }
+	}
 	if h.log == nil {
 		h.log = zap.NewNop()
 	}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -27,6 +27,8 @@
 	leaving     bool
 	// losses are answers that gateways lost here and that no poll has explained.
 	losses []loss
+	// nextAt is when an engine that names a limit may get its next permit.
+	nextAt time.Duration
 }
 
 // loss is an answer that ended because the engine died or the link to it broke.
--- /dev/null
+++ b/scheduler/limit_test.go
@@ -0,0 +1,50 @@
+package scheduler
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/config"
+	"github.com/crocusreel/crocusreel/notice"
+)
+
+var _ = Describe("an engine that names a limit", func() {
+	// Guards against permits for more than the engine takes, while others are free and while none is.
+	DescribeTable("gets no more permits", func(engines int) {
+		const perSecond = 3.0
+		c := newEnginesCore(engines)
+		c.hooks.notice = func(e config.EndpointSpec) notice.Notice {
+			return notice.Notice{Limited: e.Name == "e1", Limit: perSecond}
+		}
+		var granted []time.Duration
+		var waits []*waiting
+		const step = 20 * time.Millisecond
+		for range 500 {
+			c.now += step
+			waits = append(waits, c.send(0))
+			for _, w := range waits {
+				if g, open := c.permits[w.granted]; open {
+					if g.Endpoint == "e1" {
+						granted = append(granted, c.now)
+					}
+					c.release(&Release{Permit: g.Permit, End: EndFinished}, c.now)
+				}
+			}
+		}
+		Expect(granted).NotTo(BeEmpty())
+		for from := range granted {
+			within := 0
+			for _, at := range granted[from:] {
+				if at-granted[from] < 4*time.Second {
+					within++
+				}
+			}
+			Expect(within).To(BeNumerically("<=", int(1.5*perSecond*4)+5))
+		}
+	},
+		Entry("beside another", 2),
+		Entry("as the only one", 1),
+	)
+})
--- a/scheduler/manager.go
+++ b/scheduler/manager.go
@@ -12,6 +12,7 @@
 
 	"github.com/crocusreel/crocusreel/config"
 	"github.com/crocusreel/crocusreel/endpoint"
+	"github.com/crocusreel/crocusreel/notice"
 	"github.com/crocusreel/crocusreel/peer/peerv1"
 )
 
@@ -22,6 +23,8 @@
 	Region string
 	// Engines returns a client for an engine.
 	Engines func(spec config.EndpointSpec) endpoint.Engine
+	// Notice returns what an engine last said of itself; nil if nobody listens.
+	Notice func(spec config.EndpointSpec) notice.Notice
 	// Now is the clock; nil means time.Now. It has to be monotonic.
 	Now func() time.Time
 	// Client reaches other gateways; nil means HTTP/2 without TLS.
@@ -193,7 +196,7 @@
 }
 
 func (m *Manager) newPool(name string, pc poolConfig) *pool {
-	return newPool(m.ctx, poolOptions{vm: m.opts.VMID, name: name, now: m.now, log: m.opts.Log, engines: m.opts.Engines}, pc)
+	return newPool(m.ctx, poolOptions{vm: m.opts.VMID, name: name, now: m.now, log: m.opts.Log, engines: m.opts.Engines, notice: m.opts.Notice}, pc)
 }
 
 // retire ends what the new view no longer uses.
--- a/scheduler/permits.go
+++ b/scheduler/permits.go
@@ -28,6 +28,7 @@
 	c.open(&grant{Permit: p, gateway: w.req.Gateway, grantedAt: now, reportedAt: now, expected: w.expected}, &w.place.Demand, now)
 	c.prefix.Routed(e.spec.Name, w.req.Prefixes, now)
 	w.done, w.granted = true, p.ID
+	c.paced(e, now)
 	c.logGrant(w, &p, now)
 	w.reply <- result{permit: p}
 }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -13,6 +13,7 @@
 	"github.com/crocusreel/crocusreel/config"
 	"github.com/crocusreel/crocusreel/endpoint"
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/notice"
 	"github.com/crocusreel/crocusreel/policy"
 )
 
@@ -37,6 +38,7 @@
 	now     func() time.Duration
 	log     *zap.Logger
 	engines func(config.EndpointSpec) endpoint.Engine
+	notice  func(config.EndpointSpec) notice.Notice
 }
 
 // pool runs a core: one goroutine owns its state and handles typed events.
@@ -69,10 +71,11 @@
 	p.ctx, p.stop = context.WithCancel(ctx)
 	number := strconv.FormatInt(poolNumber.Add(1), 36)
 	p.core = newCore(o.vm, hooks{
-		poll:  p.pollNow,
-		log:   o.log.With(zap.String("pool", o.name)),
-		count: metrics.CountN,
-		id:    o.vm + "/" + processID + "." + number + "/",
+		poll:   p.pollNow,
+		notice: o.notice,
+		log:    o.log.With(zap.String("pool", o.name)),
+		count:  metrics.CountN,
+		id:     o.vm + "/" + processID + "." + number + "/",
 	})
 	p.core.configure(pc, o.now())
 	p.lastUsed.Store(int64(-idleAfter))
--- a/scheduler/queueing.go
+++ b/scheduler/queueing.go
@@ -288,6 +288,7 @@
 	if c.allExcluded(endpoints, w.req.Excluded) {
 		w.place.Excluded = nil
 	}
+	w.place.Excluded = append(slices.Clip(w.place.Excluded), c.limited(endpoints, now)...)
 	n := c.picker.Pick(endpoints, &w.place)
 	if n == policy.None {
 		return false
--- /dev/null
+++ b/tests/notices_test.go
@@ -0,0 +1,72 @@
+package tests
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/internal/rig"
+	"github.com/crocusreel/crocusreel/internal/standin/admin"
+)
+
+// Figures of the bound on an endpoint that names a limit: half as much again and five requests in
+// four seconds, from when every gateway and scheduler has had an answer that says so.
+const (
+	limitPerSecond = 3.0
+	limitWindow    = 4 * time.Second
+	limitKnown     = time.Second
+	limitAllowed   = int(1.5*limitPerSecond*4) + 5
+)
+
+// mostStarts returns the most runs of an endpoint that began within one window after a moment.
+func mostStarts(ctx context.Context, e *rig.Endpoint, after time.Time) int {
+	GinkgoHelper()
+	most := 0
+	runs := runsOf(ctx, e)
+	for _, first := range runs {
+		within := 0
+		for _, run := range runs {
+			since := run.StartedAt.Sub(first.StartedAt)
+			if first.StartedAt.After(after) && since >= 0 && since < limitWindow {
+				within++
+			}
+		}
+		most = max(most, within)
+	}
+	return most
+}
+
+var _ = Describe("An endpoint that says in its answers what it takes", Ordered, ContinueOnFailure, func() {
+	var r *rig.Rig
+
+	BeforeAll(func() {
+		spec := withBookings()
+		spec.Services = append(spec.Services, rig.ServiceSpec{Name: "beds2", DataCentre: "dc2", Prefix: "/beds"})
+		r = start(spec)
+	})
+
+	AfterEach(func(ctx SpecContext) { restore(ctx, r) }, NodeTimeout(startLimit))
+
+	// Guards against gateways that together send a service or an engine more than it takes.
+	It("gets no more than its limit", func(ctx SpecContext) {
+		limited := admin.Sayings{RequestLimit: limitPerSecond}
+		engine, service := r.Engines[0], r.Services[0]
+		faults(ctx, admin.EngineFaults{Sayings: limited}, engine)
+		faults(ctx, admin.ServiceFaults{Sayings: limited}, service)
+		began := time.Now()
+		loadCtx, stop := context.WithTimeout(ctx, limitKnown+limitWindow+time.Second)
+		defer stop()
+		work(loadCtx, r, func(v *rig.VM, i int) request {
+			if i%2 == 0 {
+				return booking(v.CallerAddress, fmt.Sprint(v.ID, "-limit-", i), 1)
+			}
+			return generation(v.CallerAddress, fmt.Sprint("note ", i), 5)
+		}).Wait()
+		for _, e := range []*rig.Endpoint{engine, service} {
+			Expect(mostStarts(ctx, e, began.Add(limitKnown))).To(BeNumerically("<=", limitAllowed))
+		}
+	}, SpecTimeout(time.Minute))
+})
