Log endpoints that say in their answers that they leave

The incident's logs could not tell whether the word was not read, taken back by an earlier entry, or passed over by some ways. A line for each incarnation, with the request whose answer said so; no decision uses it yet.

--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -41,6 +41,8 @@
 	limitAt time.Duration
 	// turnUsedAt is when this node last sent it a request.
 	turnUsedAt time.Duration
+	// leaving is set once it has said that it is about to stop.
+	leaving bool
 	// unreadable is set while it names figures that cannot be read.
 	unreadable bool
 }
@@ -70,6 +72,7 @@
 	}
 	before := known.limit
 	change := NoticeChange{Instance: in, Notice: n, Before: before.notice(), Request: request}
+	change.Before.Leaving = known.leaving
 	if n.Fault != nil {
 		// What was readable before holds on.
 		change.Notice = notice.Notice{Limited: before.named, Limit: before.perSecond, Fault: n.Fault}
@@ -80,9 +83,11 @@
 		return
 	}
 	known.unreadable = false
+	newlyLeaving := n.Leaving && !known.leaving
+	known.leaving = known.leaving || n.Leaving
 	known.own, known.ownAt = limit{named: n.Limited, perSecond: n.Limit}, f.now()
 	f.setLimitLocked(key, known, known.own, known.ownAt)
-	if before != known.own {
+	if before != known.own || newlyLeaving {
 		f.Noticed(change)
 		f.Changed("")
 	}
--- a/node/notices.go
+++ b/node/notices.go
@@ -21,6 +21,10 @@
 		metrics.Count("endpoint_notice_unreadable")
 		n.log.Warn("endpoint's answer not readable", append(fields, zap.Error(c.Notice.Fault))...)
 	}
+	if c.Notice.Leaving && !c.Before.Leaving {
+		metrics.Count("endpoint_leaves_by_answer")
+		n.log.Info("endpoint leaves by its answer", fields...)
+	}
 	if c.Notice.Limited != c.Before.Limited || c.Notice.Limit != c.Before.Limit {
 		n.limitChanged(c, fields)
 	}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -14,6 +14,8 @@
 	// second that it takes from all VMs together.
 	Limited bool
 	Limit   float64
+	// Leaving tells that the endpoint is about to stop.
+	Leaving bool
 	// Fault is what is wrong with a figure that could not be read; nil if nothing is.
 	Fault error
 }
