--- /dev/null
+++ b/fleet/leaving_test.go
@@ -0,0 +1,96 @@
+package fleet_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/notice"
+	"github.com/crocusreel/crocusreel/routing"
+)
+
+// leaver is a fleet with one endpoint that has said in an answer that it leaves.
+type leaver struct {
+	*fleet.Fleet
+	now     time.Duration
+	in      fleet.Instance
+	service *routing.Service
+}
+
+func newLeaver() *leaver {
+	l := &leaver{
+		now:     time.Hour,
+		service: &routing.Service{Name: "app"},
+		in:      fleet.Instance{ID: "i1", Born: 1, Service: "app", DataCentre: "dc1", Slots: 10},
+	}
+	l.Fleet = fleet.New("dc1", func() time.Duration { return l.now })
+	l.Update(l.in)
+	l.Note(l.in, notice.Notice{Leaving: true}, "r0")
+	return l
+}
+
+// takes tells whether new work goes to the endpoint.
+func (l *leaver) takes() bool {
+	p, _ := l.Acquire(context.Background(), fleet.Want{Service: l.service}, 0)
+	if p != nil {
+		p.Release(fleet.Good)
+	}
+	return p != nil
+}
+
+// Guards against new work for an endpoint whose answer said that it leaves, whatever its entry
+// or a health check says before or after.
+func TestEndpointThatSaidThatItLeavesGetsNothing(t *testing.T) {
+	for name, after := range map[string]func(*leaver){
+		"nothing more":           func(*leaver) {},
+		"an answer without it":   func(l *leaver) { l.Note(l.in, notice.Notice{}, "r1") },
+		"its entry as before":    func(l *leaver) { l.Update(l.in) },
+		"a whole listing":        func(l *leaver) { l.Replace([]fleet.Instance{l.in}, true) },
+		"its entry gone and new": func(l *leaver) { l.Remove(l.in.ID, false); l.Update(l.in) },
+		"its entry missing": func(l *leaver) {
+			l.Remove(l.in.ID, true)
+			l.now += time.Second
+			l.Update(l.in)
+		},
+		"a health check that is doubted": func(l *leaver) {
+			l.Unhealthy(l.in.Incarnation().Key())
+			l.now += time.Minute
+			l.Reinstate(4 * time.Second)
+			l.Update(l.in)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLeaver()
+			after(l)
+			if l.takes() {
+				t.Error("it got new work")
+			}
+		})
+	}
+}
+
+// Guards against a health check that was doubted and hides what the endpoint itself said since.
+func TestEndpointThatSaidThatItLeavesIsNotReinstated(t *testing.T) {
+	l := newLeaver()
+	reborn := l.in
+	reborn.Born = 2
+	l.Update(reborn)
+	l.Unhealthy(reborn.Incarnation().Key())
+	l.Note(reborn, notice.Notice{Leaving: true}, "r1")
+	l.now += time.Minute
+	if stayed := l.Reinstate(4 * time.Second); len(stayed) > 0 || l.takes() {
+		t.Errorf("taken back: %v", stayed)
+	}
+}
+
+// Guards against an endpoint that has started again and is bound by what it said before.
+func TestNextIncarnationIsNotLeaving(t *testing.T) {
+	l := newLeaver()
+	reborn := l.in
+	reborn.Born = 2
+	l.Update(reborn)
+	if !l.takes() {
+		t.Error("it got no work")
+	}
+}
--- a/tests/node/notices_test.go
+++ b/tests/node/notices_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/crocusreel/crocusreel/internal/standin/worker"
+	"github.com/crocusreel/crocusreel/platform"
 )
 
 // Figures of the users' rule on limits: half as much again and five requests in four seconds,
@@ -156,3 +157,80 @@
 		Expect(len(i2.Arrivals()) - before).To(BeNumerically(">", len(replies)/4))
 	})
 })
+
+var _ = Describe("an endpoint that says in its answers that it leaves", func() {
+	// toldWithin is the time after which all nodes must act on what one of them was told.
+	const toldWithin = 500 * time.Millisecond
+
+	// told sends requests through one node until an answer of the endpoint has come back.
+	told := func(s *site, n *member, w *worker.Worker, path string) {
+		GinkgoHelper()
+		before := len(w.Arrivals())
+		Eventually(func() int {
+			s.send(n, path, "key")
+			return len(w.Arrivals())
+		}, 5*time.Second).Should(BeNumerically(">", before))
+		time.Sleep(toldWithin)
+	}
+
+	// Guards against requests to a plain endpoint that is about to stop while its entry does not say so.
+	It("gets nothing more from any node, whatever its entry says", func() {
+		s := newSite()
+		s.app("i1")
+		i2 := s.app("i2")
+		s.start(3)
+		i2.Say("Server-Leaving", "1")
+		told(s, s.nodes[0], i2, "/calls/x")
+		Expect(s.reaches(i2)()).To(BeZero())
+		s.register("i2", "app", i2.Address(), "ready")
+		time.Sleep(newsBound)
+		Expect(s.reaches(i2)()).To(BeZero())
+		s.write(platform.Write{Table: platform.TableEndpoints, Key: "i2", Delete: true})
+		time.Sleep(newsBound)
+		s.register("i2", "app", i2.Address(), "ready")
+		time.Sleep(newsBound)
+		Expect(s.reaches(i2)()).To(BeZero())
+		// The next start under its ID.
+		i2.Say("Server-Leaving", "")
+		s.registerBorn("i2", "app", i2.Address(), "ready", time.Now().UnixMilli())
+		Eventually(s.reaches(i2)).Should(BeNumerically(">", 0))
+	})
+
+	// Guards against new streams for an engine that leaves, and against streams that end with it.
+	It("gets no new streams, and those that run there move", func() {
+		s := newSite()
+		e1 := s.engine("e1", 300)
+		e2 := s.engine("e2", 300)
+		s.start(1)
+		e1.Say("Server-Leaving", "1")
+		answers := make(chan reply, 50)
+		sent := 0
+		Eventually(func() int {
+			sent++
+			go func() {
+				defer GinkgoRecover()
+				answers <- s.send(s.nodes[0], "/drafts/x", "key")
+			}()
+			time.Sleep(100 * time.Millisecond)
+			return len(e1.Runs())
+		}, 4*time.Second).Should(Equal(1))
+		time.Sleep(toldWithin)
+		before := len(e1.Arrivals())
+		for range 6 {
+			sent++
+			go func() {
+				defer GinkgoRecover()
+				answers <- s.send(s.nodes[0], "/drafts/y", "key")
+			}()
+		}
+		for range sent {
+			var got reply
+			Eventually(answers, 10*time.Second).Should(Receive(&got))
+			Expect(got.whole).To(BeTrue())
+			Expect(got.body).To(ContainSubstring("id: 300\n"))
+		}
+		Expect(e1.Arrivals()).To(HaveLen(before))
+		Expect(e1.Targets()).To(ContainElement(s.addresses["e2"]))
+		Expect(e2.Runs()).NotTo(BeEmpty())
+	})
+})
