Send nothing new to endpoints that say in their answers that they leave

Cause: who leaves was learnt from entries, and for engines from health checks while the store is away; the answers' header was read by nobody.

Now the word of an answer marks the incarnation at once, at this node and, told by datagram, at the others. It is kept with what else is known of the incarnation, so that an entry of before, a listing, a lost entry that comes back or a doubted health check don't undo it; the next start of the endpoint is not bound by it. Runs on an engine move as they do when its entry says so.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -137,6 +137,9 @@
 	if !known {
 		e = newEndpoint(in)
 		e.noticed = f.notices[e.key]
+		if e.noticed != nil && e.noticed.leaving {
+			e.leavesByItsWord(f.now())
+		}
 		if _, is := f.evacuated[in.DataCentre]; is {
 			e.isEvacuated = true
 			e.markUnusable()
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -29,6 +29,10 @@
 	limitTold = 15 * time.Second
 	// maxLimitsTold bounds the limits in a datagram, the newest first. Each takes 16 B.
 	maxLimitsTold = 24
+	// leavingTold is how long other nodes are told of an endpoint that is about to stop after
+	// its entry is gone, which may come back. maxLeavingTold bounds them; each takes 4 B.
+	leavingTold    = 15 * time.Second
+	maxLeavingTold = 64
 )
 
 // noticed is what an incarnation has said of itself.
@@ -39,6 +43,8 @@
 	// limit is the last word on its limit to any node, as far as it is known here.
 	limit   limit
 	limitAt time.Duration
+	// heardAt is when another node told that it is about to stop.
+	heardAt time.Duration
 	// turnUsedAt is when this node last sent it a request.
 	turnUsedAt time.Duration
 	// leaving is set once it has said that it is about to stop.
@@ -83,8 +89,7 @@
 		return
 	}
 	known.unreadable = false
-	newlyLeaving := n.Leaving && !known.leaving
-	known.leaving = known.leaving || n.Leaving
+	newlyLeaving := n.Leaving && f.setLeavingLocked(key, known)
 	known.own, known.ownAt = limit{named: n.Limited, perSecond: n.Limit}, f.now()
 	f.setLimitLocked(key, known, known.own, known.ownAt)
 	if before != known.own || newlyLeaving {
@@ -93,6 +98,57 @@
 	}
 }
 
+// setLeavingLocked records that an incarnation has said that it is about to stop, and returns
+// whether that is news. Nothing takes it back: its entry and its health check may be late.
+func (f *Fleet) setLeavingLocked(key EndpointKey, n *noticed) bool {
+	if n.leaving {
+		return false
+	}
+	n.leaving = true
+	if e := f.byKey[key]; e != nil {
+		e.leavesByItsWord(f.now())
+	}
+	return true
+}
+
+// leavesByItsWord marks an endpoint that has said in an answer that it is about to stop.
+func (e *Endpoint) leavesByItsWord(now time.Duration) {
+	e.byHealth = false
+	e.markLeaving(now)
+}
+
+// OwnLeaving returns the endpoints that have said in an answer to this node that they are about
+// to stop, for the others.
+func (f *Fleet) OwnLeaving() []EndpointKey {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	var keys []EndpointKey
+	for key, n := range f.notices {
+		if n.leaving && n.ownAt != 0 && (f.byKey[key] != nil || now-n.ownAt < leavingTold) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys[:min(len(keys), maxLeavingTold)]
+}
+
+// NoteRemoteLeaving takes which endpoints have said to another node that they are about to stop.
+func (f *Fleet) NoteRemoteLeaving(node string, keys []EndpointKey) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, key := range keys {
+		known := f.noticedLocked(key, true)
+		if !f.setLeavingLocked(key, known) {
+			continue
+		}
+		known.heardAt = f.now()
+		if e := f.byKey[key]; e != nil {
+			f.Noticed(NoticeChange{Instance: e.Instance, Notice: notice.Notice{Leaving: true}, Node: node})
+		}
+	}
+}
+
 // NoteAt takes what the endpoint at an address says of itself in an answer to an order or a check.
 // An answer that says nothing ends no limit: it may come from whatever has the address now.
 func (f *Fleet) NoteAt(address string, n notice.Notice) {
@@ -167,7 +223,7 @@
 func (f *Fleet) pruneNoticesLocked() {
 	now := f.now()
 	for key, n := range f.notices {
-		if f.byKey[key] == nil && now-max(n.ownAt, n.limitAt) > noticeMemory {
+		if f.byKey[key] == nil && now-max(n.ownAt, n.limitAt, n.heardAt) > noticeMemory {
 			delete(f.notices, key)
 		}
 	}
--- a/node/notices.go
+++ b/node/notices.go
@@ -54,3 +54,15 @@
 	}
 	n.fleet.NoteRemote(s.GetAddress(), news)
 }
+
+// heardAnnounced takes which endpoints have said to another node that they are about to stop.
+func (n *Node) heardAnnounced(s *exchangev1.NodeState) {
+	if len(s.GetAnnouncedLeaving()) == 0 {
+		return
+	}
+	keys := make([]fleet.EndpointKey, 0, len(s.GetAnnouncedLeaving()))
+	for _, key := range s.GetAnnouncedLeaving() {
+		keys = append(keys, fleet.EndpointKey(key))
+	}
+	n.fleet.NoteRemoteLeaving(s.GetAddress(), keys)
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -44,6 +44,9 @@
 	for _, key := range n.fleet.UnhealthyKeys() {
 		s.LeavingEndpoints = append(s.LeavingEndpoints, uint32(key))
 	}
+	for _, key := range n.fleet.OwnLeaving() {
+		s.AnnouncedLeaving = append(s.AnnouncedLeaving, uint32(key))
+	}
 	for _, l := range n.fleet.OwnLimits() {
 		s.Limits = append(s.Limits, &exchangev1.EndpointLimit{
 			Key: uint32(l.Key), Limited: l.Limited, RequestsPerSecond: l.Limit, AgeMs: uint32(l.Age.Milliseconds()),
@@ -96,6 +99,7 @@
 	}
 	n.fleet.SetRemote(s.GetAddress(), loads, waiting)
 	n.heardLeaving(s)
+	n.heardAnnounced(s)
 	n.heardLimits(s)
 	if len(s.GetVacated()) > 0 {
 		runs := make([]relay.RunKey, 0, len(s.GetVacated()))
