Send nothing new to leaving endpoints at the project's own API too

A service whose answer says so is no candidate; while calls want it, it is asked each second whether another has started at its address. An engine counts as leaving when the answer to the scheduler's poll says so.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -220,13 +220,22 @@
 	var specs []*config.EndpointSpec
 	for _, name := range c.route.Endpoints {
 		spec, ok := snap.endpoints[name]
-		if ok && !spec.Leaving && !slices.Contains(c.excluded, name) {
+		if ok && !spec.Leaving && !slices.Contains(c.excluded, name) && !c.leaves(spec) {
 			specs = append(specs, spec)
 		}
 	}
 	return specs
 }
 
+// leaves tells whether the endpoint has said in an answer that it is about to stop.
+func (c *call) leaves(spec *config.EndpointSpec) bool {
+	leaves, recheck := c.g.endpoints.notices.leaving(spec)
+	if recheck {
+		c.g.background(func() { c.alive(context.Background(), spec) })
+	}
+	return leaves
+}
+
 // choose returns the endpoint of the next exchange; nil if none takes a call now, with the time
 // until one does.
 func (c *call) choose() (spec *config.EndpointSpec, wait time.Duration) {
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -27,6 +27,8 @@
 	last notice.Notice
 	// turnUsed is when this gateway last used a turn.
 	turnUsed time.Duration
+	// checked is when it was last asked whether it still leaves.
+	checked time.Duration
 }
 
 func newNotices(vm string, now func() time.Time, log *zap.Logger) *notices {
@@ -58,9 +60,32 @@
 		n.log.Info("endpoint's limit changed", zap.String("address", address), zap.Bool("limited", said.Limited),
 			zap.Float64("requests_per_second", said.Limit), zap.Float64("before", known.last.Limit))
 	}
+	if said.Leaving != known.last.Leaving {
+		n.log.Info("endpoint's word on leaving changed", zap.String("address", address), zap.Bool("leaving", said.Leaving))
+	}
 	known.last = said
 }
 
+// recheckEvery is the time between two checks whether an endpoint that leaves has gone and
+// another one started at its address.
+const recheckEvery = time.Second
+
+// leaving tells whether an endpoint has said that it is about to stop, and whether to check that
+// again: no call brings an answer that could take it back.
+func (n *notices) leaving(e *config.EndpointSpec) (leaves, recheck bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known := n.known[e.Address]
+	if known == nil || !known.last.Leaving {
+		return false, false
+	}
+	now := n.clock()
+	if recheck = now-known.checked >= recheckEvery; recheck {
+		known.checked = now
+	}
+	return true, recheck
+}
+
 // of returns the last word of the endpoint at an address.
 func (n *notices) of(address string) notice.Notice {
 	n.mu.Lock()
--- a/gateway/limit_test.go
+++ b/gateway/notices_test.go
@@ -54,6 +54,19 @@
 
 func (s *talkingService) address() string { return strings.TrimPrefix(s.URL, "http://") }
 
+// say puts a header on all answers from now on.
+func (s *talkingService) say(status int, name, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status, s.says = status, map[string]string{name: value}
+}
+
+func (s *talkingService) arrived() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.arrivals)
+}
+
 // mostWithin returns the most arrivals after the given time within one window.
 func (s *talkingService) mostWithin(after time.Time, window time.Duration) int {
 	s.mu.Lock()
@@ -171,3 +184,22 @@
 	g.Expect(refused).To(gomega.BeNumerically(">=", 18))
 	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", time.Second))
 }
+
+// Guards against calls to a service that has said in an answer that it is about to stop, and against
+// one that is left out for good when another starts at its address.
+func TestServiceThatSaidThatItLeavesGetsNoCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	leaving := newTalkingService(t, http.StatusOK, map[string]string{endpoint.HeaderLeaving: "1"})
+	other := newTalkingService(t, http.StatusOK, nil)
+	tg := gatewaysBefore(t, 1, leaving, other)[0]
+	for range 40 {
+		_, refusal := tg.call(http.MethodGet, "")
+		g.Expect(refusal).To(gomega.BeNil())
+	}
+	g.Expect(leaving.arrived()).To(gomega.BeNumerically("<=", 1))
+	leaving.say(http.StatusOK, endpoint.HeaderLeaving, "")
+	g.Eventually(func() int {
+		_, _ = tg.call(http.MethodGet, "")
+		return leaving.arrived()
+	}, 3*recheckEvery, 10*time.Millisecond).Should(gomega.BeNumerically(">", 1))
+}
--- a/internal/standin/admin/faults.go
+++ b/internal/standin/admin/faults.go
@@ -79,10 +79,15 @@
 	// RequestLimit is the number of requests a second that it takes from all gateways; 0 for
 	// none said.
 	RequestLimit float64 `json:"request_limit,omitempty"`
+	// Leaving says that it is about to stop.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Set puts the headers on an answer.
 func (s Sayings) Set(h http.Header) {
+	if s.Leaving {
+		h.Set(endpoint.HeaderLeaving, "1")
+	}
 	if s.RequestLimit > 0 {
 		h.Set(endpoint.HeaderRequestLimit, strconv.FormatFloat(s.RequestLimit, 'g', -1, 64))
 	}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -85,7 +85,7 @@
 	}
 	c.preempted(e, r.report)
 	e.incarnation = r.report.Incarnation
-	e.leaving = r.report.Leaving
+	e.leaving = r.report.Leaving || c.hooks.notice(e.spec).Leaving
 	c.judgeLosses(e, r.begun, now)
 	v := e.view
 	v.Capacity = r.report.KVCapacity
--- a/tests/notices_test.go
+++ b/tests/notices_test.go
@@ -19,6 +19,9 @@
 	limitWindow    = 4 * time.Second
 	limitKnown     = time.Second
 	limitAllowed   = int(1.5*limitPerSecond*4) + 5
+
+	// drainBound is the time after an answer that says that its endpoint leaves.
+	drainBound = 2 * time.Second
 )
 
 // mostStarts returns the most runs of an endpoint that began within one window after a moment.
@@ -69,4 +72,24 @@
 			Expect(mostStarts(ctx, e, began.Add(limitKnown))).To(BeNumerically("<=", limitAllowed))
 		}
 	}, SpecTimeout(time.Minute))
+
+	// Guards against new work for an endpoint that says in its answers that it is about to stop,
+	// while nothing else does.
+	It("gets no new work once it says that it leaves", func(ctx SpecContext) {
+		engine, service := r.Engines[0], r.Services[0]
+		faults(ctx, admin.EngineFaults{Sayings: admin.Sayings{Leaving: true}}, engine)
+		faults(ctx, admin.ServiceFaults{Sayings: admin.Sayings{Leaving: true}}, service)
+		began := time.Now()
+		loadCtx, stop := context.WithTimeout(ctx, drainBound+2*time.Second)
+		defer stop()
+		work(loadCtx, r, func(v *rig.VM, i int) request {
+			if i%2 == 0 {
+				return booking(v.CallerAddress, fmt.Sprint(v.ID, "-word-", i), 1)
+			}
+			return generation(v.CallerAddress, fmt.Sprint("note ", i), 5)
+		}).Wait()
+		for _, e := range []*rig.Endpoint{engine, service} {
+			Expect(startsAfter(ctx, e, began.Add(drainBound))).To(BeZero())
+		}
+	}, SpecTimeout(time.Minute))
 })
