Let an unreadable limit hide nothing else that an answer says

Found by reading: an answer with a limit that is no number was put aside whole, and with it the word that the endpoint leaves. What is wrong is now said of each figure by itself; an unreadable limit leaves the one before in force. The test fails on the code before (the endpoint got new work).

--- a/endpoint/notice.go
+++ b/endpoint/notice.go
@@ -19,6 +19,6 @@
 // readNotice reads what an endpoint says of itself in the head of an answer.
 func readNotice(h http.Header) notice.Notice {
 	n := notice.Notice{Leaving: h.Get(HeaderLeaving) == leavingYes}
-	n.Limit, n.Limited, n.Fault = notice.ParseLimit(HeaderRequestLimit, h.Get(HeaderRequestLimit))
+	n.Limit, n.Limited, n.LimitFault = notice.ParseLimit(HeaderRequestLimit, h.Get(HeaderRequestLimit))
 	return n
 }
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -94,3 +95,15 @@
 		t.Error("it got no work")
 	}
 }
+
+// Guards against one figure that cannot be read and hides what else an answer says.
+func TestUnreadableLimitHidesNothingElse(t *testing.T) {
+	l := newLeaver()
+	reborn := l.in
+	reborn.Born = 2
+	l.Update(reborn)
+	l.Note(reborn, notice.Notice{Leaving: true, LimitFault: errors.New("no number")}, "r1")
+	if l.takes() {
+		t.Error("it got new work")
+	}
+}
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -76,28 +76,32 @@
 	if known == nil {
 		return
 	}
-	before := known.limit
-	change := NoticeChange{Instance: in, Notice: n, Before: before.notice(), Request: request}
-	change.Before.Leaving = known.leaving
-	if n.Fault != nil {
-		// What was readable before holds on.
-		change.Notice = notice.Notice{Limited: before.named, Limit: before.perSecond, Fault: n.Fault}
-		if !known.unreadable {
-			known.unreadable = true
-			f.Noticed(change)
-		}
-		return
+	before := notice.Notice{Limited: known.limit.named, Limit: known.limit.perSecond, Leaving: known.leaving}
+	changed := n.Leaving && f.setLeavingLocked(key, known)
+	if n.LimitFault == nil {
+		// A limit that cannot be read leaves the one before in force.
+		changed = f.setOwnLimitLocked(key, known, n) || changed
 	}
-	known.unreadable = false
-	newlyLeaving := n.Leaving && f.setLeavingLocked(key, known)
-	known.own, known.ownAt = limit{named: n.Limited, perSecond: n.Limit}, f.now()
-	f.setLimitLocked(key, known, known.own, known.ownAt)
-	if before != known.own || newlyLeaving {
-		f.Noticed(change)
+	faulty := n.Fault() != nil
+	unread := faulty && !known.unreadable
+	known.unreadable = faulty
+	if changed || unread {
+		f.Noticed(NoticeChange{Instance: in, Notice: n, Before: before, Request: request})
+	}
+	if changed {
 		f.Changed("")
 	}
 }
 
+// setOwnLimitLocked takes an endpoint's word on its limit to this node, and returns whether it
+// changes what is known.
+func (f *Fleet) setOwnLimitLocked(key EndpointKey, known *noticed, n notice.Notice) bool {
+	before := known.limit
+	known.own, known.ownAt = limit{named: n.Limited, perSecond: n.Limit}, f.now()
+	f.setLimitLocked(key, known, known.own, known.ownAt)
+	return before != known.own
+}
+
 // setLeavingLocked records that an incarnation has said that it is about to stop, and returns
 // whether that is news. Nothing takes it back: its entry and its health check may be late.
 func (f *Fleet) setLeavingLocked(key EndpointKey, n *noticed) bool {
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -25,6 +25,8 @@
 // noticed is what one endpoint said.
 type noticed struct {
 	last notice.Notice
+	// unreadable is set while it names figures that cannot be read.
+	unreadable bool
 	// turnUsed is when this gateway last used a turn.
 	turnUsed time.Duration
 	// checked is when it was last asked whether it still leaves.
@@ -47,14 +49,15 @@
 		known = &noticed{}
 		n.known[address] = known
 	}
-	if said.Fault != nil {
-		// What was readable before holds on.
-		if known.last.Fault == nil {
-			known.last.Fault = said.Fault
-			metrics.Count("endpoint_notice_unreadable")
-			n.log.Warn("endpoint's answer not readable", zap.String("address", address), zap.Error(said.Fault))
-		}
-		return
+	faulty := said.Fault() != nil
+	if faulty && !known.unreadable {
+		metrics.Count("endpoint_notice_unreadable")
+		n.log.Warn("endpoint's answer not readable", zap.String("address", address), zap.Error(said.Fault()))
+	}
+	known.unreadable = faulty
+	if said.LimitFault != nil {
+		// The limit before holds on.
+		said.Limited, said.Limit = known.last.Limited, known.last.Limit
 	}
 	if said.Limited != known.last.Limited || said.Limit != known.last.Limit {
 		n.log.Info("endpoint's limit changed", zap.String("address", address), zap.Bool("limited", said.Limited),
--- a/node/notices.go
+++ b/node/notices.go
@@ -17,15 +17,15 @@
 		zap.String("address", c.Instance.Address), zap.String("request", c.Request),
 		zap.String("node", c.Node), zap.Duration("age", c.Age),
 	}
-	if c.Notice.Fault != nil {
+	if err := c.Notice.Fault(); err != nil {
 		metrics.Count("endpoint_notice_unreadable")
-		n.log.Warn("endpoint's answer not readable", append(fields, zap.Error(c.Notice.Fault))...)
+		n.log.Warn("endpoint's answer not readable", append(fields, zap.Error(err))...)
 	}
 	if c.Notice.Leaving && !c.Before.Leaving {
 		metrics.Count("endpoint_leaves_by_answer")
 		n.log.Info("endpoint leaves by its answer", fields...)
 	}
-	if c.Notice.Limited != c.Before.Limited || c.Notice.Limit != c.Before.Limit {
+	if c.Notice.LimitFault == nil && (c.Notice.Limited != c.Before.Limited || c.Notice.Limit != c.Before.Limit) {
 		n.limitChanged(c, fields)
 	}
 }
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -14,15 +14,18 @@
 	// second that it takes from all VMs together.
 	Limited bool
 	Limit   float64
+	// LimitFault is what is wrong with a limit that could not be read; nil if nothing is.
+	LimitFault error
 	// Leaving tells that the endpoint is about to stop.
 	Leaving bool
-	// Fault is what is wrong with a figure that could not be read; nil if nothing is.
-	Fault error
 }
 
 // Empty tells whether the endpoint said nothing.
 func (n Notice) Empty() bool { return n == Notice{} }
 
+// Fault is what is wrong with its figures; nil if nothing is.
+func (n Notice) Fault() error { return n.LimitFault }
+
 // ParseLimit reads a number of requests a second from the named header; limited is false if
 // there is none.
 func ParseLimit(header, text string) (perSecond float64, limited bool, err error) {
