Log the pauses that endpoints ask for

The incident's logs could not tell whether Retry-After was not read, ended early, or passed over by some ways. A line for each pause, with the request that was refused and its length; no decision uses it yet.

--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -43,6 +43,8 @@
 	// limit is the last word on its limit to any node, as far as it is known here.
 	limit   limit
 	limitAt time.Duration
+	// pausedUntil is until when it wants nothing from this node.
+	pausedUntil time.Duration
 	// heardAt is when another node told that it is about to stop.
 	heardAt time.Duration
 	// turnUsedAt is when this node last sent it a request.
@@ -85,7 +87,7 @@
 	faulty := n.Fault() != nil
 	unread := faulty && !known.unreadable
 	known.unreadable = faulty
-	if changed || unread {
+	if changed || unread || f.pauseLocked(known, n.Pause) {
 		f.Noticed(NoticeChange{Instance: in, Notice: n, Before: before, Request: request})
 	}
 	if changed {
@@ -93,6 +95,15 @@
 	}
 }
 
+// pauseLocked records that an incarnation wants nothing from this node for the given time, and
+// returns whether that is news: one pause is told once, however many requests it refuses.
+func (f *Fleet) pauseLocked(n *noticed, pause time.Duration) bool {
+	now := f.now()
+	news := pause > 0 && now >= n.pausedUntil
+	n.pausedUntil = max(n.pausedUntil, now+pause)
+	return news
+}
+
 // setOwnLimitLocked takes an endpoint's word on its limit to this node, and returns whether it
 // changes what is known.
 func (f *Fleet) setOwnLimitLocked(key EndpointKey, known *noticed, n notice.Notice) bool {
--- a/node/notices.go
+++ b/node/notices.go
@@ -25,6 +25,10 @@
 		metrics.Count("endpoint_leaves_by_answer")
 		n.log.Info("endpoint leaves by its answer", fields...)
 	}
+	if c.Notice.Pause > 0 {
+		metrics.Count("endpoint_pauses")
+		n.log.Info("endpoint asks for a pause", append(fields, zap.Duration("for", c.Notice.Pause))...)
+	}
 	if c.Notice.LimitFault == nil && (c.Notice.Limited != c.Before.Limited || c.Notice.Limit != c.Before.Limit) {
 		n.limitChanged(c, fields)
 	}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -2,8 +2,11 @@
 package notice
 
 import (
+	"errors"
 	"math"
+	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -18,13 +21,17 @@
 	LimitFault error
 	// Leaving tells that the endpoint is about to stop.
 	Leaving bool
+	// Pause is the time for which a refusing endpoint wants nothing from this VM; 0 for none.
+	Pause time.Duration
+	// PauseFault is what is wrong with a pause that could not be read; nil if nothing is.
+	PauseFault error
 }
 
 // Empty tells whether the endpoint said nothing.
 func (n Notice) Empty() bool { return n == Notice{} }
 
 // Fault is what is wrong with its figures; nil if nothing is.
-func (n Notice) Fault() error { return n.LimitFault }
+func (n Notice) Fault() error { return errors.Join(n.LimitFault, n.PauseFault) }
 
 // ParseLimit reads a number of requests a second from the named header; limited is false if
 // there is none.
@@ -38,3 +45,24 @@
 	}
 	return perSecond, true, nil
 }
+
+// headerRetryAfter is the standard header, in seconds (RFC 9110, 10.2.3).
+const headerRetryAfter = "Retry-After"
+
+// longestPause is the longest pause that is believed. What lies beyond it was not meant.
+const longestPause = 24 * time.Hour
+
+// ParsePause reads for how long an endpoint that refuses a request wants no other from this VM.
+// Seconds may have a fraction.
+func ParsePause(status int, h http.Header) (time.Duration, error) {
+	text := h.Get(headerRetryAfter)
+	refuses := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	if text == "" || !refuses {
+		return 0, nil
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(seconds >= 0 && seconds <= longestPause.Seconds()) {
+		return 0, eris.Errorf("%s: %.40q is no time from 0 to %v", headerRetryAfter, text, longestPause)
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
