--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -87,7 +87,8 @@
 	faulty := n.Fault() != nil
 	unread := faulty && !known.unreadable
 	known.unreadable = faulty
-	if changed || unread || f.pauseLocked(known, n.Pause) {
+	paused := f.pauseLocked(known, n.Pause)
+	if changed || unread || paused {
 		f.Noticed(NoticeChange{Instance: in, Notice: n, Before: before, Request: request})
 	}
 	if changed {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -111,6 +111,8 @@
 	leaving bool
 	// says are headers of all answers.
 	says map[string]string
+	// pause is the Retry-After of the refusal of all requests; empty for none.
+	pause string
 	// arrivals are when requests came, refused ones included.
 	arrivals []time.Time
 	// conns are those of streams, which the server no longer knows.
@@ -237,6 +239,23 @@
 	}
 }
 
+// Pause makes the worker refuse all requests and ask for a pause of so many seconds; empty ends it.
+func (w *Worker) Pause(seconds string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pause = seconds
+}
+
+// refusing sets the pause that a refusal asks for; it returns false if requests are not refused.
+func (w *Worker) refusing(h http.Header) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.pause != "" {
+		h.Set("Retry-After", w.pause)
+	}
+	return w.pause != ""
+}
+
 // saying returns the headers of all answers.
 func (w *Worker) saying() map[string]string {
 	w.mu.Lock()
@@ -286,7 +305,7 @@
 	if w.options.FaultOf != nil {
 		fault = w.options.FaultOf(&run)
 	}
-	if fault == Shed {
+	if w.refusing(rw.Header()) || fault == Shed {
 		rw.Header().Set("Crocusreel-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/tests/node/notices_test.go
+++ b/tests/node/notices_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -42,6 +43,17 @@
 	return most
 }
 
+// failing makes one in so many requests fail.
+func failing(one int) func(*worker.Run) worker.Fault {
+	var requests atomic.Int32
+	return func(*worker.Run) worker.Fault {
+		if int(requests.Add(1))%one == 0 {
+			return worker.Fail
+		}
+		return worker.None
+	}
+}
+
 // press sends requests through all nodes from several callers each until the time is over, and
 // returns the replies.
 func (s *site) press(path string, callers int, pause, length time.Duration) []reply {
@@ -234,3 +246,81 @@
 		Expect(e2.Runs()).NotTo(BeEmpty())
 	})
 })
+
+var _ = Describe("an endpoint that refuses and asks for a pause", func() {
+	// Figures of the users' rule: two requests from half a second after the refusal to its end.
+	const (
+		pause        = 3 * time.Second
+		pauseKnown   = 500 * time.Millisecond
+		pauseAllowed = 2
+		// callEvery is a rate at which refusals alone leave an endpoint in use.
+		callEvery = 120 * time.Millisecond
+	)
+	// during counts what a worker got within its pause.
+	during := func(w *worker.Worker) int {
+		GinkgoHelper()
+		Expect(w.Arrivals()).NotTo(BeEmpty())
+		first, n := w.Arrivals()[0], 0
+		for _, at := range w.Arrivals() {
+			if since := at.Sub(first); since > pauseKnown && since < pause {
+				n++
+			}
+		}
+		return n
+	}
+
+	// Guards against requests that go on to an endpoint in need, and are served elsewhere only after
+	// it has refused them.
+	DescribeTable("gets none meanwhile", func(path string, failsOne int) {
+		s := newSite()
+		w, err := worker.Start(worker.Options{ID: "i1", FaultOf: failing(failsOne)})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(w.Stop)
+		s.register("i1", "app", w.Address(), "ready")
+		i2 := s.app("i2")
+		s.start(1)
+		i2.Pause("3")
+		s.press(path, 1, callEvery, pause+pauseKnown)
+		Expect(during(i2)).To(BeNumerically("<=", pauseAllowed))
+	},
+		Entry("of calls that may be repeated", "/calls/", 2),
+		Entry("of calls that may not", "/bookings/", 2),
+		Entry("of repeats, while the other one fails", "/calls/", 1),
+	)
+
+	// Guards against callers that are held, or told to come back too soon, and against a pause
+	// that does not end.
+	It("has its callers refused at once where it is the only one, and served after the pause", func() {
+		s := newSite()
+		i1 := s.app("i1")
+		s.start(1)
+		i1.Pause("3")
+		first := s.send(s.nodes[0], "/bookings/x", "key")
+		Expect(first.status).To(Equal(http.StatusServiceUnavailable))
+		i1.Pause("")
+		for range 10 {
+			began := time.Now()
+			r := s.send(s.nodes[0], "/bookings/x", "key")
+			Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+			Expect(r.body).To(ContainSubstring(`"not_run"`))
+			Expect(time.Since(began)).To(BeNumerically("<", 200*time.Millisecond))
+		}
+		Expect(i1.Arrivals()).To(HaveLen(1))
+		time.Sleep(pause)
+		Expect(s.send(s.nodes[0], "/bookings/x", "key").status).To(Equal(http.StatusOK))
+	})
+
+	// Guards against new streams for an engine that asked for a pause.
+	It("gets no new streams meanwhile", func() {
+		s := newSite()
+		w, err := worker.Start(worker.Options{ID: "e1", Events: 5, Memory: s.memory, FaultOf: failing(2)})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(w.Stop)
+		s.register("e1", "pool", w.Address(), "ready")
+		e2 := s.engine("e2", 5)
+		s.start(1)
+		e2.Pause("3")
+		s.press("/drafts/", 1, callEvery, pause+pauseKnown)
+		Expect(during(e2)).To(BeNumerically("<=", pauseAllowed))
+	})
+})
