Keep the pauses that endpoints ask a node for

Callers lost some ms each, their requests part of the retry budget.

Cause: Retry-After of an endpoint was read by nobody.

Now the pause is kept by incarnation: no first sending, repeat, waiting work, move or resumed run goes there from this node until its end, and no health check; a good answer, an entry that comes back or a choice among ejected endpoints don't end it. Work that can only go there is refused at once if the pause is longer than its patience, with the time left, and what waits already is told so too.

--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -16,7 +16,7 @@
 	defer f.mu.Unlock()
 	var busy []Instance
 	for _, e := range f.services[service] {
-		if e.DataCentre == dataCentre && !e.isLeaving && e.total().Count > 0 {
+		if e.DataCentre == dataCentre && !e.isLeaving && !f.pausedLocked(e) && e.total().Count > 0 {
 			busy = append(busy, e.Instance)
 		}
 	}
--- a/fleet/holding.go
+++ b/fleet/holding.go
@@ -103,7 +103,8 @@
 	f := h.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if h.released || h.endpoint.isLeaving || h.endpoint.isEvacuated || !f.takesLimitedLocked(h.endpoint, f.now()) {
+	if h.released || h.endpoint.isLeaving || h.endpoint.isEvacuated ||
+		f.pausedLocked(h.endpoint) || !f.takesLimitedLocked(h.endpoint, f.now()) {
 		return nil
 	}
 	h.releaseLocked()
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"github.com/crocusreel/crocusreel"
@@ -84,43 +85,65 @@
 	metrics.Count("limit_turns_used")
 }
 
+// opensLocked returns when the endpoint takes a request of this node, and how many it takes a second
+// from then on: without end if it has named no limit.
+func (f *Fleet) opensLocked(e *Endpoint, now time.Duration) (at time.Duration, perSecond float64) {
+	if e.noticed == nil {
+		return now, math.Inf(1)
+	}
+	at, perSecond = max(now, e.noticed.pausedUntil), math.Inf(1)
+	if !e.limited() {
+		return at, perSecond
+	}
+	turn, known := f.limitTurnLocked(e, at)
+	if !known {
+		return now + limitUnknownRetry, leastLimit
+	}
+	return turn, e.noticed.limit.rate() / float64(f.Population().Nodes)
+}
+
 // limitUnknownRetry is when callers may come back to a node that does not know how many others
 // there are: it hears of them within a second.
 const limitUnknownRetry = time.Second
 
-func refuseLimited(w *Want, retry time.Duration) *crocusreel.Refusal {
+// longestBeyond bounds what callers are told: other endpoints may register meanwhile.
+const longestBeyond = 10 * time.Second
+
+// leastLimit is the rate, in requests a second, that is taken for a node that sends none yet.
+const leastLimit = 0.25
+
+func refuseBeyond(w *Want, retry time.Duration) *crocusreel.Refusal {
 	return crocusreel.Refuse(crocusreel.ReasonEndpointLimit, crocusreel.OutcomeNotRun, retry,
-		"all endpoints of service %q take a limited number of requests a second", w.Service.Name)
+		"no endpoint of service %q takes a request of this node for %v", w.Service.Name, retry.Round(time.Millisecond))
 }
 
-// beyondLocked returns the refusal of work that can only go to endpoints with a limit, and whose
-// turn comes after its patience, behind so many others; nil for other work.
+// beyondLocked returns the refusal of work that can only go to endpoints that have named a limit or
+// asked for a pause, and whose turn comes after its patience, behind so many others; nil for other
+// work.
 func (f *Fleet) beyondLocked(w *Want, ahead int, patience time.Duration) *crocusreel.Refusal {
 	now := f.now()
-	rate := 0.0
+	rate, found := 0.0, false
 	var soonest time.Duration
 	for _, e := range f.services[w.Service.Name] {
-		if !f.eligibleLocked(e, w) {
+		if !f.mayServeLocked(e, w) {
 			continue
 		}
-		if !e.limited() {
+		at, perSecond := f.opensLocked(e, now)
+		if at <= now && !e.limited() {
 			return nil
 		}
-		at, known := f.limitTurnLocked(e, now)
-		if !known {
-			return refuseLimited(w, limitUnknownRetry)
-		}
-		if rate == 0 || at < soonest {
+		if !found || at < soonest {
 			soonest = at
 		}
-		rate += e.noticed.limit.rate() / float64(f.Population().Nodes)
+		found = true
+		rate += perSecond
 	}
-	if rate == 0 {
+	if !found {
 		return nil
 	}
 	wait := soonest - now + time.Duration(float64(ahead)/rate*float64(time.Second))
 	if wait <= patience {
 		return nil
 	}
-	return refuseLimited(w, min(max(wait, shortestRetry), longestRetry))
+	return refuseBeyond(w, min(max(wait, shortestRetry), longestBeyond))
 }
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -87,7 +87,7 @@
 	faulty := n.Fault() != nil
 	unread := faulty && !known.unreadable
 	known.unreadable = faulty
-	paused := f.pauseLocked(known, n.Pause)
+	paused := f.pauseLocked(in.Service, known, n.Pause)
 	if changed || unread || paused {
 		f.Noticed(NoticeChange{Instance: in, Notice: n, Before: before, Request: request})
 	}
@@ -96,15 +96,6 @@
 	}
 }
 
-// pauseLocked records that an incarnation wants nothing from this node for the given time, and
-// returns whether that is news: one pause is told once, however many requests it refuses.
-func (f *Fleet) pauseLocked(n *noticed, pause time.Duration) bool {
-	now := f.now()
-	news := pause > 0 && now >= n.pausedUntil
-	n.pausedUntil = max(n.pausedUntil, now+pause)
-	return news
-}
-
 // setOwnLimitLocked takes an endpoint's word on its limit to this node, and returns whether it
 // changes what is known.
 func (f *Fleet) setOwnLimitLocked(key EndpointKey, known *noticed, n notice.Notice) bool {
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -100,7 +100,7 @@
 	now := f.now()
 	for _, ejectedToo := range []bool{false, true} {
 		for _, e := range endpoints {
-			if !f.eligibleLocked(e, w) {
+			if !f.mayServeLocked(e, w) || f.waitsForPauseLocked(e, now) {
 				continue
 			}
 			if !ejectedToo && f.ejectedLocked(e, now) {
@@ -134,6 +134,11 @@
 
 // eligibleLocked tells whether the work may be sent to the endpoint, whatever its load.
 func (f *Fleet) eligibleLocked(e *Endpoint, w *Want) bool {
+	return f.mayServeLocked(e, w) && !f.pausedLocked(e)
+}
+
+// mayServeLocked tells whether the work may be sent to the endpoint, now or once its pause is over.
+func (f *Fleet) mayServeLocked(e *Endpoint, w *Want) bool {
 	return !e.isLeaving && !e.isEvacuated && !slices.Contains(w.Exclude, e.ID) && f.inRegionsLocked(e, w)
 }
 
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -85,7 +85,7 @@
 func (p *Placement) Usable() bool {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	return !p.endpoint.isEvacuated
+	return !p.endpoint.isEvacuated && !p.fleet.pausedLocked(p.endpoint)
 }
 
 // tokens is the memory that the run is expected to need. An answer that has outgrown
--- a/refusal.go
+++ b/refusal.go
@@ -29,7 +29,7 @@
 	ReasonSuspect           Reason = "suspect_request"       // 422: endpoints died while running this request.
 	ReasonNoEndpoint        Reason = "no_endpoint"           // 503: no live endpoint serves the model or route.
 	ReasonEvacuated         Reason = "evacuated"             // 503: all endpoints of the service are in evacuated data centres.
-	ReasonEndpointLimit     Reason = "endpoint_limit"        // 503: all endpoints of the service take few requests, and none in time.
+	ReasonEndpointLimit     Reason = "endpoint_limit"        // 503: no endpoint of the service takes a request in time: they name limits, or asked for a pause.
 	ReasonSchedulerLost     Reason = "scheduler_unreachable" // 503: no scheduler granted a permit in time.
 	ReasonEndpointRefused   Reason = "endpoint_refused"      // 503: every endpoint tried refused the work.
 	ReasonEndpointLost      Reason = "endpoint_lost"         // 502: the endpoint died or the link broke after the work was sent.
