Keep the pauses of endpoints at the project's own API too

Calls, repeats and second calls now leave such a service out until the pause ends; the scheduler is asked for another engine, and a permit for a paused one is given back unused. Callers of the only service are told when it takes calls again.

--- a/endpoint/http.go
+++ b/endpoint/http.go
@@ -93,7 +93,7 @@
 		return nil, sendError(ctx, sent, err)
 	}
 	if w.options.Noticed != nil {
-		w.options.Noticed(readNotice(resp.Header))
+		w.options.Noticed(readNotice(resp.StatusCode, resp.Header))
 	}
 	resp.Body = &watchedBody{body: resp.Body, dog: dog, ctx: ctx, cancel: cancel}
 	return resp, nil
--- a/endpoint/notice.go
+++ b/endpoint/notice.go
@@ -17,8 +17,9 @@
 const HeaderRequestLimit = "Crocusreel-Request-Limit"
 
 // readNotice reads what an endpoint says of itself in the head of an answer.
-func readNotice(h http.Header) notice.Notice {
+func readNotice(status int, h http.Header) notice.Notice {
 	n := notice.Notice{Leaving: h.Get(HeaderLeaving) == leavingYes}
 	n.Limit, n.Limited, n.LimitFault = notice.ParseLimit(HeaderRequestLimit, h.Get(HeaderRequestLimit))
+	n.Pause, n.PauseFault = notice.ParsePause(status, h)
 	return n
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -107,7 +107,7 @@
 	spec, wait := c.choose()
 	if spec == nil && wait > 0 {
 		return callResult{refusal: crocusreel.Refuse(crocusreel.ReasonEndpointLimit, crocusreel.OutcomeNotRun, wait,
-			"all endpoints of %q take a limited number of calls a second", c.route.Prefix)}
+			"no endpoint of %q takes a call of this gateway for %v", c.route.Prefix, wait.Round(time.Millisecond))}
 	}
 	if spec == nil {
 		return callResult{refusal: crocusreel.Refuse(crocusreel.ReasonNoEndpoint, crocusreel.OutcomeNotRun, lostRetryAfter, "no endpoint serves %q", c.route.Prefix)}
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/crocusreel/crocusreel/config"
 	"github.com/crocusreel/crocusreel/endpoint"
@@ -56,3 +57,23 @@
 	}
 	return c
 }
+
+// pause is how much longer a configured endpoint wants nothing from this gateway.
+func (e *endpoints) pause(s *snapshot, name string) time.Duration {
+	spec, ok := s.endpoints[name]
+	if !ok {
+		return 0
+	}
+	return e.notices.pause(spec.Address)
+}
+
+// paused returns the names of the engines that want nothing from this gateway for now.
+func (e *endpoints) paused(s *snapshot) []string {
+	var names []string
+	for name, spec := range s.endpoints {
+		if spec.Kind == config.KindEngine && e.notices.pause(spec.Address) > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/gateway/enginerun.go
+++ b/gateway/enginerun.go
@@ -60,6 +60,11 @@
 		return u.notStarted(crocusreel.ReasonNoEndpoint, "endpoint is not in the configuration"), scheduler.EndNotStarted
 	}
 	u.engine = engine
+	if wait := u.r.g.endpoints.pause(u.r.g.state.Load(), u.permit.Endpoint); wait > 0 {
+		v := u.notStarted(crocusreel.ReasonEndpointLimit, "the engine asked this gateway for a pause")
+		v.refusal.RetryAfter = wait
+		return v, scheduler.EndNotStarted
+	}
 	// The generation must outlive a break of its stream, so streams get the
 	// caller's context and the generation itself is cancelled on purpose only.
 	stream, err := engine.Generate(ctx, u.request())
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -145,7 +145,7 @@
 		PromptTokens: endpoint.PromptTokens(r.Prompt),
 		MaxTokens:    r.MaxTokens,
 		Prefixes:     prefixes(r.Model, r.Prompt),
-		Excluded:     r.excluded,
+		Excluded:     append(r.g.endpoints.paused(r.snap), r.excluded...),
 		LengthHint:   r.LengthHint,
 		Fingerprint:  fingerprint(r.Workspace.Name, r.Model, r.Prompt),
 	})
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -29,6 +29,8 @@
 	unreadable bool
 	// turnUsed is when this gateway last used a turn.
 	turnUsed time.Duration
+	// pausedUntil is until when it wants nothing from this gateway.
+	pausedUntil time.Duration
 	// checked is when it was last asked whether it still leaves.
 	checked time.Duration
 }
@@ -66,9 +68,26 @@
 	if said.Leaving != known.last.Leaving {
 		n.log.Info("endpoint's word on leaving changed", zap.String("address", address), zap.Bool("leaving", said.Leaving))
 	}
+	if now := n.clock(); said.Pause > 0 {
+		if now >= known.pausedUntil {
+			metrics.Count("endpoint_pauses")
+			n.log.Info("endpoint asks for a pause", zap.String("address", address), zap.Duration("for", said.Pause))
+		}
+		known.pausedUntil = max(known.pausedUntil, now+said.Pause)
+	}
 	known.last = said
 }
 
+// pause is how much longer the endpoint at an address wants nothing from this gateway.
+func (n *notices) pause(address string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if known := n.known[address]; known != nil {
+		return max(known.pausedUntil-n.clock(), 0)
+	}
+	return 0
+}
+
 // recheckEvery is the time between two checks whether an endpoint that leaves has gone and
 // another one started at its address.
 const recheckEvery = time.Second
@@ -99,8 +118,8 @@
 	return notice.Notice{}
 }
 
-// untilTurn is the time until this gateway may send the next call to an endpoint, one of so many
-// gateways; 0 for now.
+// untilTurn is the time until this gateway, one of so many, may send the next call to an endpoint,
+// by its pause and its limit; 0 for now.
 func (n *notices) untilTurn(e *config.EndpointSpec, gateways int) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -109,10 +128,16 @@
 
 func (n *notices) untilTurnLocked(e *config.EndpointSpec, gateways int) time.Duration {
 	known := n.known[e.Address]
-	if known == nil || !known.last.Limited {
+	if known == nil {
 		return 0
 	}
 	now := n.clock()
+	if now < known.pausedUntil {
+		return known.pausedUntil - now
+	}
+	if !known.last.Limited {
+		return 0
+	}
 	began, next := pace.Turn(n.vm, pace.Key(e.Name), max(gateways, 1), pace.LimitRate(known.last.Limit), now)
 	if now-began < pace.Length && known.turnUsed < began {
 		return 0
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +16,7 @@
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/config"
 	"github.com/crocusreel/crocusreel/endpoint"
+	"github.com/crocusreel/crocusreel/notice"
 	"github.com/crocusreel/crocusreel/peer/peerv1"
 )
 
@@ -203,3 +205,57 @@
 		return leaving.arrived()
 	}, 3*recheckEvery, 10*time.Millisecond).Should(gomega.BeNumerically(">", 1))
 }
+
+// Guards against calls to a service that has refused one and asked this gateway for a pause, first
+// calls and repeats alike.
+func TestServiceThatAsksForAPauseGetsIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const pause = 2 * time.Second
+	paused := newTalkingService(t, http.StatusServiceUnavailable,
+		map[string]string{"Retry-After": "2", endpoint.HeaderOutcome: string(crocusreel.OutcomeNotRun)})
+	other := newTalkingService(t, http.StatusOK, nil)
+	tg := gatewaysBefore(t, 1, paused, other)[0]
+	for paused.arrived() == 0 {
+		_, _ = tg.call(http.MethodGet, "")
+	}
+	before := paused.arrived()
+	end := time.Now().Add(pause - 200*time.Millisecond)
+	for time.Now().Before(end) {
+		_, refusal := tg.call(http.MethodGet, "")
+		g.Expect(refusal).To(gomega.BeNil())
+		time.Sleep(5 * time.Millisecond)
+	}
+	g.Expect(paused.arrived()).To(gomega.Equal(before))
+	time.Sleep(400 * time.Millisecond)
+	g.Eventually(func() int {
+		_, _ = tg.call(http.MethodGet, "")
+		return paused.arrived()
+	}).Should(gomega.BeNumerically(">", before))
+}
+
+// Guards against callers that are not told when the only service takes calls again.
+func TestCallWithinTheOnlyServicesPauseIsRefusedAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	paused := newTalkingService(t, http.StatusServiceUnavailable,
+		map[string]string{"Retry-After": "2", endpoint.HeaderOutcome: string(crocusreel.OutcomeNotRun)})
+	tg := gatewaysBefore(t, 1, paused)[0]
+	_, _ = tg.call(http.MethodGet, "")
+	began := time.Now()
+	_, refusal := tg.call(http.MethodGet, "")
+	g.Expect(refusal.Reason).To(gomega.Equal(crocusreel.ReasonEndpointLimit))
+	g.Expect(refusal.Outcome).To(gomega.Equal(crocusreel.OutcomeNotRun))
+	g.Expect(refusal.RetryAfter).To(gomega.BeNumerically("~", 2*time.Second, 200*time.Millisecond))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", time.Second))
+	g.Expect(paused.arrived()).To(gomega.Equal(1))
+}
+
+// Guards against generations at an engine that has asked this gateway for a pause.
+func TestEngineThatAsksForAPauseGetsIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	paused, other := &fakeEngine{length: 3}, &fakeEngine{length: 3}
+	tg := newTestGateway(t, map[string]*fakeEngine{"e1": paused, "e2": other}, "e1", "e2")
+	tg.endpoints.notices.note("e1", notice.Notice{Pause: time.Minute})
+	g.Expect(tg.Generate(context.Background(), tg.generation(""), &fakeSink{})).To(gomega.BeNil())
+	g.Expect(paused.starts).To(gomega.BeEmpty())
+	g.Expect(other.starts).To(gomega.HaveLen(1))
+}
--- a/internal/standin/admin/faults.go
+++ b/internal/standin/admin/faults.go
@@ -81,6 +81,8 @@
 	RequestLimit float64 `json:"request_limit,omitempty"`
 	// Leaving says that it is about to stop.
 	Leaving bool `json:"leaving,omitempty"`
+	// PauseSeconds is the pause that its refusals ask for; 0 for none.
+	PauseSeconds float64 `json:"pause_seconds,omitempty"`
 }
 
 // Set puts the headers on an answer.
@@ -93,6 +95,13 @@
 	}
 }
 
+// SetPause puts the pause on a refusal.
+func (s Sayings) SetPause(h http.Header) {
+	if s.PauseSeconds > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(s.PauseSeconds, 'g', -1, 64))
+	}
+}
+
 // ServiceFaults are the faults of a plain service.
 type ServiceFaults struct {
 	Sayings
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -48,6 +48,7 @@
 	}
 	g, lost, no := e.start(req)
 	if no != nil {
+		e.currentFaults().SetPause(c.Response().Header())
 		return answerRefusal(c, no)
 	}
 	e.attach(g)
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -105,6 +105,7 @@
 	f := s.currentFaults()
 	if f.Refuse {
 		c.Response().Header().Set(endpoint.HeaderOutcome, string(crocusreel.OutcomeNotRun))
+		f.SetPause(c.Response().Header())
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBody))
