Tell other nodes only news of what endpoints say

Found by reading: each node told for 15 s of every endpoint that had said in an answer that it leaves, and of the limits of endpoints that had named none, and told all nodes at once of each. Where engines leave every 3 s that is some 55 keys in each datagram, and a round to all nodes for each engine at each node. Now an endpoint's leaving is told while its entry does not say so, and for 3 s at least, and limits only of endpoints that have named one. The test fails on the code before.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -81,6 +81,8 @@
 	// leaving is closed once the instance is about to stop or was removed.
 	leaving   chan struct{}
 	isLeaving bool
+	// entryLeaving is set once its entry has said that it is about to stop.
+	entryLeaving bool
 	// unusable is closed while the instance is leaving or its data centre is evacuated.
 	unusable    chan struct{}
 	isEvacuated bool
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -157,7 +157,7 @@
 	e.missingAt = 0
 	e.warmUntil = f.now() + in.Warming
 	if in.Leaving {
-		e.byHealth = false
+		e.byHealth, e.entryLeaving = false, true
 		e.markLeaving(f.now())
 	} else if e.byHealth {
 		e.stay()
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -107,3 +107,32 @@
 		t.Error("it got new work")
 	}
 }
+
+// Guards against datagrams that carry for long what other nodes know by entries, or need not know.
+func TestOnlyNewsIsToldToOtherNodes(t *testing.T) {
+	l := newLeaver()
+	if told := l.OwnLeaving(); len(told) != 1 {
+		t.Errorf("%d endpoints are told, want the one whose entry does not say so", len(told))
+	}
+	if told := l.OwnLimits(); len(told) != 0 {
+		t.Errorf("limits of endpoints that have named none: %v", told)
+	}
+	l.now += time.Minute
+	if told := l.OwnLeaving(); len(told) != 1 {
+		t.Errorf("%d endpoints are told after a minute, want the one whose entry does not say so", len(told))
+	}
+	entry := l.in
+	entry.Leaving = true
+	l.Update(entry)
+	if told := l.OwnLeaving(); len(told) != 0 {
+		t.Errorf("told although the entry says so: %v", told)
+	}
+	second := fleet.Instance{ID: "i2", Service: "app", DataCentre: "dc1", Slots: 10, Leaving: true}
+	l.Update(second)
+	l.Changed = func(string) { t.Error("the others are told at once of what the entry has said") }
+	l.Note(second, notice.Notice{Leaving: true}, "r1")
+	l.Note(second, notice.Notice{Pause: time.Second}, "r2")
+	if told := append(l.OwnLeaving(), fleet.EndpointKey(len(l.OwnLimits()))); len(told) != 1 || told[0] != 0 {
+		t.Errorf("told: %v", told)
+	}
+}
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -33,6 +33,7 @@
 	}
 	before := n.limit
 	n.limit, n.limitAt = said, at
+	n.everLimited = n.everLimited || said.named
 	e := f.byKey[key]
 	if e == nil || before == said {
 		return true
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -29,24 +29,31 @@
 	limitTold = 15 * time.Second
 	// maxLimitsTold bounds the limits in a datagram, the newest first. Each takes 16 B.
 	maxLimitsTold = 24
-	// leavingTold is how long other nodes are told of an endpoint that is about to stop after
-	// its entry is gone, which may come back. maxLeavingTold bounds them; each takes 4 B.
-	leavingTold    = 15 * time.Second
+	// leavingTold is how long other nodes are told at least of an endpoint that is about to stop
+	// and of which no entry had said so. maxLeavingTold bounds them; each takes 4 B.
+	leavingTold    = 3 * time.Second
 	maxLeavingTold = 64
 )
 
 // noticed is what an incarnation has said of itself.
 type noticed struct {
-	// own is the last word on its limit to this node, at the time ownAt.
-	own   limit
-	ownAt time.Duration
-	// limit is the last word on its limit to any node, as far as it is known here.
-	limit   limit
-	limitAt time.Duration
+	// madeAt is when it first said anything.
+	madeAt time.Duration
+	// limit is the last word on its limit to any node, as far as it is known here, and
+	// everLimited is set once it has named one.
+	limit       limit
+	limitAt     time.Duration
+	everLimited bool
+	// own is the last word on its limit to this node, at the time ownAt; ownSaid is set once
+	// there is one.
+	own     limit
+	ownAt   time.Duration
+	ownSaid bool
 	// pausedUntil is until when it wants nothing from this node.
 	pausedUntil time.Duration
-	// heardAt is when another node told that it is about to stop.
-	heardAt time.Duration
+	// leftAt is when it said to this node that it is about to stop, heardAt when another node
+	// told so. Both are 0 if its entry had said so before.
+	leftAt, heardAt time.Duration
 	// turnUsedAt is when this node last sent it a request.
 	turnUsedAt time.Duration
 	// leaving is set once it has said that it is about to stop.
@@ -59,7 +66,7 @@
 func (f *Fleet) noticedLocked(key EndpointKey, make bool) *noticed {
 	known := f.notices[key]
 	if known == nil && make {
-		known = &noticed{}
+		known = &noticed{madeAt: f.now()}
 		f.notices[key] = known
 		if e := f.byKey[key]; e != nil {
 			e.noticed = known
@@ -80,6 +87,9 @@
 	}
 	before := notice.Notice{Limited: known.limit.named, Limit: known.limit.perSecond, Leaving: known.leaving}
 	changed := n.Leaving && f.setLeavingLocked(key, known)
+	if changed {
+		known.leftAt = f.now()
+	}
 	if n.LimitFault == nil {
 		// A limit that cannot be read leaves the one before in force.
 		changed = f.setOwnLimitLocked(key, known, n) || changed
@@ -100,21 +110,28 @@
 // changes what is known.
 func (f *Fleet) setOwnLimitLocked(key EndpointKey, known *noticed, n notice.Notice) bool {
 	before := known.limit
+	if !n.Limited && !known.everLimited {
+		return false
+	}
+	known.ownSaid = true
 	known.own, known.ownAt = limit{named: n.Limited, perSecond: n.Limit}, f.now()
 	f.setLimitLocked(key, known, known.own, known.ownAt)
 	return before != known.own
 }
 
 // setLeavingLocked records that an incarnation has said that it is about to stop, and returns
-// whether that is news. Nothing takes it back: its entry and its health check may be late.
+// whether that is news: its entry tells the other nodes as well. Nothing takes it back, as its
+// entry and its health check may be late.
 func (f *Fleet) setLeavingLocked(key EndpointKey, n *noticed) bool {
 	if n.leaving {
 		return false
 	}
 	n.leaving = true
-	if e := f.byKey[key]; e != nil {
-		e.leavesByItsWord(f.now())
+	e := f.byKey[key]
+	if e == nil || e.entryLeaving {
+		return false
 	}
+	e.leavesByItsWord(f.now())
 	return true
 }
 
@@ -132,7 +149,9 @@
 	now := f.now()
 	var keys []EndpointKey
 	for key, n := range f.notices {
-		if n.leaving && n.ownAt != 0 && (f.byKey[key] != nil || now-n.ownAt < leavingTold) {
+		e := f.byKey[key]
+		untold := e != nil && !e.entryLeaving
+		if n.leftAt != 0 && (untold || now-n.leftAt < leavingTold) {
 			keys = append(keys, key)
 		}
 	}
@@ -150,9 +169,7 @@
 			continue
 		}
 		known.heardAt = f.now()
-		if e := f.byKey[key]; e != nil {
-			f.Noticed(NoticeChange{Instance: e.Instance, Notice: notice.Notice{Leaving: true}, Node: node})
-		}
+		f.Noticed(NoticeChange{Instance: f.byKey[key].Instance, Notice: notice.Notice{Leaving: true}, Node: node})
 	}
 }
 
@@ -193,7 +210,7 @@
 	now := f.now()
 	var news []LimitNews
 	for key, n := range f.notices {
-		if age := now - n.ownAt; n.ownAt != 0 && age < limitTold {
+		if age := now - n.ownAt; n.ownSaid && age < limitTold {
 			news = append(news, LimitNews{Key: key, Limited: n.own.named, Limit: n.own.perSecond, Age: age})
 		}
 	}
@@ -230,7 +247,7 @@
 func (f *Fleet) pruneNoticesLocked() {
 	now := f.now()
 	for key, n := range f.notices {
-		if f.byKey[key] == nil && now-max(n.ownAt, n.limitAt, n.heardAt) > noticeMemory {
+		if f.byKey[key] == nil && now-max(n.madeAt, n.ownAt, n.limitAt) > noticeMemory {
 			delete(f.notices, key)
 		}
 	}
