--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -10,15 +10,22 @@
 // written later goes before it.
 
 // Busy returns the endpoints of a service in a data centre on which anything runs and
-// that are not known to leave.
+// that are not known to leave, for a health check now.
 func (f *Fleet) Busy(service, dataCentre string) []Instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var busy []Instance
+	now := f.now()
 	for _, e := range f.services[service] {
-		if e.DataCentre == dataCentre && !e.isLeaving && !f.pausedLocked(e) && e.total().Count > 0 {
-			busy = append(busy, e.Instance)
+		if e.DataCentre != dataCentre || e.isLeaving || e.total().Count == 0 {
+			continue
 		}
+		// A check is a request, too.
+		if f.pausedLocked(e) || !f.takesLimitedLocked(e, now) {
+			continue
+		}
+		f.useTurnLocked(e, now)
+		busy = append(busy, e.Instance)
 	}
 	return busy
 }
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -136,3 +136,27 @@
 		t.Errorf("told: %v", told)
 	}
 }
+
+// Guards against health checks that are sent to an endpoint beyond its limit, or within its pause.
+func TestHealthChecksKeepLimitsAndPauses(t *testing.T) {
+	l := newLeaver()
+	service := &routing.Service{Name: "pool", Engine: &routing.EngineSpec{Memory: 30_000}}
+	engine := fleet.Instance{ID: "e1", Service: "pool", DataCentre: "dc1", Slots: 10}
+	l.Update(engine)
+	if _, refusal := l.Acquire(context.Background(), fleet.Want{Service: service, Demand: fleet.Demand{Prompt: 10, Output: 10}}, 0); refusal != nil {
+		t.Fatal(refusal)
+	}
+	const perSecond = 2.0
+	l.Note(engine, notice.Notice{Limited: true, Limit: perSecond}, "r1")
+	checks := 0
+	for end := l.now + limitWindow; l.now < end; l.now += limitStep {
+		checks += len(l.Busy("pool", "dc1"))
+	}
+	if checks == 0 || checks > limitAllows(perSecond) {
+		t.Errorf("%d checks in %v", checks, limitWindow)
+	}
+	l.Note(engine, notice.Notice{Pause: testPause}, "r2")
+	if busy := l.Busy("pool", "dc1"); len(busy) != 0 {
+		t.Errorf("a check within the pause: %v", busy)
+	}
+}
