--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -90,6 +90,8 @@
 	returnedAt time.Duration
 	// coldUsedAt is when this node last sent it a request.
 	coldUsedAt time.Duration
+	// answeredAt is when it last answered this node and said nothing, before it ever said anything.
+	answeredAt time.Duration
 	// noticed is what it has said of itself; nil for nothing.
 	noticed *noticed
 	// missingAt is when the entry vanished although the instance may be alive; 0 if
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -69,7 +69,7 @@
 		known = &noticed{madeAt: f.now()}
 		f.notices[key] = known
 		if e := f.byKey[key]; e != nil {
-			e.noticed = known
+			e.noticed, known.limitAt = known, e.answeredAt
 		}
 	}
 	return known
@@ -83,6 +83,10 @@
 	key := in.Incarnation().Key()
 	known := f.noticedLocked(key, !n.Empty())
 	if known == nil {
+		// Older news of other nodes must not bind an endpoint that says nothing any more.
+		if e := f.byKey[key]; e != nil {
+			e.answeredAt = f.now()
+		}
 		return
 	}
 	before := notice.Notice{Limited: known.limit.named, Limit: known.limit.perSecond, Leaving: known.leaving}
@@ -111,6 +115,7 @@
 func (f *Fleet) setOwnLimitLocked(key EndpointKey, known *noticed, n notice.Notice) bool {
 	before := known.limit
 	if !n.Limited && !known.everLimited {
+		known.limitAt = f.now()
 		return false
 	}
 	known.ownSaid = true
@@ -226,10 +231,7 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	for _, l := range news {
-		known := f.noticedLocked(l.Key, l.Limited)
-		if known == nil {
-			continue
-		}
+		known := f.noticedLocked(l.Key, true)
 		before := known.limit
 		said := limit{named: l.Limited, perSecond: l.Limit}
 		if !f.setLimitLocked(l.Key, known, said, now-l.Age) || before == said {
