Random runs of endpoints that say what they take

Three real nodes are killed and frozen, the store goes away or drops its history, entries are taken away and written again, while endpoints name limits, ask for pauses and say that they leave. Arrivals at the stand-in now tell what their answers said.

--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -113,8 +113,8 @@
 	says map[string]string
 	// pause is the Retry-After of the refusal of all requests; empty for none.
 	pause string
-	// arrivals are when requests came, refused ones included.
-	arrivals []time.Time
+	// arrivals are the requests that came, refused ones included.
+	arrivals []Arrival
 	// conns are those of streams, which the server no longer knows.
 	conns []net.Conn
 	// targets are those of the orders to copy.
@@ -263,17 +263,26 @@
 	return maps.Clone(w.says)
 }
 
-// Arrivals returns when requests came, in order, refused ones included.
-func (w *Worker) Arrivals() []time.Time {
+// Arrival is a request that came, and what its answer says of the worker.
+type Arrival struct {
+	ID string
+	At time.Time
+	// Says are the headers of its answer, Pause the Retry-After of its refusal.
+	Says  map[string]string
+	Pause string
+}
+
+// Arrivals returns the requests that came, in order, refused ones included.
+func (w *Worker) Arrivals() []Arrival {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return slices.Clone(w.arrivals)
 }
 
-func (w *Worker) arrived() {
+func (w *Worker) arrived(id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.arrivals = append(w.arrivals, time.Now())
+	w.arrivals = append(w.arrivals, Arrival{ID: id, At: time.Now(), Says: maps.Clone(w.says), Pause: w.pause})
 }
 
 func (w *Worker) health(rw http.ResponseWriter, _ *http.Request) {
@@ -298,7 +307,7 @@
 	if err != nil {
 		return
 	}
-	w.arrived()
+	w.arrived(r.Header.Get("Crocusreel-Attempt-Id"))
 	run := Run{ID: r.Header.Get("Crocusreel-Attempt-Id"), Header: r.Header.Clone(), Target: r.RequestURI, Body: body}
 	run.Resumed = r.Header.Get("Kv-From") != ""
 	fault := None
--- /dev/null
+++ b/tests/node/notices_soak_test.go
@@ -0,0 +1,278 @@
+package node_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/internal/standin/admin"
+	"github.com/crocusreel/crocusreel/internal/standin/worker"
+	"github.com/crocusreel/crocusreel/platform"
+)
+
+const (
+	// noticeSoakFor is the time in which faults are injected and endpoints say things.
+	noticeSoakFor = 9 * time.Second
+	// Bounds of the users' rules beside those of limits and pauses.
+	leavingBound  = 2 * time.Second
+	contactTime   = 3 * time.Second
+	pauseStart    = 500 * time.Millisecond
+	pauseRequests = 2
+)
+
+// span is a time in which a node was killed, frozen or cut off.
+type span struct{ from, to time.Time }
+
+// sent is a request as its caller saw it.
+type sent struct {
+	node     int
+	at, done time.Time
+	status   int
+}
+
+// noticeSoak is one random run of endpoints that say what they take.
+type noticeSoak struct {
+	*site
+	random  *rand.Rand
+	workers map[string]*worker.Worker
+
+	mu sync.Mutex
+	// requests are those of callers, by ID.
+	requests map[string]sent
+	// disturbed are the times in which each node was disturbed.
+	disturbed map[int][]span
+	// named is when each worker began to name its limit, and what.
+	named map[string]time.Time
+	limit map[string]float64
+}
+
+var _ = Describe("a random run of endpoints that say what they take", func() {
+	for _, seed := range soakSeeds() {
+		// Guards against anything that is sent beyond what an endpoint has said, whatever happens to
+		// nodes, the store and entries meanwhile.
+		It(fmt.Sprintf("keeps what they say with seed %d", seed), func() {
+			s := &noticeSoak{
+				site: newSite(), random: rand.New(rand.NewPCG(uint64(seed), 7)), workers: make(map[string]*worker.Worker),
+				requests: make(map[string]sent), disturbed: make(map[int][]span),
+				named: make(map[string]time.Time), limit: make(map[string]float64),
+			}
+			for i := range 4 {
+				s.workers[fmt.Sprintf("app-%d", i)] = s.app(fmt.Sprintf("app-%d", i))
+			}
+			for i := range 3 {
+				id := fmt.Sprintf("engine-%d", i)
+				s.workers[id] = s.engine(id, 40)
+			}
+			s.start(3)
+			stop := make(chan struct{})
+			var load sync.WaitGroup
+			for i := range callers {
+				load.Go(func() { s.call(i, stop) })
+			}
+			s.play()
+			close(stop)
+			load.Wait()
+			for id, w := range s.workers {
+				s.checkLeaving(id, w)
+				s.checkPauses(id, w)
+				s.checkLimit(id, w)
+			}
+			for _, w := range s.workers {
+				w.Pause("")
+				w.Say("Server-Limit", "")
+			}
+			// A limit ends with the next answer; pauses of 3 s are over by then.
+			time.Sleep(3 * time.Second)
+			for _, n := range s.nodes {
+				Eventually(func() int { return s.send(n, "/calls/end", "key").status }, 5*time.Second).Should(Equal(http.StatusOK))
+			}
+		})
+	}
+})
+
+// call sends requests of all kinds to any node until stop is closed.
+func (s *noticeSoak) call(caller int, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(uint64(caller), 3))
+	paths := []string{"/calls/1", "/bookings/1", "/drafts/1"}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.IntN(40)) * time.Millisecond):
+		}
+		node := random.IntN(len(s.nodes))
+		at := time.Now()
+		r := s.send(s.nodes[node], paths[random.IntN(len(paths))], "key")
+		s.mu.Lock()
+		s.requests[r.id] = sent{node: node, at: at, done: time.Now(), status: r.status}
+		s.mu.Unlock()
+	}
+}
+
+// play lets endpoints say things and injects faults until the time is over. One endpoint of each
+// service says nothing, so that there is always one to serve.
+func (s *noticeSoak) play() {
+	until := time.Now().Add(noticeSoakFor)
+	for time.Now().Before(until) {
+		switch s.random.IntN(4) {
+		case 0:
+			s.disturb()
+		case 1:
+			s.tellEntry()
+		default:
+			s.sayOne()
+		}
+		time.Sleep(time.Duration(s.random.IntN(400)) * time.Millisecond)
+	}
+}
+
+// sayOne makes one endpoint say something from now on.
+func (s *noticeSoak) sayOne() {
+	id := []string{"app-1", "app-2", "app-3", "engine-1", "engine-2"}[s.random.IntN(5)]
+	w := s.workers[id]
+	switch s.random.IntN(4) {
+	case 0:
+		w.Say("Server-Leaving", "1")
+	case 1:
+		w.Pause([]string{"1", "2.5", ""}[s.random.IntN(3)])
+	default:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if _, names := s.named[id]; names {
+			return
+		}
+		s.named[id], s.limit[id] = time.Now(), 0.5+float64(s.random.IntN(40))/10
+		w.Say("Server-Limit", strconv.FormatFloat(s.limit[id], 'g', -1, 64))
+	}
+}
+
+// tellEntry writes an endpoint's entry as it was, or takes it away for a moment.
+func (s *noticeSoak) tellEntry() {
+	id := fmt.Sprintf("app-%d", s.random.IntN(4))
+	if s.random.IntN(2) == 0 {
+		s.write(platform.Write{Table: platform.TableEndpoints, Key: id, Delete: true})
+		time.Sleep(time.Duration(s.random.IntN(200)) * time.Millisecond)
+	}
+	s.register(id, "app", s.workers[id].Address(), "ready")
+}
+
+// disturb kills or freezes a node, or takes the store away from all.
+func (s *noticeSoak) disturb() {
+	ctx := GinkgoT().Context()
+	number := s.random.IntN(len(s.nodes))
+	n, from := s.nodes[number], time.Now()
+	switch s.random.IntN(4) {
+	case 0:
+		n.Kill()
+		time.Sleep(time.Duration(s.random.IntN(400)) * time.Millisecond)
+		Expect(n.Start()).To(Succeed())
+		s.note(number, from)
+	case 1:
+		n.Freeze()
+		time.Sleep(time.Duration(s.random.IntN(900)) * time.Millisecond)
+		n.Thaw()
+		s.note(number, from)
+	case 2:
+		Expect(s.faults.SetFaults(ctx, admin.PlatformFaults{Unreachable: true})).To(Succeed())
+		time.Sleep(time.Duration(s.random.IntN(1500)) * time.Millisecond)
+		Expect(s.faults.SetFaults(ctx, admin.PlatformFaults{})).To(Succeed())
+	default:
+		Expect(s.faults.SetFaults(ctx, admin.PlatformFaults{DropHistory: true})).To(Succeed())
+	}
+}
+
+func (s *noticeSoak) note(node int, from time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.disturbed[node] = append(s.disturbed[node], span{from: from, to: time.Now()})
+}
+
+// calm tells whether the node was not disturbed within the time.
+func (s *noticeSoak) calm(node int, from, to time.Time) bool {
+	for _, d := range s.disturbed[node] {
+		if d.from.Before(to) && d.to.After(from) {
+			return false
+		}
+	}
+	return true
+}
+
+// passedOn returns when each node had passed on a first answer of the worker that says so.
+func (s *noticeSoak) passedOn(w *worker.Worker, says func(worker.Arrival) bool) map[int]time.Time {
+	first := make(map[int]time.Time)
+	for _, a := range w.Arrivals() {
+		r, known := s.requests[a.ID]
+		if !known || r.status != http.StatusOK || !says(a) || a.Pause != "" {
+			continue
+		}
+		if t, told := first[r.node]; !told || r.done.Before(t) {
+			first[r.node] = r.done
+		}
+	}
+	return first
+}
+
+func (s *noticeSoak) checkLeaving(id string, w *worker.Worker) {
+	GinkgoHelper()
+	told := s.passedOn(w, func(a worker.Arrival) bool { return a.Says["Server-Leaving"] != "" })
+	for _, a := range w.Arrivals() {
+		r := s.requests[a.ID]
+		t, known := told[r.node]
+		if known && r.at.Sub(t) > leavingBound && s.calm(r.node, t, a.At) {
+			Fail(fmt.Sprintf("%s got %s from node %d %v after it had said that it leaves", id, a.ID, r.node, r.at.Sub(t)))
+		}
+	}
+}
+
+func (s *noticeSoak) checkPauses(id string, w *worker.Worker) {
+	GinkgoHelper()
+	all := w.Arrivals()
+	for _, refused := range all {
+		seconds, err := strconv.ParseFloat(refused.Pause, 64)
+		if err != nil {
+			continue
+		}
+		node, end := s.requests[refused.ID].node, refused.At.Add(time.Duration(seconds*float64(time.Second)))
+		n := 0
+		for _, a := range all {
+			if s.requests[a.ID].node == node && a.At.After(refused.At.Add(pauseStart)) && a.At.Before(end) {
+				n++
+			}
+		}
+		if s.calm(node, refused.At, end) {
+			Expect(n).To(BeNumerically("<=", pauseRequests), "%s asked node %d for %s s at %v", id, node, refused.Pause, refused.At)
+		}
+	}
+}
+
+func (s *noticeSoak) checkLimit(id string, w *worker.Worker) {
+	GinkgoHelper()
+	named, names := s.named[id]
+	if !names {
+		return
+	}
+	told := s.passedOn(w, func(a worker.Arrival) bool { return a.Says["Server-Limit"] != "" })
+	var counted []time.Time
+	for _, a := range w.Arrivals() {
+		r := s.requests[a.ID]
+		t, known := told[r.node]
+		if known && a.At.Sub(t) >= limitKnown && a.At.Sub(named) >= contactTime && s.calm(r.node, t, a.At) {
+			counted = append(counted, a.At)
+		}
+	}
+	for i, from := range counted {
+		n := 0
+		for _, at := range counted[i:] {
+			if at.Sub(from) < limitWindow {
+				n++
+			}
+		}
+		Expect(n).To(BeNumerically("<=", allowed(s.limit[id])), "%s names %g a second", id, s.limit[id])
+	}
+}
--- a/tests/node/notices_test.go
+++ b/tests/node/notices_test.go
@@ -28,9 +28,9 @@
 // mostWithin returns the most arrivals after the given time within one window.
 func mostWithin(w *worker.Worker, after time.Time, window time.Duration) int {
 	var late []time.Time
-	for _, at := range w.Arrivals() {
-		if at.After(after) {
-			late = append(late, at)
+	for _, a := range w.Arrivals() {
+		if a.At.After(after) {
+			late = append(late, a.At)
 		}
 	}
 	most, from := 0, 0
@@ -260,9 +260,9 @@
 	during := func(w *worker.Worker) int {
 		GinkgoHelper()
 		Expect(w.Arrivals()).NotTo(BeEmpty())
-		first, n := w.Arrivals()[0], 0
-		for _, at := range w.Arrivals() {
-			if since := at.Sub(first); since > pauseKnown && since < pause {
+		first, n := w.Arrivals()[0].At, 0
+		for _, a := range w.Arrivals() {
+			if since := a.At.Sub(first); since > pauseKnown && since < pause {
 				n++
 			}
 		}
