Let a rig wait for its engines and services before it counts as started

Seen once beside load (load average 50): 'POST /admin/faults: connection refused' at the first line of the spec of retries. Its rig had started seven stand-ins and returned once the gateways were ready; notes2 began to listen 0.36 s after the spec had set its faults (11:53:57.81 against .45, by its own log). Start's documentation promises every process; it now waits for each endpoint's health check too.

--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -97,6 +97,9 @@
 			return err
 		}
 	}
+	if err := r.waitEndpoints(ctx); err != nil {
+		return err
+	}
 	if err := r.ListVMs(ctx); err != nil {
 		return err
 	}
@@ -130,6 +133,18 @@
 	return r.Platform.Admin.SetVMs(ctx, vms)
 }
 
+// waitEndpoints waits until every engine and service answers.
+func (r *Rig) waitEndpoints(ctx context.Context) error {
+	for _, endpoints := range [][]*Endpoint{r.Engines, r.Services} {
+		for _, e := range endpoints {
+			if err := r.WaitHealthy(ctx, e.Address); err != nil {
+				return eris.Wrapf(err, "endpoint %s", e.Name)
+			}
+		}
+	}
+	return nil
+}
+
 // WaitReady waits until every gateway serves callers.
 func (r *Rig) WaitReady(ctx context.Context) error {
 	for _, v := range r.VMs {
