Spread the slots at a limited endpoint evenly over all nodes

Found by looking at many nodes in simulated time: turns at times that a hash gives lie close together at some endpoints.

Now the nodes' names, ordered by a hash for the endpoint, and the time of day give each node a slot, evenly spread. A node's own steady clock keeps it to one request a period, and to twice its part at most if its time of day jumps. Cold endpoints keep their turns.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,6 +37,11 @@
 	Regions map[string]string
 	// Population returns how many nodes share cold endpoints; it must not block.
 	Population func() Population
+	// Roster returns the nodes that share the limits of endpoints; nil if it is not known who they
+	// are. It must not block.
+	Roster func() *Roster
+	// Wall reads the time of day.
+	Wall func() time.Time
 	// Changed is called when other nodes should be told at once what this one runs and
 	// what waits on it: the nodes of the given data centre, or all if it is empty. It
 	// must not block.
@@ -68,6 +73,8 @@
 		Noticed:    func(NoticeChange) {},
 		Wake:       func(time.Duration) {},
 		Population: func() Population { return Population{Nodes: 1, Heard: true} },
+		Roster:     func() *Roster { return nil },
+		Wall:       time.Now,
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -26,6 +26,9 @@
 		in:      fleet.Instance{ID: "i1", Born: 1, Service: "app", DataCentre: "dc1", Slots: 10},
 	}
 	l.Fleet = fleet.New("dc1", func() time.Duration { return l.now })
+	l.Wall = func() time.Time { return dayStart.Add(l.now) }
+	roster := &fleet.Roster{Names: []string{""}}
+	l.Roster = func() *fleet.Roster { return roster }
 	l.Update(l.in)
 	l.Note(l.in, notice.Notice{Leaving: true}, "r0")
 	return l
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -11,9 +11,9 @@
 )
 
 // An endpoint in need names the number of requests a second that it takes from all nodes together.
-// Each node sends it requests in turns of its own only (package pace): first sendings, repeats,
+// Each node sends it requests in slots of its own only (package pace): first sendings, repeats,
 // waiting work and runs that go on there alike. What one node is told the others hear by
-// datagrams; a node that hears nobody goes by the number of nodes that it last knew.
+// datagrams; a node that hears nobody goes by the nodes that it knew lately.
 
 // limit is an endpoint's word on the requests that it takes.
 type limit struct {
@@ -50,18 +50,19 @@
 func (e *Endpoint) limited() bool { return e.noticed != nil && e.noticed.limit.named }
 
 // limitTurnLocked returns when this node may send the next request to an endpoint that has named
-// a limit: now if that is at once. Known is false if it may not send any, as it does not know how
-// many others do.
+// a limit: now if that is at once. Known is false if it may not send any, as it does not know who
+// else does.
 func (f *Fleet) limitTurnLocked(e *Endpoint, now time.Duration) (at time.Duration, known bool) {
-	population := f.Population()
-	if population.Nodes <= 0 {
+	roster := f.Roster()
+	if roster == nil {
 		return 0, false
 	}
-	began, next := pace.Turn(f.Name, uint32(e.key), population.Nodes, e.noticed.limit.rate(), now)
-	if now-began < pace.Length && e.noticed.turnUsedAt < began {
-		return now, true
+	n := e.noticed
+	if n.roster != roster {
+		n.rank, n.roster = pace.Rank(f.Name, roster.Names, uint32(e.key)), roster
 	}
-	return next, true
+	slots := pace.Slots{Rank: n.rank, Nodes: len(roster.Names), PerSecond: n.limit.rate()}
+	return now + slots.Until(f.Wall(), now, n.turnUsedAt), true
 }
 
 // takesLimitedLocked tells whether this node may send a request to the endpoint now, as far as
@@ -100,7 +101,7 @@
 	if !known {
 		return now + limitUnknownRetry, leastLimit
 	}
-	return turn, e.noticed.limit.rate() / float64(f.Population().Nodes)
+	return turn, e.noticed.limit.rate() / float64(len(f.Roster().Names))
 }
 
 // limitUnknownRetry is when callers may come back to a node that does not know how many others
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -56,6 +56,9 @@
 	leftAt, heardAt time.Duration
 	// turnUsedAt is when this node last sent it a request.
 	turnUsedAt time.Duration
+	// rank is this node's place among those of the roster.
+	rank   int
+	roster *Roster
 	// leaving is set once it has said that it is about to stop.
 	leaving bool
 	// unreadable is set while it names figures that cannot be read.
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -119,14 +119,14 @@
 }
 
 // untilTurn is the time until this gateway, one of so many, may send the next call to an endpoint,
-// by its pause and its limit; 0 for now.
-func (n *notices) untilTurn(e *config.EndpointSpec, gateways int) time.Duration {
+// by its pause and its limit; 0 for now. Gateways are the VM IDs of all.
+func (n *notices) untilTurn(e *config.EndpointSpec, gateways []string) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.untilTurnLocked(e, gateways)
 }
 
-func (n *notices) untilTurnLocked(e *config.EndpointSpec, gateways int) time.Duration {
+func (n *notices) untilTurnLocked(e *config.EndpointSpec, gateways []string) time.Duration {
 	known := n.known[e.Address]
 	if known == nil {
 		return 0
@@ -138,15 +138,14 @@
 	if !known.last.Limited {
 		return 0
 	}
-	began, next := pace.Turn(n.vm, pace.Key(e.Name), max(gateways, 1), pace.LimitRate(known.last.Limit), now)
-	if now-began < pace.Length && known.turnUsed < began {
-		return 0
+	slots := pace.Slots{
+		Rank: pace.Rank(n.vm, gateways, pace.Key(e.Name)), Nodes: max(len(gateways), 1), PerSecond: pace.LimitRate(known.last.Limit),
 	}
-	return next - now
+	return slots.Until(n.now(), now, known.turnUsed)
 }
 
 // takeTurn uses up the turn of this gateway at an endpoint; it returns false if there is none.
-func (n *notices) takeTurn(e *config.EndpointSpec, gateways int) bool {
+func (n *notices) takeTurn(e *config.EndpointSpec, gateways []string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	wait := n.untilTurnLocked(e, gateways)
--- a/gateway/snapshot.go
+++ b/gateway/snapshot.go
@@ -47,16 +47,16 @@
 	return s
 }
 
-// gateways is the number of gateways that may send calls. One that counts as dead may be cut off
-// and go on.
-func (s *snapshot) gateways() int {
-	n := 0
+// gateways are the VM IDs of those that may send calls. One that counts as dead may be cut off and
+// go on.
+func (s *snapshot) gateways() []string {
+	var ids []string
 	for _, m := range s.members {
 		if m.GetGatewayAddress() != "" {
-			n++
+			ids = append(ids, m.GetId())
 		}
 	}
-	return n
+	return ids
 }
 
 // withMembers returns a copy with other members.
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,7 @@
 	evacuationsMu sync.Mutex
 	evacuated     []string
 	population    population
+	roster        roster
 	fleet         *fleet.Fleet
 	gossip        *gossip.Gossip
 	relay         *relay.Relay
@@ -127,6 +128,7 @@
 	metrics.GaugeFunc("evacuations", func() any { return n.fleet.Evacuations() })
 	n.fleet.Regions = s.Regions
 	n.fleet.Population = n.population.current
+	n.fleet.Roster = n.roster.current.Load
 	n.fleet.Changed = n.tell
 	n.fleet.Believed = n.believed
 	n.fleet.Noticed = n.noticed
--- a/node/population.go
+++ b/node/population.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -52,14 +54,48 @@
 	return fleet.Population{Nodes: int(p.known.Load()), Heard: p.heard.Load()}
 }
 
+// roster is the nodes that were heard within populationMemory, this one included.
+type roster struct {
+	heard map[string]time.Duration
+	// current is the last list; nil before another node was heard where there should be others.
+	current atomic.Pointer[fleet.Roster]
+}
+
+// see records which nodes are live; one goroutine calls it.
+func (r *roster) see(now time.Duration, live []string) {
+	if r.heard == nil {
+		r.heard = make(map[string]time.Duration)
+	}
+	before := len(r.heard)
+	for name, at := range r.heard {
+		if now-at > populationMemory {
+			delete(r.heard, name)
+		}
+	}
+	changed := len(r.heard) != before
+	for _, name := range live {
+		_, known := r.heard[name]
+		changed = changed || !known
+		r.heard[name] = now
+	}
+	if changed {
+		r.current.Store(&fleet.Roster{Names: slices.Sorted(maps.Keys(r.heard))})
+	}
+}
+
 // countNodes takes the live nodes into account. A node that has heard nobody, although its
 // settings name others, does not know how many there are.
 func (n *Node) countNodes() {
-	nodes := len(n.gossip.Live()) + 1
+	live := []string{n.settings.IP}
+	for _, p := range n.gossip.Live() {
+		live = append(live, p.Address)
+	}
+	nodes := len(live)
 	if nodes == 1 && n.population.known.Load() == 0 && n.hasOtherSeeds() {
 		return
 	}
 	n.population.see(boottime.Now(), nodes)
+	n.roster.see(boottime.Now(), live)
 }
 
 func (n *Node) hasOtherSeeds() bool {
--- a/node/population_test.go
+++ b/node/population_test.go
@@ -33,3 +33,30 @@
 	see(24*time.Hour, 3, 3, true)
 	see(time.Second, 0, 3, false)
 }
+
+// Guards against a node behind a cut that takes the others for gone and their part of a limit for
+// its own, and against names that stay for ever.
+func TestRosterRemembersNodesThatAreNotHeard(t *testing.T) {
+	var r node.Roster
+	if node.RosterCurrent(&r) != nil {
+		t.Error("a roster before any node was heard")
+	}
+	now := 3 * time.Hour
+	see := func(after time.Duration, want int, live ...string) {
+		t.Helper()
+		now += after
+		node.RosterSee(&r, now, live)
+		if got := node.RosterCurrent(&r).Names; len(got) != want {
+			t.Errorf("%d names, want %d: %v", len(got), want, got)
+		}
+	}
+	see(0, 3, "a", "b", "c")
+	before := node.RosterCurrent(&r)
+	see(time.Minute, 3, "a")
+	if node.RosterCurrent(&r) != before {
+		t.Error("a new list without a change")
+	}
+	see(time.Minute, 4, "a", "d")
+	see(9*time.Minute, 2, "a", "d")
+	see(11*time.Minute, 1, "a")
+}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -16,7 +16,7 @@
 const (
 	// limitShare is the part of an endpoint's limit that is used. The rest is for requests whose
 	// sender did not know yet, and for turns that lie close together.
-	limitShare = 0.7
+	limitShare = 0.9
 	// leastLimit is the rate, in requests a second, for endpoints that name less: their answers
 	// alone tell when the limit ends.
 	leastLimit = 0.25
@@ -31,12 +31,17 @@
 // have different turns all the same.
 func Turn(node string, endpoint uint32, nodes int, perSecond float64, now time.Duration) (began, next time.Duration) {
 	period := time.Duration(float64(nodes) / perSecond * float64(time.Second))
+	phase := time.Duration(float64(order(node, endpoint)) / math.MaxUint64 * float64(period))
+	began = now - (now+period-phase)%period
+	return began, began + period
+}
+
+// order is a hash of a node's name for an endpoint.
+func order(node string, endpoint uint32) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write(binary.BigEndian.AppendUint32(nil, endpoint))
 	_, _ = h.Write([]byte(node))
-	phase := time.Duration(float64(mix(h.Sum64())) / math.MaxUint64 * float64(period))
-	began = now - (now+period-phase)%period
-	return began, began + period
+	return mix(h.Sum64())
 }
 
 // mix spreads a hash over all its bits (the finalizer of MurmurHash3): names that differ in the
--- /dev/null
+++ b/pace/slot_test.go
@@ -0,0 +1,134 @@
+package pace_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/crocusreel/crocusreel/pace"
+)
+
+const (
+	window    = 4 * time.Second
+	slotStep  = 20 * time.Millisecond
+	slotFor   = 60 * time.Second
+	slotSeeds = 40
+)
+
+// allowed is how many requests an endpoint that takes perSecond may get within the window.
+func allowed(perSecond float64) int { return int(1.5*perSecond*window.Seconds() + 5) }
+
+// sender is a node that has work for the endpoint at some times.
+type sender struct {
+	slots pace.Slots
+	// skew is by how much its time of day is wrong, offset the origin of its monotonic clock.
+	skew, offset, used time.Duration
+}
+
+func (s *sender) sends(now time.Duration) bool {
+	mine := s.offset + now
+	if s.slots.Until(time.Unix(1_800_000_000, 0).Add(now+s.skew), mine, s.used) > 0 {
+		return false
+	}
+	s.used = mine
+	return true
+}
+
+// crowd returns so many nodes of which each lacks some others, and whose times of day differ.
+func crowd(random *rand.Rand, nodes, lacking int, skew time.Duration, perSecond float64) []*sender {
+	var names []string
+	for range nodes {
+		names = append(names, fmt.Sprintf("10.%d.%d.%d", random.IntN(250), random.IntN(250), random.IntN(250)))
+	}
+	endpoint := random.Uint32()
+	var all []*sender
+	for _, name := range names {
+		known := slices.Clone(names)
+		for range min(random.IntN(lacking+1), nodes-1) {
+			i := random.IntN(len(known))
+			if known[i] != name {
+				known = slices.Delete(known, i, i+1)
+			}
+		}
+		slots := pace.Slots{Rank: pace.Rank(name, known, endpoint), Nodes: len(known), PerSecond: pace.LimitRate(perSecond)}
+		all = append(all, &sender{
+			slots: slots, skew: time.Duration(random.Int64N(int64(skew) + 1)), offset: time.Hour + time.Duration(random.Int64N(int64(time.Hour))),
+		})
+	}
+	return all
+}
+
+// Guards against slots of many nodes that lie close together: all have work for an endpoint with a
+// low limit at every moment, or all from one moment on.
+func TestSlotsOfManyNodesKeepEveryWindow(t *testing.T) {
+	for _, nodes := range []int{1, 7, 75, 300} {
+		for _, perSecond := range []float64{0.5, 1, 3, 10} {
+			t.Run(fmt.Sprintf("%d nodes, %g a second", nodes, perSecond), func(t *testing.T) {
+				for seed := range uint64(slotSeeds) {
+					random := rand.New(rand.NewPCG(seed, 5))
+					all := crowd(random, nodes, 2, 100*time.Millisecond, perSecond)
+					idle := time.Duration(seed%2) * slotFor / 2
+					var sent []time.Duration
+					for now := time.Duration(0); now < slotFor; now += slotStep {
+						for _, s := range all {
+							if now >= idle && s.sends(now) {
+								sent = append(sent, now)
+							}
+						}
+					}
+					most, from := 0, 0
+					for to := range sent {
+						for sent[to]-sent[from] >= window {
+							from++
+						}
+						most = max(most, to-from+1)
+					}
+					if most > allowed(perSecond) {
+						t.Errorf("seed %d: %d in %v, %d are allowed", seed, most, window, allowed(perSecond))
+					}
+					if least := int(0.5 * perSecond * (slotFor - idle).Seconds()); perSecond >= 1 && len(sent) < least {
+						t.Errorf("seed %d: %d are sent, at least %d could be", seed, len(sent), least)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against a node whose time of day jumps and that uses its slot again and again.
+func TestJumpsOfTheTimeOfDayGiveNoMoreSlots(t *testing.T) {
+	const perSecond = 3.0
+	random := rand.New(rand.NewPCG(1, 6))
+	s := crowd(random, 7, 0, 0, perSecond)[0]
+	sent := 0
+	for now := time.Duration(0); now < slotFor; now += slotStep {
+		s.skew = time.Duration(random.Int64N(int64(10*time.Second))) - 5*time.Second
+		if s.sends(now) {
+			sent++
+		}
+	}
+	if most := int(2*pace.LimitRate(perSecond)/7*slotFor.Seconds()) + 1; sent > most {
+		t.Errorf("%d requests, at most twice the part of one of 7 nodes is allowed: %d", sent, most)
+	}
+}
+
+// Guards against orders that change as a whole when one node comes or goes.
+func TestRankMovesByOneWithOneNode(t *testing.T) {
+	var names []string
+	for i := range 50 {
+		names = append(names, fmt.Sprintf("10.0.0.%d", i))
+	}
+	ranks := make(map[int]bool)
+	for _, name := range names {
+		with, without := pace.Rank(name, names, 9), pace.Rank(name, names[1:], 9)
+		ranks[with] = true
+		if name != names[0] && with-without != 0 && with-without != 1 {
+			t.Errorf("%s: place %d of all, %d without one", name, with, without)
+		}
+	}
+	if len(ranks) != len(names) {
+		t.Errorf("%d places for %d nodes", len(ranks), len(names))
+	}
+}
