Names of notices in the field's terms; no change of behaviour

Comments and names that spoke of words and sayings now say limit, notice and announce; one log line of the gateway reads 'endpoint announced leaving, or took it back'.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -145,7 +145,7 @@
 		e = newEndpoint(in)
 		e.noticed = f.notices[e.key]
 		if e.noticed != nil && e.noticed.leaving {
-			e.leavesByItsWord(f.now())
+			e.announceLeaving(f.now())
 		}
 		if _, is := f.evacuated[in.DataCentre]; is {
 			e.isEvacuated = true
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -15,7 +15,7 @@
 // waiting work and runs that go on there alike. What one node is told the others hear by
 // datagrams; a node that hears nobody goes by the nodes that it knew lately.
 
-// limit is an endpoint's word on the requests that it takes.
+// limit is what an endpoint last said of the requests that it takes.
 type limit struct {
 	named     bool
 	perSecond float64
@@ -26,7 +26,8 @@
 // rate is the number of requests a second that all nodes together send.
 func (l limit) rate() float64 { return pace.LimitRate(l.perSecond) }
 
-// setLimitLocked takes an endpoint's word of the given time unless a later one is known.
+// setLimitLocked takes a limit, or its end, that an endpoint named at the given time, unless a later
+// answer is known.
 func (f *Fleet) setLimitLocked(key EndpointKey, n *noticed, said limit, at time.Duration) bool {
 	if at < n.limitAt {
 		return false
--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -97,7 +97,7 @@
 }
 
 // Guards against nodes that together send more than an endpoint takes from all of them, each of
-// them with work for it at every moment and no word between them.
+// them with work for it at every moment and no message between them.
 func TestLimitedEndpointIsNotOverrun(t *testing.T) {
 	for _, nodes := range []int{1, 7, 75, 300, 410} {
 		for _, perSecond := range []float64{0, 0.5, 2.2, 30} {
@@ -142,7 +142,7 @@
 
 // Guards against a bound that goes on after the endpoint has ended it, or is kept for another
 // incarnation.
-func TestLimitEndsWithTheEndpointsWord(t *testing.T) {
+func TestLimitEndsWhenTheEndpointNamesNone(t *testing.T) {
 	n := newLimitedNode(namesOf(rand.New(rand.NewPCG(1, 1)), 100), 0.5, 0)
 	n.f.Note(n.in, notice.Notice{}, "r1")
 	if n.sendsOf(2) != 2 {
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -24,8 +24,8 @@
 	// noticeMemory is how long a notice is remembered of an incarnation that is not in
 	// service. Its entry may vanish and come back, and it is bound by what it said before.
 	noticeMemory = 10 * time.Minute
-	// limitTold is how long other nodes are told of an endpoint's last word on its limit. It
-	// is longer than the time between two answers of an endpoint with a very low limit.
+	// limitTold is how long other nodes are told of an endpoint's limit, or its end,
+	// after the answer. It is longer than the time between two answers of an endpoint with a very low limit.
 	limitTold = 15 * time.Second
 	// maxLimitsTold bounds the limits in a datagram, the newest first. Each takes 16 B.
 	maxLimitsTold = 24
@@ -39,13 +39,13 @@
 type noticed struct {
 	// madeAt is when it first said anything.
 	madeAt time.Duration
-	// limit is the last word on its limit to any node, as far as it is known here, and
-	// everLimited is set once it has named one.
+	// limit is the latest that it has named to any node, as far as it is known here, at the
+	// time limitAt; everLimited is set once it has named one.
 	limit       limit
 	limitAt     time.Duration
 	everLimited bool
-	// own is the last word on its limit to this node, at the time ownAt; ownSaid is set once
-	// there is one.
+	// own is the latest limit in an answer to this node, at the time ownAt; ownSaid is set
+	// once there is one.
 	own     limit
 	ownAt   time.Duration
 	ownSaid bool
@@ -113,7 +113,7 @@
 	}
 }
 
-// setOwnLimitLocked takes an endpoint's word on its limit to this node, and returns whether it
+// setOwnLimitLocked takes the limit in an answer to this node, or its end, and returns whether that
 // changes what is known.
 func (f *Fleet) setOwnLimitLocked(key EndpointKey, known *noticed, n notice.Notice) bool {
 	before := known.limit
@@ -139,12 +139,12 @@
 	if e == nil || e.entryLeaving {
 		return false
 	}
-	e.leavesByItsWord(f.now())
+	e.announceLeaving(f.now())
 	return true
 }
 
-// leavesByItsWord marks an endpoint that has said in an answer that it is about to stop.
-func (e *Endpoint) leavesByItsWord(now time.Duration) {
+// announceLeaving marks an endpoint that has said in an answer that it is about to stop.
+func (e *Endpoint) announceLeaving(now time.Duration) {
 	e.byHealth = false
 	e.markLeaving(now)
 }
@@ -200,7 +200,7 @@
 	}
 }
 
-// LimitNews is an endpoint's last word on its limit to a node.
+// LimitNews is the latest limit, or its end, in an endpoint's answers to one node.
 type LimitNews struct {
 	Key     EndpointKey
 	Limited bool
--- a/fleet/notice_model_test.go
+++ b/fleet/notice_model_test.go
@@ -77,7 +77,7 @@
 	return m.said[key]
 }
 
-// take records a word on a limit, unless a later one is known.
+// take records a limit or its end, unless a later one is known.
 func (s *said) take(limited bool, limit float64, at time.Duration) {
 	if at < s.limitAt {
 		return
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -66,7 +66,7 @@
 			zap.Float64("requests_per_second", said.Limit), zap.Float64("before", known.last.Limit))
 	}
 	if said.Leaving != known.last.Leaving {
-		n.log.Info("endpoint's word on leaving changed", zap.String("address", address), zap.Bool("leaving", said.Leaving))
+		n.log.Info("endpoint announced leaving, or took it back", zap.String("address", address), zap.Bool("leaving", said.Leaving))
 	}
 	if now := n.clock(); said.Pause > 0 {
 		if now >= known.pausedUntil {
@@ -108,7 +108,7 @@
 	return true, recheck
 }
 
-// of returns the last word of the endpoint at an address.
+// of returns the last notice of the endpoint at an address.
 func (n *notices) of(address string) notice.Notice {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -28,8 +28,8 @@
 	limitAllowed   = int(1.5*limitPerSecond*4) + 5
 )
 
-// talkingService is a plain service whose answers carry headers.
-type talkingService struct {
+// noticeService is a plain service whose answers carry headers.
+type noticeService struct {
 	*httptest.Server
 	mu       sync.Mutex
 	status   int
@@ -37,8 +37,8 @@
 	arrivals []time.Time
 }
 
-func newTalkingService(t *testing.T, status int, says map[string]string) *talkingService {
-	s := &talkingService{status: status, says: says}
+func newNoticeService(t *testing.T, status int, says map[string]string) *noticeService {
+	s := &noticeService{status: status, says: says}
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -54,23 +54,23 @@
 	return s
 }
 
-func (s *talkingService) address() string { return strings.TrimPrefix(s.URL, "http://") }
+func (s *noticeService) address() string { return strings.TrimPrefix(s.URL, "http://") }
 
 // say puts a header on all answers from now on.
-func (s *talkingService) say(status int, name, value string) {
+func (s *noticeService) say(status int, name, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.status, s.says = status, map[string]string{name: value}
 }
 
-func (s *talkingService) arrived() int {
+func (s *noticeService) arrived() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.arrivals)
 }
 
 // mostWithin returns the most arrivals after the given time within one window.
-func (s *talkingService) mostWithin(after time.Time, window time.Duration) int {
+func (s *noticeService) mostWithin(after time.Time, window time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var late []time.Time
@@ -90,7 +90,7 @@
 }
 
 // gatewaysBefore returns so many gateways with a route to the services.
-func gatewaysBefore(t *testing.T, count int, services ...*talkingService) []*testGateway {
+func gatewaysBefore(t *testing.T, count int, services ...*noticeService) []*testGateway {
 	var members []*peerv1.Member
 	for i := range count {
 		members = append(members, &peerv1.Member{Id: fmt.Sprint("vm", i), GatewayAddress: fmt.Sprintf("10.0.0.%d:1", i)})
@@ -147,8 +147,8 @@
 	}{{"beside one that is well", http.StatusOK}, {"beside one that refuses all calls", http.StatusServiceUnavailable}} {
 		t.Run(c.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			limited := newTalkingService(t, http.StatusOK, map[string]string{endpoint.HeaderRequestLimit: fmt.Sprint(limitPerSecond)})
-			other := newTalkingService(t, c.others, map[string]string{endpoint.HeaderOutcome: refusedOutcome(c.others)})
+			limited := newNoticeService(t, http.StatusOK, map[string]string{endpoint.HeaderRequestLimit: fmt.Sprint(limitPerSecond)})
+			other := newNoticeService(t, c.others, map[string]string{endpoint.HeaderOutcome: refusedOutcome(c.others)})
 			began := time.Now()
 			refusals := press(gatewaysBefore(t, 3, limited, other), limitKnown+limitWindow+time.Second)
 			g.Expect(limited.mostWithin(began.Add(limitKnown), limitWindow)).To(gomega.BeNumerically("<=", limitAllowed))
@@ -169,7 +169,7 @@
 // Guards against calls that are held although no service takes them in time.
 func TestCallBeyondTheOnlyServicesLimitIsRefusedAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
-	limited := newTalkingService(t, http.StatusOK, map[string]string{endpoint.HeaderRequestLimit: "0.5"})
+	limited := newNoticeService(t, http.StatusOK, map[string]string{endpoint.HeaderRequestLimit: "0.5"})
 	tg := gatewaysBefore(t, 3, limited)[0]
 	_, refusal := tg.call(http.MethodGet, "")
 	g.Expect(refusal).To(gomega.BeNil())
@@ -191,8 +191,8 @@
 // one that is left out for good when another starts at its address.
 func TestServiceThatSaidThatItLeavesGetsNoCalls(t *testing.T) {
 	g := gomega.NewWithT(t)
-	leaving := newTalkingService(t, http.StatusOK, map[string]string{endpoint.HeaderLeaving: "1"})
-	other := newTalkingService(t, http.StatusOK, nil)
+	leaving := newNoticeService(t, http.StatusOK, map[string]string{endpoint.HeaderLeaving: "1"})
+	other := newNoticeService(t, http.StatusOK, nil)
 	tg := gatewaysBefore(t, 1, leaving, other)[0]
 	for range 40 {
 		_, refusal := tg.call(http.MethodGet, "")
@@ -211,9 +211,9 @@
 func TestServiceThatAsksForAPauseGetsIt(t *testing.T) {
 	g := gomega.NewWithT(t)
 	const pause = 2 * time.Second
-	paused := newTalkingService(t, http.StatusServiceUnavailable,
+	paused := newNoticeService(t, http.StatusServiceUnavailable,
 		map[string]string{"Retry-After": "2", endpoint.HeaderOutcome: string(crocusreel.OutcomeNotRun)})
-	other := newTalkingService(t, http.StatusOK, nil)
+	other := newNoticeService(t, http.StatusOK, nil)
 	tg := gatewaysBefore(t, 1, paused, other)[0]
 	for paused.arrived() == 0 {
 		_, _ = tg.call(http.MethodGet, "")
@@ -236,7 +236,7 @@
 // Guards against callers that are not told when the only service takes calls again.
 func TestCallWithinTheOnlyServicesPauseIsRefusedAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
-	paused := newTalkingService(t, http.StatusServiceUnavailable,
+	paused := newNoticeService(t, http.StatusServiceUnavailable,
 		map[string]string{"Retry-After": "2", endpoint.HeaderOutcome: string(crocusreel.OutcomeNotRun)})
 	tg := gatewaysBefore(t, 1, paused)[0]
 	_, _ = tg.call(http.MethodGet, "")
--- a/internal/standin/admin/faults.go
+++ b/internal/standin/admin/faults.go
@@ -30,7 +30,7 @@
 // EngineFaults are the faults of an engine. Fractions are probabilities from 0 to 1
 // for each event; times are wall-clock milliseconds.
 type EngineFaults struct {
-	Sayings
+	Notices
 	// CrossedFrames is the fraction of frames before which a frame of another
 	// request and generation is sent.
 	CrossedFrames float64 `json:"crossed_frames,omitempty"`
@@ -74,8 +74,8 @@
 	LoseOrderAnswers float64 `json:"lose_order_answers,omitempty"`
 }
 
-// Sayings are what a stand-in says of itself in all its answers.
-type Sayings struct {
+// Notices are what a stand-in says of itself in all its answers.
+type Notices struct {
 	// RequestLimit is the number of requests a second that it takes from all gateways; 0 for
 	// none said.
 	RequestLimit float64 `json:"request_limit,omitempty"`
@@ -86,7 +86,7 @@
 }
 
 // Set puts the headers on an answer.
-func (s Sayings) Set(h http.Header) {
+func (s Notices) Set(h http.Header) {
 	if s.Leaving {
 		h.Set(endpoint.HeaderLeaving, "1")
 	}
@@ -96,7 +96,7 @@
 }
 
 // SetPause puts the pause on a refusal.
-func (s Sayings) SetPause(h http.Header) {
+func (s Notices) SetPause(h http.Header) {
 	if s.PauseSeconds > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(s.PauseSeconds, 'g', -1, 64))
 	}
@@ -104,7 +104,7 @@
 
 // ServiceFaults are the faults of a plain service.
 type ServiceFaults struct {
-	Sayings
+	Notices
 	// Refuse refuses all calls with outcome not_run.
 	Refuse bool `json:"refuse,omitempty"`
 	// LoseAnswers is the fraction of calls that run but whose answer is lost.
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -147,16 +147,16 @@
 	mux.HandleFunc("GET /report", w.report)
 	mux.HandleFunc("GET /healthz", w.health)
 	mux.HandleFunc("/", w.serve)
-	w.server = &http.Server{Handler: w.withSayings(mux)}
+	w.server = &http.Server{Handler: w.withNotices(mux)}
 	go func() { _ = w.server.Serve(listener) }()
 	return w, nil
 }
 
-// withSayings sets the headers of all answers; those of answers that are written by hand are
+// withNotices sets the headers of all answers; those of answers that are written by hand are
 // set by head.
-func (w *Worker) withSayings(next http.Handler) http.Handler {
+func (w *Worker) withNotices(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		for name, value := range w.saying() {
+		for name, value := range w.noticeHeaders() {
 			rw.Header().Set(name, value)
 		}
 		next.ServeHTTP(rw, r)
@@ -226,8 +226,8 @@
 	w.leaving = true
 }
 
-// Say puts a header on all answers from now on, as the worker's limit; an empty value takes it away.
-func (w *Worker) Say(name, value string) {
+// Announce puts a header on all answers from now on, as the worker's limit; an empty value takes it away.
+func (w *Worker) Announce(name, value string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.says == nil {
@@ -256,8 +256,8 @@
 	return w.pause != ""
 }
 
-// saying returns the headers of all answers.
-func (w *Worker) saying() map[string]string {
+// noticeHeaders returns the headers of all answers.
+func (w *Worker) noticeHeaders() map[string]string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return maps.Clone(w.says)
@@ -341,7 +341,7 @@
 }
 
 func (w *Worker) head(run Run, status int, framing string) string {
-	for name, value := range w.saying() {
+	for name, value := range w.noticeHeaders() {
 		framing += name + ": " + value + "\r\n"
 	}
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\nCrocusreel-Attempt-Id: %s\r\nCrocusreel-Response-Seal: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n%s\r\n",
--- a/tests/node/notices_test.go
+++ b/tests/node/notices_test.go
@@ -85,7 +85,7 @@
 
 var _ = Describe("an endpoint that names a limit", func() {
 	const perSecond = 3.0
-	limited := func(w *worker.Worker) { w.Say("Server-Limit", fmt.Sprint(perSecond)) }
+	limited := func(w *worker.Worker) { w.Announce("Server-Limit", fmt.Sprint(perSecond)) }
 
 	// Guards against first sendings beyond what the endpoint takes from all nodes together.
 	DescribeTable("gets no more from all nodes together", func(path string) {
@@ -162,7 +162,7 @@
 		s.start(3)
 		limited(i2)
 		s.press("/calls/", 2, 20*time.Millisecond, time.Second)
-		i2.Say("Server-Limit", "")
+		i2.Announce("Server-Limit", "")
 		s.press("/calls/", 2, 20*time.Millisecond, 3*time.Second)
 		before := len(i2.Arrivals())
 		replies := s.press("/calls/", 2, 20*time.Millisecond, 2*time.Second)
@@ -191,7 +191,7 @@
 		s.app("i1")
 		i2 := s.app("i2")
 		s.start(3)
-		i2.Say("Server-Leaving", "1")
+		i2.Announce("Server-Leaving", "1")
 		told(s, s.nodes[0], i2, "/calls/x")
 		Expect(s.reaches(i2)()).To(BeZero())
 		s.register("i2", "app", i2.Address(), "ready")
@@ -203,7 +203,7 @@
 		time.Sleep(newsBound)
 		Expect(s.reaches(i2)()).To(BeZero())
 		// The next start under its ID.
-		i2.Say("Server-Leaving", "")
+		i2.Announce("Server-Leaving", "")
 		s.registerBorn("i2", "app", i2.Address(), "ready", time.Now().UnixMilli())
 		Eventually(s.reaches(i2)).Should(BeNumerically(">", 0))
 	})
@@ -214,7 +214,7 @@
 		e1 := s.engine("e1", 300)
 		e2 := s.engine("e2", 300)
 		s.start(1)
-		e1.Say("Server-Leaving", "1")
+		e1.Announce("Server-Leaving", "1")
 		answers := make(chan reply, 50)
 		sent := 0
 		Eventually(func() int {
--- a/tests/notices_test.go
+++ b/tests/notices_test.go
@@ -55,10 +55,10 @@
 
 	// Guards against gateways that together send a service or an engine more than it takes.
 	It("gets no more than its limit", func(ctx SpecContext) {
-		limited := admin.Sayings{RequestLimit: limitPerSecond}
+		limited := admin.Notices{RequestLimit: limitPerSecond}
 		engine, service := r.Engines[0], r.Services[0]
-		faults(ctx, admin.EngineFaults{Sayings: limited}, engine)
-		faults(ctx, admin.ServiceFaults{Sayings: limited}, service)
+		faults(ctx, admin.EngineFaults{Notices: limited}, engine)
+		faults(ctx, admin.ServiceFaults{Notices: limited}, service)
 		began := time.Now()
 		loadCtx, stop := context.WithTimeout(ctx, limitKnown+limitWindow+time.Second)
 		defer stop()
@@ -77,8 +77,8 @@
 	// while nothing else does.
 	It("gets no new work once it says that it leaves", func(ctx SpecContext) {
 		engine, service := r.Engines[0], r.Services[0]
-		faults(ctx, admin.EngineFaults{Sayings: admin.Sayings{Leaving: true}}, engine)
-		faults(ctx, admin.ServiceFaults{Sayings: admin.Sayings{Leaving: true}}, service)
+		faults(ctx, admin.EngineFaults{Notices: admin.Notices{Leaving: true}}, engine)
+		faults(ctx, admin.ServiceFaults{Notices: admin.Notices{Leaving: true}}, service)
 		began := time.Now()
 		loadCtx, stop := context.WithTimeout(ctx, drainBound+2*time.Second)
 		defer stop()
