Bear limits so large that a slot has no length

Slots are a microsecond apart at least, and so are turns. The roster stands beside the limits that it serves; comments of the package say what slots are.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -25,12 +25,6 @@
 	leastGeneration = 250 * time.Millisecond
 )
 
-// Roster is the nodes that share a rate. It does not change.
-type Roster struct {
-	// Names are those of all nodes, this one included, as they are known to each other.
-	Names []string
-}
-
 // Population is how many nodes there are.
 type Population struct {
 	// Nodes is their number, this one included, or more; 0 if it is not known.
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -15,6 +15,12 @@
 // waiting work and runs that go on there alike. What one node is told the others hear by
 // datagrams; a node that hears nobody goes by the nodes that it knew lately.
 
+// Roster is the nodes that share a rate. It does not change.
+type Roster struct {
+	// Names are those of all nodes, this one included, as they are known to each other.
+	Names []string
+}
+
 // limit is what an endpoint last said of the requests that it takes.
 type limit struct {
 	named     bool
@@ -51,8 +57,8 @@
 func (e *Endpoint) limited() bool { return e.noticed != nil && e.noticed.limit.named }
 
 // limitTurnLocked returns when this node may send the next request to an endpoint that has named
-// a limit: now if that is at once. Known is false if it may not send any, as it does not know who
-// else does.
+// a limit: now while its slot lasts. Known is false if it may not send any, as it does not know
+// who else does.
 func (f *Fleet) limitTurnLocked(e *Endpoint, now time.Duration) (at time.Duration, known bool) {
 	roster := f.Roster()
 	if roster == nil {
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -1,5 +1,6 @@
-// Package pace shares a rate among nodes that do not talk to each other: each has turns of its
-// own, at times that hashes of names give.
+// Package pace shares a rate among nodes that do not talk to each other. Each has turns of its own
+// at times that a hash gives, or slots that are evenly spread by the order of the nodes' names and
+// the time of day.
 package pace
 
 import (
@@ -15,7 +16,7 @@
 
 const (
 	// limitShare is the part of an endpoint's limit that is used. The rest is for requests whose
-	// sender did not know yet, and for turns that lie close together.
+	// sender did not know yet, and for slots that lie close together.
 	limitShare = 0.9
 	// leastLimit is the rate, in requests a second, for endpoints that name less: their answers
 	// alone tell when the limit ends.
@@ -30,7 +31,7 @@
 // that many nodes together have perSecond turns a second. Nodes with clocks of different origins
 // have different turns all the same.
 func Turn(node string, endpoint uint32, nodes int, perSecond float64, now time.Duration) (began, next time.Duration) {
-	period := time.Duration(float64(nodes) / perSecond * float64(time.Second))
+	period := max(time.Duration(float64(nodes)/perSecond*float64(time.Second)), shortestSlot)
 	phase := time.Duration(float64(order(node, endpoint)) / math.MaxUint64 * float64(period))
 	began = now - (now+period-phase)%period
 	return began, began + period
--- a/pace/slot.go
+++ b/pace/slot.go
@@ -8,6 +8,8 @@
 	// leastGap is the least time between two uses of a node's slots, in periods. It bounds what a
 	// node sends whose time of day jumps.
 	leastGap = 0.5
+	// shortestSlot is the time between two slots for rates that no endpoint comes near.
+	shortestSlot = time.Microsecond
 )
 
 // Slots are a node's, one in each period. Those of all nodes are evenly spread as long as their
@@ -32,7 +34,7 @@
 // Until returns the time until the node may send: 0 for now. Wall is the time of day, now a
 // monotonic clock, and used the time by that clock at which the node last sent; 0 for never.
 func (s Slots) Until(wall time.Time, now, used time.Duration) time.Duration {
-	each := time.Duration(float64(time.Second) / s.PerSecond)
+	each := max(time.Duration(float64(time.Second)/s.PerSecond), shortestSlot)
 	places := s.places()
 	period, begin := time.Duration(places)*each, time.Duration(s.Rank*places/s.Nodes)*each
 	ago := (time.Duration(wall.UnixNano()%int64(period)) + period - begin) % period
--- a/pace/slot_test.go
+++ b/pace/slot_test.go
@@ -132,3 +132,14 @@
 		t.Errorf("%d places for %d nodes", len(ranks), len(names))
 	}
 }
+
+// Guards against a figure that ends the process: a limit so large that a slot has no length.
+func TestHugeLimitsHaveSlots(t *testing.T) {
+	for _, perSecond := range []float64{1e7, 1e12, 1e300, 1.7e308} {
+		slots := pace.Slots{Rank: 2, Nodes: 7, PerSecond: pace.LimitRate(perSecond)}
+		if wait := slots.Until(time.Unix(1_800_000_000, 0), time.Hour, 0); wait > time.Millisecond {
+			t.Errorf("%g a second: the next slot comes after %v", perSecond, wait)
+		}
+		pace.Turn("10.0.0.1", 7, 7, perSecond, time.Hour)
+	}
+}
