Log why a node doubts that an entry was removed for good

The incident's hypotheses couldn't be told apart in one point: a removal is doubted by a node's own loss of the store, by that of the node which it follows, or by a loss that began anew. The lines of removals and listings name these now. No change of behaviour.

--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/boottime"
@@ -45,9 +46,34 @@
 // tentative tells whether entries may be missing although their endpoints live, as around an
 // outage of the store. A loss of this node alone is no outage: its followers would go on using
 // endpoints that have left.
-func (n *Node) tentative() bool {
-	outage := n.endpointFeed.unsteady(outageShadow) && !n.endpointFeed.lostHereOnly()
-	return outage || n.unsteadyPeer.Load()
+func (n *Node) tentative() bool { return n.outage().suspected() }
+
+// outage is what makes a node doubt that an entry was removed for good.
+type outage struct {
+	// own is set if this node has lost the store, or had until lately; alone if others had not.
+	own, alone bool
+	// peer is set if the node that this one follows doubts removals.
+	peer bool
+	// back is the time since this node's loss ended; negative if there was none, or if it goes on.
+	back time.Duration
+}
+
+func (o outage) suspected() bool { return (o.own && !o.alone) || o.peer }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (o outage) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	e.AddBool("own", o.own)
+	e.AddBool("alone", o.alone)
+	e.AddBool("peer", o.peer)
+	e.AddDuration("back", o.back)
+	return nil
+}
+
+func (n *Node) outage() outage {
+	return outage{
+		own: n.endpointFeed.unsteady(outageShadow), alone: n.endpointFeed.lostHereOnly(),
+		peer: n.unsteadyPeer.Load(), back: n.endpointFeed.sinceBack(),
+	}
 }
 
 func (n *Node) endpointsListed(l platform.Listing, seen knowledge.Seen) {
@@ -63,10 +89,11 @@
 			instances = append(instances, in)
 		}
 	}
-	tentative := n.tentative()
+	outage := n.outage()
+	tentative := outage.suspected()
 	added, removed := n.fleet.Replace(instances, tentative)
 	n.log.Info("endpoints listed", zap.Int("count", len(instances)), zap.Strings("added", added),
-		zap.Strings("removed", removed), zap.Bool("tentative", tentative), zap.Int64("version", l.Version))
+		zap.Strings("removed", removed), zap.Bool("tentative", tentative), zap.Int64("version", l.Version), zap.Inline(outage))
 	n.news.tell()
 }
 
@@ -82,10 +109,11 @@
 
 func (n *Node) endpointChanged(row platform.Row, seen knowledge.Seen) {
 	if row.Deleted {
-		tentative := n.tentative()
+		outage := n.outage()
+		tentative := outage.suspected()
 		n.fleet.Remove(row.Key, tentative)
 		n.log.Info("endpoint removed", zap.String("endpoint", row.Key), zap.Int64("version", row.Version),
-			zap.Bool("tentative", tentative))
+			zap.Bool("tentative", tentative), zap.Inline(outage))
 		return
 	}
 	in, ok := n.readEndpoint(row)
--- a/node/feed.go
+++ b/node/feed.go
@@ -265,6 +265,16 @@
 	return f.onlyHere
 }
 
+// sinceBack is the time since a loss of the store ended; negative if there was none.
+func (f *feed) sinceBack() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.back == 0 {
+		return -1
+	}
+	return boottime.Now() - f.back
+}
+
 // rest is called while another node is followed, which has the store.
 func (f *feed) rest() {
 	f.mu.Lock()
