--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -120,7 +120,7 @@
 		"version": s.config,
 		"routes":  routes,
 		"services": []map[string]any{
-			{"name": "app", "max_connections": 100},
+			{"name": "app", "max_connections": 100, "health_path": "/healthz"},
 			{"name": "pool", "max_connections": 100, "health_path": "/healthz", "runtime": map[string]any{
 				"batch_size": 24, "kv_capacity": 34360, "kv_bytes": 18432, "link_mbps": 2700, "migrations": true, "stride": 4,
 			}},
@@ -146,13 +146,23 @@
 // registerBorn writes the entry of an endpoint that tells when it started; 0 if it does not.
 func (s *site) registerBorn(id, service, address, phase string, born int64) {
 	GinkgoHelper()
-	entry := map[string]any{
-		"service": service, "address": address, "zone": "dc1", "version": "v1", "batch_size": 24, "phase": phase,
-		"cold_remaining_ms": 0, "sequence": 1,
-	}
+	entry := newEntry(service, address, phase)
 	if born != 0 {
 		entry["born"] = born
 	}
+	s.writeEntry(id, entry)
+}
+
+// newEntry returns the entry of an endpoint in dc1 with 24 slots.
+func newEntry(service, address, phase string) map[string]any {
+	return map[string]any{
+		"service": service, "address": address, "zone": "dc1", "version": "v1", "batch_size": 24, "phase": phase,
+		"cold_remaining_ms": 0, "sequence": 1,
+	}
+}
+
+func (s *site) writeEntry(id string, entry map[string]any) {
+	GinkgoHelper()
 	data, err := json.Marshal(entry)
 	Expect(err).NotTo(HaveOccurred())
 	s.write(platform.Write{Table: platform.TableEndpoints, Key: id, Value: data})
@@ -175,10 +185,18 @@
 
 func (s *site) app(id string) *worker.Worker {
 	GinkgoHelper()
-	w, err := worker.Start(worker.Options{ID: id})
+	w := s.plainWorker(worker.Options{ID: id})
+	s.register(id, "app", s.addresses[id], "ready")
+	return w
+}
+
+// plainWorker starts a plain endpoint that writes no entry.
+func (s *site) plainWorker(o worker.Options) *worker.Worker {
+	GinkgoHelper()
+	w, err := worker.Start(o)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(w.Stop)
-	s.register(id, "app", s.front(id, w.Address()), "ready")
+	s.addresses[o.ID] = s.front(o.ID, w.Address())
 	return w
 }
 
