Reckon by the store's clock which missing entries may come back after an outage

Cause: after an outage entries of living endpoints may be missing for two seconds, so that removals were doubted: the endpoint stayed in use for 2.1 s from the removal on, whenever that was, if this node or the one that it follows had the store back for less than 2 s by its own reckoning. Nodes noticed the return up to 3 s late (a question that the outage swallowed, a backoff, a question that the store holds for a second), and followers looked for the end of the doubt only between two questions. So an endpoint that withdrew 3.1 s after the return, when the rule binds, was taken for one whose entry had lapsed.

Change: one account, in knowledge.UptimeRecord, in place of five flags (unsteady, onlyHere, back, servedOther, unsteadyPeer). It is kept by the store's own clock, which each answer tells, and nodes exchange it with each question among themselves, both ways: since when the store is known to have served the endpoints' table with no pause in which an entry can have lapsed, two heartbeats, by its answers to any of them. A missing entry is doubted only until an answer of the store that is 2.1 s later than the end of the last such pause, whenever the entry was removed. After a loss the first question is answered at once, so that the return is known within 0.1 to 0.2 s (1.5 to 3.2 s before); while entries are missing the store holds a question no longer than until the answer that ends the doubt. Within those 2.1 s a health check by the first node of the data centre tells who withdrew.

A loss that is one node's alone is no pause in the account, since the others' answers fill it.

--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -17,19 +17,23 @@
 	var busy []Instance
 	now := f.now()
 	for _, e := range f.services[service] {
-		if e.DataCentre != dataCentre || e.isLeaving || e.total().Count == 0 {
-			continue
+		if e.DataCentre == dataCentre && e.total().Count > 0 && f.takesCheckLocked(e, now) {
+			busy = append(busy, e.Instance)
 		}
-		// A check is a request, too.
-		if f.pausedLocked(e) || !f.takesLimitedLocked(e, now) {
-			continue
-		}
-		f.useTurnLocked(e, now)
-		busy = append(busy, e.Instance)
 	}
 	return busy
 }
 
+// takesCheckLocked tells whether an endpoint is to be sent a health check now, and counts the
+// check against its limit: it is a request, too.
+func (f *Fleet) takesCheckLocked(e *Endpoint, now time.Duration) bool {
+	if e.isLeaving || f.pausedLocked(e) || !f.takesLimitedLocked(e, now) {
+		return false
+	}
+	f.useTurnLocked(e, now)
+	return true
+}
+
 // Reinstate takes back that endpoints leave which said so at their health check longer ago
 // than the given time, and returns their IDs. Their entries do not say that they leave.
 func (f *Fleet) Reinstate(after time.Duration) []string {
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -97,7 +97,10 @@
 	// missingAt is when the entry vanished although the instance may be alive; 0 if
 	// it is there.
 	missingAt time.Duration
-	own       Load
+	// vouched is set once it has said at a health check, while its entry was missing, that it
+	// goes on.
+	vouched bool
+	own     Load
 	// remote is what other nodes run on it, and others the sum of that.
 	remote map[string]Load
 	others Load
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -169,13 +169,14 @@
 	} else if e.byHealth {
 		e.stay()
 	}
+	delete(f.doubted, e)
 	f.dispatchLocked(in.Service)
 	return change
 }
 
 // Remove takes the removal of an entry. A tentative removal, as after an outage of
 // the store in which entries expire although their endpoints live, keeps the endpoint
-// in use until Expire.
+// in use until DropMissing.
 func (f *Fleet) Remove(id string, tentative bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -184,31 +185,13 @@
 		return
 	}
 	if tentative {
-		e.missingAt = f.now()
+		e.missingAt, e.vouched = f.now(), false
 		f.doubted[e] = struct{}{}
 		return
 	}
 	f.dropLocked(e)
 }
 
-// Expire drops endpoints that have been missing for longer than the given time and
-// returns their IDs.
-func (f *Fleet) Expire(after time.Duration) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var gone []string
-	now := f.now()
-	for e := range f.doubted {
-		if e.missingAt != 0 && now-e.missingAt >= after {
-			gone = append(gone, e.ID)
-			f.dropLocked(e)
-		} else if e.missingAt == 0 && !e.byHealth {
-			delete(f.doubted, e)
-		}
-	}
-	return gone
-}
-
 // dropLocked forgets an endpoint. Runs on it go on; they learn that it is leaving.
 func (f *Fleet) dropLocked(e *Endpoint) {
 	e.markLeaving(f.now())
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -315,17 +315,19 @@
 var _ = Describe("entries that vanish", func() {
 	// The store was down for longer than heartbeats may be missing: it has dropped the
 	// entries of endpoints that live. Taking them for gone would leave no endpoint.
-	It("after an outage stay in use until the grace time is over", func() {
+	It("after an outage stay in use until they are known to be gone", func() {
 		w := newWorld()
 		w.engine("e1", "dc1")
 		w.Replace(nil, true)
 		p := w.place(generation(1000, 100))
 		Expect(p.Leaving()).NotTo(BeClosed())
 		w.now += 2 * time.Second
-		Expect(w.Expire(2100 * time.Millisecond)).To(BeEmpty())
+		Expect(w.Missing()).To(Equal(1))
+		Expect(p.Leaving()).NotTo(BeClosed())
 		w.engine("e1", "dc1")
 		w.now += time.Minute
-		Expect(w.Expire(2100 * time.Millisecond)).To(BeEmpty())
+		Expect(w.Missing()).To(BeZero())
+		Expect(w.DropMissing()).To(BeEmpty())
 		Expect(p.Leaving()).NotTo(BeClosed())
 	})
 
@@ -335,7 +337,7 @@
 		p := w.place(generation(1000, 100))
 		w.Remove("e1", true)
 		w.now += 2200 * time.Millisecond
-		Expect(w.Expire(2100 * time.Millisecond)).To(Equal([]string{"e1"}))
+		Expect(w.DropMissing()).To(Equal([]fleet.Gone{{ID: "e1", Missing: 2200 * time.Millisecond}}))
 		Expect(p.Leaving()).To(BeClosed())
 		Expect(w.refused(generation(1000, 100)).Reason).To(Equal(crocusreel.ReasonNoEndpoint))
 	})
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -82,7 +82,7 @@
 		w.now += time.Second
 		Expect(w.Update(start(2000))).To(Equal(fleet.Restarted))
 		w.now += time.Minute
-		Expect(w.Expire(time.Second)).To(BeEmpty())
+		Expect(w.DropMissing()).To(BeEmpty())
 	})
 })
 
--- a/fleet/remote_test.go
+++ b/fleet/remote_test.go
@@ -26,7 +26,7 @@
 			steps := []func(){
 				func() { w.Update(instance()) },
 				func() { w.Remove(instance().ID, random.IntN(2) == 0) },
-				func() { w.Expire(time.Second) },
+				func() { w.DropMissing() },
 				func() { w.Forget(fmt.Sprintf("n%d", random.IntN(5))) },
 				func() { w.now += time.Second / 2 },
 				func() {
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/boottime"
@@ -14,13 +13,6 @@
 	"github.com/crocusreel/crocusreel/platform"
 )
 
-// missingGrace is how long an endpoint stays in use whose entry vanished around an outage of
-// the store. Entries expire while heartbeats cannot be written and come back within two seconds.
-const missingGrace = 2100 * time.Millisecond
-
-// outageShadow is the time after an outage in which entries may still vanish by it.
-const outageShadow = 2 * time.Second
-
 // registry serializes listings of endpoints, which come from the store and from other nodes
 // in different goroutines.
 type registry struct {
@@ -35,85 +27,81 @@
 
 // ownEndpoints takes answers of the store itself. What was known of the store through the
 // followed node no longer matters.
-func (n *Node) ownEndpoints(take func(platform.Listing, knowledge.Seen)) func(platform.Listing, knowledge.Seen) {
+func (n *Node) ownEndpoints(take func(platform.Listing, knowledge.Seen, uptimeSource)) func(platform.Listing, knowledge.Seen) {
 	return func(l platform.Listing, seen knowledge.Seen) {
-		n.unsteadyPeer.Store(false)
 		n.awayPeer.Store(false)
-		take(l, seen)
+		take(l, seen, func() time.Duration { return n.uptime.Answered(l.At) })
 	}
 }
 
-// tentative tells whether entries may be missing although their endpoints live, as around an
-// outage of the store. A loss of this node alone is no outage: its followers would go on using
-// endpoints that have left.
-func (n *Node) tentative() bool { return n.outage().suspected() }
-
-// outage is what makes a node doubt that an entry was removed for good.
-type outage struct {
-	// own is set if this node has lost the store, or had until lately; alone if others had not.
-	own, alone bool
-	// peer is set if the node that this one follows doubts removals.
-	peer bool
-	// back is the time since this node's loss ended; negative if there was none, or if it goes on.
-	back time.Duration
-}
-
-func (o outage) suspected() bool { return (o.own && !o.alone) || o.peer }
-
-// MarshalLogObject implements zapcore.ObjectMarshaler.
-func (o outage) MarshalLogObject(e zapcore.ObjectEncoder) error {
-	e.AddBool("own", o.own)
-	e.AddBool("alone", o.alone)
-	e.AddBool("peer", o.peer)
-	e.AddDuration("back", o.back)
-	return nil
-}
-
-func (n *Node) outage() outage {
-	return outage{
-		own: n.endpointFeed.unsteady(outageShadow), alone: n.endpointFeed.lostHereOnly(),
-		peer: n.unsteadyPeer.Load(), back: n.endpointFeed.sinceBack(),
+// uptimeSource adds to the account of the store's uptime what an answer with entries proves, and
+// returns the length of the outage that it ends, 0 for none.
+type uptimeSource func() time.Duration
+
+// served takes the proof of an answer whose entries are known.
+func (n *Node) served(proof uptimeSource) {
+	if outage := proof(); outage > 0 {
+		known := n.uptime.Current()
+		metrics.Count("store_outages")
+		n.log.Info("outage of the store is over", zap.Duration("length", outage), zap.Duration("store_time", known.Since),
+			zap.Duration("doubt", n.uptime.Doubt()))
 	}
 }
 
-func (n *Node) endpointsListed(l platform.Listing, seen knowledge.Seen) {
+func (n *Node) endpointsListed(l platform.Listing, seen knowledge.Seen, proof uptimeSource) {
 	n.registry.mu.Lock()
 	defer n.registry.mu.Unlock()
 	if !n.entries.replace(l, seen.Answered) {
 		metrics.Count("endpoints_outdated")
 		return
 	}
+	n.served(proof)
 	instances := make([]fleet.Instance, 0, len(l.Rows))
 	for _, row := range l.Rows {
 		if in, ok := n.readEndpoint(row); ok {
 			instances = append(instances, in)
 		}
 	}
-	outage := n.outage()
-	tentative := outage.suspected()
-	added, removed := n.fleet.Replace(instances, tentative)
+	doubt := n.uptime.Doubt()
+	added, removed := n.fleet.Replace(instances, doubt > 0)
 	n.log.Info("endpoints listed", zap.Int("count", len(instances)), zap.Strings("added", added),
-		zap.Strings("removed", removed), zap.Bool("tentative", tentative), zap.Int64("version", l.Version), zap.Inline(outage))
+		zap.Strings("removed", removed), zap.Bool("tentative", doubt > 0), zap.Duration("doubt", doubt),
+		zap.Int64("version", l.Version))
+	n.dropMissing()
 	n.news.tell()
 }
 
-func (n *Node) endpointsChanged(l platform.Listing, seen knowledge.Seen) {
+func (n *Node) endpointsChanged(l platform.Listing, seen knowledge.Seen, proof uptimeSource) {
 	n.registry.mu.Lock()
 	defer n.registry.mu.Unlock()
 	fresh := n.entries.update(l, seen.Answered)
+	n.served(proof)
 	for _, row := range fresh {
 		n.endpointChanged(row, seen)
 	}
+	n.dropMissing()
 	n.news.tell()
 }
 
+// dropMissing gives up the endpoints whose entries would be back by now if an outage had taken
+// them.
+func (n *Node) dropMissing() {
+	if n.uptime.Doubt() > 0 {
+		return
+	}
+	known := n.uptime.Current()
+	for _, gone := range n.fleet.DropMissing() {
+		n.log.Info("endpoint gone", zap.String("endpoint", gone.ID), zap.Duration("missing", gone.Missing),
+			zap.Duration("store_up", known.Until-known.Since))
+	}
+}
+
 func (n *Node) endpointChanged(row platform.Row, seen knowledge.Seen) {
 	if row.Deleted {
-		outage := n.outage()
-		tentative := outage.suspected()
-		n.fleet.Remove(row.Key, tentative)
+		doubt := n.uptime.Doubt()
+		n.fleet.Remove(row.Key, doubt > 0)
 		n.log.Info("endpoint removed", zap.String("endpoint", row.Key), zap.Int64("version", row.Version),
-			zap.Bool("tentative", tentative), zap.Inline(outage))
+			zap.Bool("tentative", doubt > 0), zap.Duration("doubt", doubt))
 		return
 	}
 	in, ok := n.readEndpoint(row)
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -19,6 +19,7 @@
 // Snapshot implements exchangev1.ExchangeHandler.
 func (s exchangeServer) Snapshot(ctx context.Context, req *connect.Request[exchangev1.SnapshotRequest]) (*connect.Response[exchangev1.SnapshotResponse], error) {
 	n := s.n
+	n.heardUptime(readUptime(req.Msg.GetUptime()))
 	timer := time.NewTimer(time.Duration(req.Msg.GetWaitMs()) * time.Millisecond)
 	defer timer.Stop()
 	changed := n.news.wait()
@@ -46,7 +47,6 @@
 		ConfigVersion: known.Row,
 		ConfigAgeMs:   uint64(ages.Certain.Milliseconds()) + 1,
 		AnsweredAgeMs: uint64(ages.Answered.Milliseconds()) + 1,
-		Unsteady:      n.tentative(),
 		Away:          n.storeAway(),
 		Evacuations:   evacuations,
 	}
@@ -54,6 +54,8 @@
 		resp.Config = &exchangev1.Row{Key: platform.KeyConfiguration, Version: known.Row}
 		resp.ConfigPacked = n.packedConfig.of(known)
 	}
+	// Taken before the endpoints, which are then at least as new.
+	resp.Uptime = uptimeMessage(n.uptime.Current())
 	n.entries.fill(resp, req.Msg.GetEndpointsVersion())
 	return connect.NewResponse(resp), nil
 }
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -24,7 +24,6 @@
 		patience: func() patience { return patienceOf(true) },
 
 		linkChanged: func() {},
-		othersRead:  func() bool { return false },
 	}
 }
 
@@ -42,20 +41,13 @@
 	return f
 }
 
-// NewFeedBeside returns a feed beside other nodes that the store answers, or does not.
-func NewFeedBeside(store *platform.Store, othersRead bool) *Feed {
-	f := NewFeed(store, func() bool { return true })
-	f.othersRead = func() bool { return othersRead }
-	return f
-}
-
-// LostHereOnly tells whether the last loss of the store was the node's alone.
-var LostHereOnly = (*feed).lostHereOnly
+// SetVersion sets the version from which the feed asks for changes.
+func SetVersion(f *Feed, version int64) { f.version = version }
 
-// Run follows the table; Unsteady tells whether the store counts as lost.
+// Run follows the table; IsLost tells whether the store counts as lost.
 var (
-	Run      = (*feed).run
-	Unsteady = (*feed).unsteady
+	Run    = (*feed).run
+	IsLost = (*feed).isLost
 )
 
 // Entries gives tests the record of the endpoints' rows.
--- a/node/feed.go
+++ b/node/feed.go
@@ -42,9 +42,6 @@
 	// lostRetry is the pause between two questions of a node that the store does not answer
 	// and that is neither a seed nor the first of its data centre.
 	lostRetry = 2 * time.Second
-	// lossShown is the time after which a loss of the store shows at all nodes that have it:
-	// the longest question and some datagrams.
-	lossShown = 2 * time.Second
 	// slowAnswer is the delay of an answer, beyond the time that the store was asked to
 	// wait, from which the store counts as slow: 25 times its usual one. Endpoints write
 	// their entries there too, and a store that is that slow tells of those that leave
@@ -80,8 +77,8 @@
 
 	// linkChanged is called when the store was lost or has come back; it must not block.
 	linkChanged func()
-	// othersRead tells whether the store answers another node.
-	othersRead func() bool
+	// longest bounds the time for which the store is to hold the next question; nil for no bound.
+	longest func() time.Duration
 	// learned returns the version up to which the table is known by other nodes' answers.
 	learned func() int64
 	// patience bounds the pause after a failed question.
@@ -94,19 +91,17 @@
 	relist bool
 
 	mu sync.Mutex
-	// lost is when a question failed, 0 once one was answered; back is when a loss ended.
+	// lost is when a question failed, 0 once one was answered.
 	lost time.Duration
-	back time.Duration
 	// retryAt is when a lost store is asked again while another node is followed.
 	retryAt time.Duration
-	// onlyHere is set while the loss is, or was, this node's alone.
-	onlyHere bool
 	// answered is set once the store has answered.
 	answered bool
 	// rests is set while another node is followed: a loss then says nothing of what is known.
 	rests bool
-	// asked is when the question under way was sent, 0 if there is none.
-	asked time.Duration
+	// asked is when the question under way was sent, 0 if there is none, and held how long the
+	// store was asked to hold it.
+	asked, held time.Duration
 	// delay is that of the last answer beyond the wait that was asked for.
 	delay time.Duration
 }
@@ -163,15 +158,16 @@
 		}
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.wait+answerSlack)
+	wait := f.hold()
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
-	listing, err := f.store.Changes(ctx, f.table, f.version, f.wait)
+	listing, err := f.store.Changes(ctx, f.table, f.version, wait)
 	if err != nil {
 		return err
 	}
 	answered := boottime.Now()
 	if len(listing.Rows) == 0 {
-		f.delayed(answered - asked - f.wait)
+		f.delayed(answered - asked - wait)
 	}
 	f.changed(listing, knowledge.Seen{Certain: asked, Answered: answered})
 	f.version = max(f.version, listing.Version)
@@ -181,11 +177,25 @@
 	return nil
 }
 
+// hold returns how long the store is to hold the next question, and records it. After a loss, or
+// while another node was followed, an answer at once tells how current the table is.
+func (f *feed) hold() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held = f.wait
+	if f.lost != 0 || f.rests || !f.answered {
+		f.held = 0
+	} else if f.longest != nil {
+		f.held = min(f.held, f.longest())
+	}
+	return f.held
+}
+
 // begin records that a question is under way and returns the time.
 func (f *feed) begin() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.asked = boottime.Now()
+	f.asked, f.held = boottime.Now(), 0
 	return f.asked
 }
 
@@ -208,7 +218,7 @@
 func (f *feed) slow() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	late := f.asked != 0 && boottime.Now()-f.asked-f.wait >= slowAnswer
+	late := f.asked != 0 && boottime.Now()-f.asked-f.held >= slowAnswer
 	return !f.rests && (late || f.delay >= slowAnswer)
 }
 
@@ -217,11 +227,7 @@
 	defer f.mu.Unlock()
 	f.rests = false
 	f.retryAt = boottime.Now() + jitter(lostRetry)
-	if f.lost != 0 && boottime.Now()-f.lost >= lossShown {
-		f.onlyHere = f.onlyHere || f.othersRead()
-	}
 	if f.lost == 0 {
-		f.onlyHere = false
 		f.lost = boottime.Now()
 		f.log.Warn("store lost", zap.String("table", f.table), zap.Error(err))
 		f.linkChanged()
@@ -237,51 +243,15 @@
 	if f.lost == 0 {
 		return
 	}
-	f.back = boottime.Now()
-	f.log.Info("store regained", zap.String("table", f.table), zap.Duration("after", f.back-f.lost))
+	f.log.Info("store regained", zap.String("table", f.table), zap.Duration("after", boottime.Now()-f.lost))
 	f.lost = 0
 	f.linkChanged()
 }
 
-// servedOther tells that the store answered another node, which had not lost it, at the given
-// time or later. If that was during this node's loss, the loss is this node's alone, however short
-// it was: a removal that is read then is no consequence of an outage. Held for one, an
-// endpoint that is gone would be used for over two seconds more.
-func (f *feed) servedOther(answered time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.lost == 0 || f.onlyHere || answered <= f.lost {
-		return
-	}
-	f.onlyHere = true
-	f.log.Info("store is lost to this node alone", zap.String("table", f.table), zap.Duration("answered_another_after", answered-f.lost))
-}
-
-// lostHereOnly tells whether the last loss was this node's alone: the store served others,
-// and no entry expired for it.
-func (f *feed) lostHereOnly() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.onlyHere
-}
-
-// sinceBack is the time since a loss of the store ended; negative if there was none.
-func (f *feed) sinceBack() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.back == 0 {
-		return -1
-	}
-	return boottime.Now() - f.back
-}
-
 // rest is called while another node is followed, which has the store.
 func (f *feed) rest() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.rests && f.lost != 0 {
-		f.back = boottime.Now()
-	}
 	f.rests = true
 	f.delay = 0
 }
@@ -308,9 +278,9 @@
 	return f.lost != 0 && boottime.Now() >= f.retryAt
 }
 
-// unsteady tells whether the store is lost or came back less than the given time ago.
-func (f *feed) unsteady(within time.Duration) bool {
+// isLost tells whether the store doesn't answer this node, which asks it.
+func (f *feed) isLost() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return (f.lost != 0 && !f.rests) || (f.back != 0 && boottime.Now()-f.back < within)
+	return f.lost != 0 && !f.rests
 }
--- a/node/feed_test.go
+++ b/node/feed_test.go
@@ -60,8 +60,8 @@
 	})
 
 	// A node is cut off from the store for a while and then follows another node, which
-	// has the store. Were its own feed to count as lost for ever, it would take every
-	// removal of an endpoint for a passing one, and send work to endpoints that are gone.
+	// has the store. Were its own feed to count as lost for ever, it would check the health of
+	// all engines for ever.
 	It("does not count as lost once another node is followed", func() {
 		var direct atomic.Bool
 		direct.Store(true)
@@ -69,33 +69,37 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error)
 		go func() { done <- node.Run(f, ctx) }()
-		lost := func() bool { return node.Unsteady(f, 0) }
+		lost := func() bool { return node.IsLost(f) }
 		Eventually(lost, 2*time.Second).Should(BeTrue())
 		direct.Store(false)
 		Eventually(lost, 2*time.Second).Should(BeFalse())
-		Expect(node.Unsteady(f, time.Minute)).To(BeTrue())
 		cancel()
 		Eventually(done, 2*time.Second).Should(Receive(BeNil()))
 	})
 
-	// The store turns one node away for ten seconds and serves all others. That node is back
-	// and reads the store for all; an endpoint leaves without a word, and its entry is
-	// removed. Were the removal taken for a passing one, as after an outage, work would be
-	// sent there for two seconds more.
-	DescribeTable("tells a loss that is its node's alone from an outage",
-		func(othersRead bool) {
-			f := node.NewFeedBeside(platform.NewStore("127.0.0.1:1", 200*time.Millisecond), othersRead)
-			ctx, cancel := context.WithCancel(context.Background())
-			done := make(chan error)
-			go func() { done <- node.Run(f, ctx) }()
-			Consistently(func() bool { return node.LostHereOnly(f) }, 1500*time.Millisecond).Should(BeFalse())
-			Eventually(func() bool { return node.LostHereOnly(f) || !othersRead }, 2*time.Second).Should(BeTrue())
-			time.Sleep(time.Second)
-			Expect(node.LostHereOnly(f)).To(Equal(othersRead))
-			cancel()
-			Eventually(done, 2*time.Second).Should(Receive(BeNil()))
-		},
-		Entry("others read the store", true),
-		Entry("nobody does", false),
-	)
+	// Guards against an outage that is taken for longer than it was: the end of a question that
+	// the store holds because nothing has changed would show its return up to a second late.
+	It("is answered at once by a store that has come back", func() {
+		var away atomic.Bool
+		away.Store(true)
+		inner := standin.New(standin.Options{}).Handler()
+		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			if away.Load() {
+				rw.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			inner.ServeHTTP(rw, r)
+		}))
+		DeferCleanup(server.Close)
+		store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), time.Second)
+		f := node.NewFeed(store, func() bool { return true })
+		node.SetVersion(f, 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go func() { _ = node.Run(f, ctx) }()
+		lost := func() bool { return node.IsLost(f) }
+		Eventually(lost, time.Second, time.Millisecond).Should(BeTrue())
+		away.Store(false)
+		Eventually(lost, 700*time.Millisecond, time.Millisecond).Should(BeFalse())
+	})
 })
--- a/node/follow.go
+++ b/node/follow.go
@@ -58,7 +58,7 @@
 func (n *Node) follow(ctx context.Context) error {
 	next := 0
 	for ctx.Err() == nil {
-		n.expireEndpoints()
+		n.reinstateEndpoints()
 		if n.starts() && n.starter.learn(ctx) {
 			continue
 		}
@@ -109,10 +109,8 @@
 	return reader.DataCentre != n.settings.DataCentre && n.storeLink() != exchangev1.StoreLink_STORE_LINK_LOST
 }
 
-func (n *Node) expireEndpoints() {
-	for _, id := range n.fleet.Expire(missingGrace) {
-		n.log.Info("endpoint gone", zap.String("endpoint", id), zap.Duration("missing", missingGrace))
-	}
+// reinstateEndpoints takes back what health checks said that nothing has confirmed.
+func (n *Node) reinstateEndpoints() {
 	if n.storeAway() {
 		return
 	}
@@ -135,6 +133,7 @@
 		WaitMs:           uint32(wait.Milliseconds()),
 
 		EvacuationsVersion: n.evacuations.Version(),
+		Uptime:             uptimeMessage(n.uptime.Current()),
 	}))
 	if err != nil {
 		return err
@@ -162,17 +161,14 @@
 func millis(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 func (n *Node) endpointsFromPeer(resp *exchangev1.SnapshotResponse, known int64, seen knowledge.Seen) error {
-	n.unsteadyPeer.Store(resp.GetUnsteady())
 	n.awayPeer.Store(resp.GetAway())
-	if !resp.GetUnsteady() && !resp.GetAway() {
-		n.endpointFeed.servedOther(seen.Certain)
-	}
+	proof := func() time.Duration { return n.uptime.Told(readUptime(resp.GetUptime())) }
 	if resp.GetEndpointsWhole() {
 		listing, err := wholeListing(resp)
 		if err != nil {
 			return err
 		}
-		n.endpointsListed(listing, seen)
+		n.endpointsListed(listing, seen, proof)
 		return nil
 	}
 	listing, err := changedRows(resp)
@@ -180,7 +176,7 @@
 		return err
 	}
 	if resp.GetEndpointsVersion() >= known {
-		n.endpointsChanged(listing, seen)
+		n.endpointsChanged(listing, seen, proof)
 	}
 	return nil
 }
--- a/node/health.go
+++ b/node/health.go
@@ -9,6 +9,7 @@
 
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/routing"
 )
 
 const (
@@ -22,14 +23,17 @@
 	healthDoubt = 4 * time.Second
 	// healthTimeout bounds a check, which takes milliseconds.
 	healthTimeout = 250 * time.Millisecond
+	// maxHealthChecks is the most checks under way: an outage may have taken thousands of entries.
+	maxHealthChecks = 32
 )
 
-// checkHealth asks the engines of this data centre whether they go on while the store
-// does not tell. Of the nodes of a data centre, the first does it for all.
+// checkHealth asks endpoints of this data centre whether they go on while the store does not
+// tell: busy engines while it is away, and those whose entries are missing, which may have
+// been withdrawn. Of the nodes of a data centre, the first does it for all.
 func (n *Node) checkHealth(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause(ctx, healthEvery)
-		if !n.storeAway() || !n.firstInDataCentre() || n.fleet.Without[fleet.HealthChecks] {
+		if !n.firstInDataCentre() || n.fleet.Without[fleet.HealthChecks] {
 			continue
 		}
 		known, _ := n.config.Current()
@@ -37,18 +41,27 @@
 			continue
 		}
 		for name, service := range known.Table.Services {
-			if service.Engine != nil && service.HealthPath != "" {
-				n.checkAll(ctx, n.fleet.Busy(name, n.settings.DataCentre), service.HealthPath)
+			if service.HealthPath != "" {
+				n.checkAll(ctx, n.doubtful(name, service), service.HealthPath)
 			}
 		}
 	}
 	return nil
 }
 
+// doubtful returns the endpoints of a service in this data centre that are to be asked now.
+func (n *Node) doubtful(name string, service *routing.Service) []fleet.Instance {
+	doubtful := n.fleet.Unvouched(name, n.settings.DataCentre)
+	if service.Engine != nil && n.storeAway() {
+		doubtful = append(doubtful, n.fleet.Busy(name, n.settings.DataCentre)...)
+	}
+	return doubtful
+}
+
 // storeAway tells whether the store does not tell in time which endpoints leave: it cannot
 // be followed, or it is so slow that the endpoints' own writes come late.
 func (n *Node) storeAway() bool {
-	return n.configFeed.unsteady(0) || n.endpointFeed.unsteady(0) || n.entries.age() > endpointsStale ||
+	return n.configFeed.isLost() || n.endpointFeed.isLost() || n.entries.age() > endpointsStale ||
 		n.configFeed.slow() || n.endpointFeed.slow() || n.awayPeer.Load()
 }
 
@@ -61,12 +74,17 @@
 	return !n.gate.Leaving()
 }
 
-func (n *Node) checkAll(ctx context.Context, busy []fleet.Instance, path string) {
-	var checks sync.WaitGroup
-	for _, in := range busy {
-		checks.Go(func() { n.check(ctx, in, path) })
+func (n *Node) checkAll(ctx context.Context, endpoints []fleet.Instance, path string) {
+	var running sync.WaitGroup
+	places := make(chan struct{}, maxHealthChecks)
+	for _, in := range endpoints {
+		places <- struct{}{}
+		running.Go(func() {
+			defer func() { <-places }()
+			n.check(ctx, in, path)
+		})
 	}
-	checks.Wait()
+	running.Wait()
 }
 
 func (n *Node) check(ctx context.Context, in fleet.Instance, path string) {
@@ -82,6 +100,7 @@
 		n.log.Warn("health answer not readable", zap.String("endpoint", in.ID), zap.Error(answer.ColdFault))
 	}
 	if answer.GoesOn {
+		n.fleet.Vouch(in.Incarnation().Key())
 		if answer.Cold > 0 && n.fleet.SetCold(in.Incarnation().Key(), answer.Cold) {
 			n.log.Info("endpoint is cold by its health check", zap.String("endpoint", in.ID), zap.Duration("for", answer.Cold))
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -79,9 +79,8 @@
 	registry      registry
 	follower      follower
 	news          news
-	// unsteadyPeer is set while the node that this one follows has the store back only
-	// lately.
-	unsteadyPeer atomic.Bool
+	// uptime is the store's, by its own clock.
+	uptime *knowledge.UptimeRecord
 	// awayPeer is set while the store does not tell that node in time who leaves.
 	awayPeer     atomic.Bool
 	endpointFeed *feed
@@ -105,6 +104,7 @@
 		started:     boottime.Now(),
 		store:       platform.NewStore(s.StoreAddress, storeTimeout),
 		config:      knowledge.NewConfiguration(boottime.Now),
+		uptime:      knowledge.NewUptimeRecord(s.Heartbeat),
 		fleet:       fleet.New(s.DataCentre, boottime.Now),
 		client:      h1.NewClient(),
 		gate:        entry.NewGate(),
@@ -159,13 +159,13 @@
 		store: n.store, table: platform.TableOperator, wait: changesWait, log: log,
 		listed: n.configurationListed, changed: n.configurationChanged,
 		learned:  n.evacuations.Version,
-		patience: n.storePatience, linkChanged: n.gossip.TellAll, othersRead: n.othersRead,
+		patience: n.storePatience, linkChanged: n.gossip.TellAll,
 	}
 	n.configFeed.direct = func() bool { return n.asksStore(n.configFeed) }
 	n.endpointFeed = &feed{
 		store: n.store, table: platform.TableEndpoints, wait: endpointsWait, log: log,
 		listed: n.ownEndpoints(n.endpointsListed), changed: n.ownEndpoints(n.endpointsChanged),
-		learned: n.entries.known, patience: n.storePatience, linkChanged: n.gossip.TellAll, othersRead: n.othersRead,
+		learned: n.entries.known, patience: n.storePatience, linkChanged: n.gossip.TellAll, longest: n.settlingWait,
 	}
 	n.endpointFeed.direct = func() bool { return n.asksStore(n.endpointFeed) }
 	return n
