Take no row of the endpoints that a listing or forgotten removals have superseded

What callers would see: work sent to an endpoint that has left, for good, until a connection fails: its entry was taken as new. Cause: a whole listing, and more than 256 removals, empty the memory of removals. An answer of another node that was asked before and comes after it then brings rows back that were removed in between. That happens after the store has dropped its history, when a node reads the table itself while its question to another one is under way. Found by reading for ways in which a removal is taken back. Both new specs fail before and pass now: nothing up to the version at which removals were forgotten is news.

--- a/node/entries.go
+++ b/node/entries.go
@@ -15,7 +15,7 @@
 type entries struct {
 	mu   sync.Mutex
 	rows map[string]platform.Row
-	// removed holds removals since the version floor; a follower that knows less gets
+	// removed holds removals since the version floor, up to which nothing is news; a follower that knows less gets
 	// the whole table.
 	removed map[string]int64
 	floor   int64
@@ -70,7 +70,7 @@
 	}
 	var fresh []platform.Row
 	for _, row := range l.Rows {
-		if row.Version <= max(e.rows[row.Key].Version, e.removed[row.Key]) {
+		if row.Version <= max(e.floor, e.rows[row.Key].Version, e.removed[row.Key]) {
 			continue
 		}
 		fresh = append(fresh, row)
--- a/node/entries_test.go
+++ b/node/entries_test.go
@@ -31,6 +31,30 @@
 		Expect(node.Update(&e, platform.Listing{Version: 13, Rows: []platform.Row{row("a", 13)}}, 4)).To(HaveLen(1))
 	})
 
+	// Guards against endpoints that have left and come back to life: a node reads the whole table
+	// while another one's answer of before is on its way.
+	It("take nothing that a whole listing has superseded", func() {
+		var e node.Entries
+		Expect(node.Replace(&e, platform.Listing{Version: 90, Rows: []platform.Row{row("b", 9)}}, 1)).To(BeTrue())
+		Expect(node.Replace(&e, platform.Listing{Version: 100, Rows: []platform.Row{row("b", 9)}}, 2)).To(BeTrue())
+		late := platform.Listing{Version: 96, Rows: []platform.Row{row("a", 95)}}
+		Expect(node.Update(&e, late, 3)).To(BeEmpty())
+		Expect(node.Rows(&e)).To(Equal(map[string]int64{"b": 9}))
+	})
+
+	// Guards against the same once more removals than a node remembers have come since.
+	It("take nothing that is older than the removals which are no longer remembered", func() {
+		var e node.Entries
+		node.Replace(&e, platform.Listing{Version: 1, Rows: []platform.Row{row("a", 1)}}, 1)
+		var removals []platform.Row
+		for i := range int64(300) {
+			removals = append(removals, removal(fmt.Sprintf("r%d", i), 10+i))
+		}
+		node.Update(&e, platform.Listing{Version: 400, Rows: append(removals, removal("a", 400))}, 2)
+		Expect(node.Update(&e, platform.Listing{Version: 6, Rows: []platform.Row{row("a", 5)}}, 3)).To(BeEmpty())
+		Expect(node.Rows(&e)).To(BeEmpty())
+	})
+
 	// A follower is told of changes only, a few as they are and many packed, and one that
 	// starts of the whole table, packed some changes ago. Whichever comes, it must know what
 	// the node knows that it follows, or it sends work to endpoints that have left.
