Take no endpoint back after an outage before its entry can say that it leaves

What callers would see: new streams on an engine that is about to stop, right after an outage of the store of over 4 s. Cause: an engine that says at a health check that it leaves is taken back after 4 s if its entry doesn't say so, as health answers may be false. The time ran during the outage, in which no entry can say anything, and ended at the moment of the store's return: a grace meant for false answers, applied to a withdrawal that could not be written. Entries that are missing were passed over as well. The spec fails before ("endpoint stays after all" at the return) and passes now: while the account of the store's uptime leaves a doubt, nobody is taken back, nor is an endpoint without an entry.

--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -35,13 +35,14 @@
 }
 
 // Reinstate takes back that endpoints leave which said so at their health check longer ago
-// than the given time, and returns their IDs. Their entries do not say that they leave.
+// than the given time, and returns their IDs. Their entries are there and do not say that they
+// leave.
 func (f *Fleet) Reinstate(after time.Duration) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var stayed []string
 	for e := range f.doubted {
-		if e.byHealth && f.now()-e.left >= after {
+		if e.byHealth && e.missingAt == 0 && f.now()-e.left >= after {
 			e.stay()
 			stayed = append(stayed, e.ID)
 			f.dispatchLocked(e.Service)
--- a/node/follow.go
+++ b/node/follow.go
@@ -109,9 +109,10 @@
 	return reader.DataCentre != n.settings.DataCentre && n.storeLink() != exchangev1.StoreLink_STORE_LINK_LOST
 }
 
-// reinstateEndpoints takes back what health checks said that nothing has confirmed.
+// reinstateEndpoints takes back what health checks said that no entry has confirmed. After an
+// outage the endpoints need as long to say so as to write their entries again.
 func (n *Node) reinstateEndpoints() {
-	if n.storeAway() {
+	if n.storeAway() || n.uptime.Doubt() > 0 {
 		return
 	}
 	for _, id := range n.fleet.Reinstate(healthDoubt) {
--- a/tests/node/withdrawal_test.go
+++ b/tests/node/withdrawal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -184,6 +185,41 @@
 	)
 })
 
+var _ = Describe("an engine that said at its health check during an outage of the store that it leaves", func() {
+	// Guards against engines that are taken back as soon as the store is, before their entries can
+	// say that they leave.
+	It("is not taken back before its entry can say so", func() {
+		s := newSite()
+		s.linked = true
+		leaver := s.engine("leaver", 3000)
+		s.start(2)
+		go s.send(s.nodes[1], "/drafts/1", "key")
+		Eventually(leaver.Runs, 2*time.Second).Should(HaveLen(1))
+		for i := range s.nodes {
+			s.storeLink(i).Cut()
+		}
+		time.Sleep(1500 * time.Millisecond)
+		leaver.Leave()
+		for _, n := range s.nodes {
+			Eventually(s.knows(n, "", "health check"), time.Second).Should(BeTrue())
+		}
+		time.Sleep(4500 * time.Millisecond)
+		for i := range s.nodes {
+			Expect(s.storeLink(i).Heal()).To(Succeed())
+		}
+		time.Sleep(1800 * time.Millisecond)
+		for _, n := range s.nodes {
+			Expect(s.knows(n, "leaver", "endpoint stays after all")()).To(BeFalse(), n.ip)
+		}
+		s.register("leaver", "pool", s.addresses["leaver"], "draining")
+		for _, n := range s.nodes {
+			Eventually(s.knows(n, "leaver", "leaving=true"), time.Second).Should(BeTrue(), n.ip)
+			Expect(s.send(n, "/drafts/2", "key").status).To(Equal(http.StatusServiceUnavailable))
+		}
+		Expect(leaver.Runs()).To(HaveLen(1))
+	})
+})
+
 // givenUp tells whether a node has given up an endpoint whose entry was missing.
 func (s *site) givenUp(n *member, id string) bool {
 	for line := range strings.Lines(readFile(s.dir, n.ip+".log")) {
