Share the budget for retries with nodes that are no longer heard

What endpoints would see: retries beyond the budget of all nodes together. Cause: a node shared it with the nodes that it hears. Seven nodes that a cut keeps from each other took the whole slack each: a loss of contact taken for a departure, as limits and cold endpoints don't (they count who was there in the last ten minutes). A node that has heard nobody yet shares with as many as the settings name as seeds.

--- a/node/node.go
+++ b/node/node.go
@@ -144,7 +144,7 @@
 			Slack:  s.RetrySlack,
 			Length: s.RetryWindow,
 			Now:    boottime.Now,
-			Nodes:  func() int { return len(n.gossip.Live()) + 1 },
+			Nodes:  n.retryingNodes,
 		},
 		Strikes: relay.NewStrikes(boottime.Now),
 		Claims:  relay.NewClaims(),
--- a/node/population.go
+++ b/node/population.go
@@ -98,6 +98,12 @@
 	n.roster.see(boottime.Now(), live)
 }
 
+// retryingNodes is how many nodes share the budget for retries. Those that are no longer heard
+// may be behind a cut, and retry there.
+func (n *Node) retryingNodes() int {
+	return max(len(n.gossip.Live())+1, n.population.current().Nodes, len(n.settings.Seeds))
+}
+
 func (n *Node) hasOtherSeeds() bool {
 	return len(n.settings.Seeds) > 1 || (len(n.settings.Seeds) == 1 && !n.seed())
 }
--- a/tests/node/node_test.go
+++ b/tests/node/node_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/crocusreel/crocusreel/internal/standin/admin"
+	"github.com/crocusreel/crocusreel/internal/standin/worker"
 )
 
 func events(id string, count int) string {
@@ -141,6 +142,26 @@
 		Expect(r.body).To(Equal(events(r.id, 500)))
 	})
 
+	// Guards against retries beyond the budget of all nodes together: one that no longer hears the
+	// others, which may be behind a cut and go on, takes no more than its part.
+	It("repeat no more than their part after they have lost each other", func() {
+		const calls, slack, ratio = 100, 50.0, 0.2
+		s := newSite()
+		failing := s.plainWorker(worker.Options{ID: "i1", FaultOf: func(*worker.Run) worker.Fault { return worker.Fail }})
+		s.register("i1", "app", s.addresses["i1"], "ready")
+		other := s.plainWorker(worker.Options{ID: "i2", FaultOf: func(*worker.Run) worker.Fault { return worker.Fail }})
+		s.register("i2", "app", s.addresses["i2"], "ready")
+		s.start(3)
+		s.nodes[1].Kill()
+		s.nodes[2].Kill()
+		Eventually(s.nodes[0].addresses, 7*time.Second).Should(HaveLen(1))
+		for range calls {
+			s.send(s.nodes[0], "/calls/1", "key")
+		}
+		repeats := len(failing.Runs()) + len(other.Runs()) - calls
+		Expect(float64(repeats)).To(BeNumerically("<=", ratio*calls+slack/3))
+	})
+
 	// A key is taken away while one node is frozen. When it wakes, it still knows the
 	// key; a request that waited in its socket must not run.
 	It("run nothing for a key that was taken away while they were frozen", func() {
