Count a reading of the whole table as slow only beyond the time of a held question

A reading of many pages over a slow link takes more than 100 ms. Since the questions' waits differ, it would have counted as a slow store from then on, and engines would have been asked for their health meanwhile; before, from 1.1 s on, as now.

--- a/fleet/missing.go
+++ b/fleet/missing.go
@@ -41,8 +41,8 @@
 	return missing
 }
 
-// Unvouched returns the endpoints of a service in a data centre whose entries are missing and that have not
-// said since at a health check whether they go on, for a check now.
+// Unvouched returns the endpoints of a service in a data centre whose entries are missing and
+// that have not said since at a health check whether they go on, for a check now.
 func (f *Fleet) Unvouched(service, dataCentre string) []Instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/node/entries.go
+++ b/node/entries.go
@@ -15,8 +15,8 @@
 type entries struct {
 	mu   sync.Mutex
 	rows map[string]platform.Row
-	// removed holds removals since the version floor, up to which nothing is news; a follower that knows less gets
-	// the whole table.
+	// removed holds removals since the version floor, up to which nothing is news; a follower that
+	// knows less gets the whole table.
 	removed map[string]int64
 	floor   int64
 	// version is that of the last change.
--- a/node/feed.go
+++ b/node/feed.go
@@ -195,7 +195,7 @@
 func (f *feed) begin() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.asked, f.held = boottime.Now(), 0
+	f.asked, f.held = boottime.Now(), f.wait
 	return f.asked
 }
 
