--- a/tests/node/withdrawal_test.go
+++ b/tests/node/withdrawal_test.go
@@ -116,11 +116,11 @@
 }
 
 // withdraw takes the endpoint's entry back at its moment and counts its runs when the bound is over.
-func (s *outageSite) withdraw(w *withdrawal) {
+func (s *outageSite) withdraw(w *withdrawal, bound time.Duration) {
 	time.Sleep(time.Until(s.returned.Add(w.at)))
 	w.worker.Leave()
 	s.remove(w.id)
-	time.Sleep(withdrawalBound)
+	time.Sleep(bound)
 	w.allowed = len(w.worker.Runs())
 }
 
@@ -154,7 +154,7 @@
 			s.outage(length, fail, missing...)
 			var changes sync.WaitGroup
 			for _, w := range withdrawals {
-				changes.Go(func() { s.withdraw(w) })
+				changes.Go(func() { s.withdraw(w, withdrawalBound) })
 			}
 			for _, l := range lapses {
 				changes.Go(func() {
