--- a/node/feed_test.go
+++ b/node/feed_test.go
@@ -18,9 +18,7 @@
 )
 
 var _ = Describe("a feed", func() {
-	// All nodes start at once, the store is slow with them, and thousands of endpoints come
-	// in several pages. A reading that is given up before its last page and begun anew is
-	// never done: the node would not serve until the store is quick again.
+	// Guards against a reading of many pages that is given up before its last one, again and again.
 	It("reads a table of several pages from a slow store", func() {
 		const rows, pages = 1100, 3
 		server := httptest.NewServer(standin.New(standin.Options{Latency: 600 * time.Millisecond}).Handler())
@@ -42,9 +40,7 @@
 		Eventually(listed, (pages+2)*600*time.Millisecond).Should(Receive(Equal(rows)))
 	})
 
-	// All nodes restart while the store is away. Were each of hundreds to ask as often as the
-	// few do from whom the others hear, their calls would cost more than they serve, and the
-	// store would have them to refuse as soon as it is back.
+	// Guards against hundreds of nodes that all ask a store which is away as often as the first few.
 	It("asks a store that is away rarely if nobody waits for its questions", func() {
 		var calls atomic.Int32
 		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
@@ -59,9 +55,7 @@
 		Expect(calls.Load()).To(BeNumerically("<=", 2))
 	})
 
-	// A node is cut off from the store for a while and then follows another node, which
-	// has the store. Were its own feed to count as lost for ever, it would check the health of
-	// all engines for ever.
+	// Guards against health checks of all engines for ever by a node that follows another one.
 	It("does not count as lost once another node is followed", func() {
 		var direct atomic.Bool
 		direct.Store(true)
--- a/tests/node/news_test.go
+++ b/tests/node/news_test.go
@@ -41,9 +41,8 @@
 }
 
 var _ = Describe("news that an endpoint leaves", func() {
-	// The node that reads the store for its data centre is cut off from it. The others must
-	// not follow it any more, however long the cut lasts: what it still knows it has from
-	// others, seconds late, and work would be sent to endpoints that have left.
+	// Guards against work for endpoints that have left, by nodes that go on following a reader which
+	// itself learns from others, late.
 	It("reaches nodes in time whose reader is cut off from the store", func() {
 		const limit = time.Second
 		s := newSite()
@@ -63,8 +62,7 @@
 		Expect(s.knows(s.nodes[0], "x5", "leaving=true")()).To(BeTrue())
 	})
 
-	// The connections between the reader and the store go silent without an end. Nobody
-	// hears anything until the reader's question is given up.
+	// Guards against news that waits for the end of a question which is never answered.
 	It("reaches nodes in time when the reader's connections go silent", func() {
 		s := newSite()
 		s.linked = true
@@ -77,10 +75,8 @@
 		}
 	})
 
-	// Two things happen at once or one soon after the other: the reader hears nothing of the
-	// store any more, and the first node of another data centre, which follows it, stands
-	// still. The other node of that data centre passes over the one, then over the other, and
-	// an endpoint leaves in the meantime. Work sent to it after two seconds would be lost.
+	// Guards against two waits that add up: for a reader that hears nothing, then for a first node
+	// that stands still.
 	DescribeTable("reaches a node in time whose first node is frozen while the reader is cut off", func(between time.Duration) {
 		const bound = 2 * time.Second
 		s := newSite()
@@ -105,10 +101,8 @@
 		Entry("1.2 s between", 1200*time.Millisecond),
 	)
 
-	// The store turns the reader away for a second, and it alone. Right after, an endpoint
-	// takes its entry back without having said that it leaves. The reader cannot tell yet that
-	// the store was well all the time, takes the removal for one of an outage, and goes on
-	// sending work to the endpoint; so do all who follow it.
+	// Guards against a removal that is taken for a consequence of an outage, although the store
+	// turned the reader away alone.
 	It("that is gone without a word is not used after a short loss that was the reader's alone", func() {
 		const bound = 2 * time.Second
 		s := newSite()
@@ -153,9 +147,7 @@
 		}
 	})
 
-	// In a data centre of more than five nodes some follow one that itself follows. When that one
-	// stands still, alone or with the first of all, those below it wait for answers that do
-	// not come, and must find another one to follow in time.
+	// Guards against nodes that wait for one in the middle of their data centre's tree.
 	DescribeTable("reaches nodes in time that follow a frozen node which follows another",
 		func(frozen ...int) {
 			const bound = 2 * time.Second
@@ -180,7 +172,7 @@
 		Entry("the one in the middle and the first", 0, 1),
 	)
 
-	// The reader stands still. Its followers wait for an answer that does not come.
+	// Guards against followers that wait for a frozen reader.
 	It("reaches nodes in time whose reader is frozen", func() {
 		s := newSite()
 		s.app("i1")
@@ -194,9 +186,8 @@
 })
 
 var _ = Describe("an endpoint that starts again under its ID", func() {
-	// An engine dies without a word and starts again at another address before its entry
-	// has expired. The caller's draft is lost; it must hear so at once, and not after the
-	// seconds in which a silent connection times out.
+	// Guards against callers who wait for the time-out of a silent connection to an engine that has
+	// started again elsewhere.
 	It("ends the streams of its earlier start at once", func() {
 		s := newSite()
 		s.linked = true
@@ -221,8 +212,7 @@
 })
 
 var _ = Describe("an entry that no endpoint wrote", func() {
-	// Somebody else writes to the endpoints' table. Work must not go by it, and the other
-	// endpoints must go on serving.
+	// Guards against work that goes by rows which somebody else wrote.
 	It("is not used, and costs no other its place", func() {
 		s := newSite()
 		for id, text := range map[string]string{
