Take an outage for one that entries may lapse in from 1.5 heartbeats on if a question failed

My own: the account of the store's uptime took no pause under two heartbeats (2.4 s) for an outage. Heartbeats come early: the least outage with removals was 2.05 s (none at 2.0, 1.6, 1.0), so that three in a row may fall into 1.5 heartbeats and somewhat more. A shorter pause alone would doubt withdrawals when the node that asks the store dies, as others take over within 2 s. What tells the two apart is whether a question failed, of this node or of one that tells the others so: if so 1.5 heartbeats count, else 2. The model's heartbeats come up to a sixth early now; a test of the two pauses and an entry of the specs of real nodes are new.

--- a/knowledge/uptime_test.go
+++ b/knowledge/uptime_test.go
@@ -16,6 +16,8 @@
 	// after an outage in which the entries that expired in it are written again.
 	expiry       = 3 * heartbeat
 	promisedBack = 2 * time.Second
+	// noticed is the length of an outage from which a question has failed and all nodes know it.
+	noticed = 1600 * time.Millisecond
 	// settled bounds the time from the store's return until nothing is doubted any more, at a
 	// node that gets its answers.
 	settled = 2200 * time.Millisecond
@@ -23,7 +25,8 @@
 
 // livingEndpoint writes its entry at each heartbeat at which the store is up.
 type livingEndpoint struct {
-	phase time.Duration
+	// interval is the time between two heartbeats, about that of the settings.
+	phase, interval time.Duration
 	// back is when, after an outage in which its entry has expired, it writes it again.
 	back time.Duration
 }
@@ -51,7 +54,7 @@
 // present tells whether the endpoint's entry was there at a time.
 func (w *uptimeWorld) present(at time.Duration) bool {
 	written := time.Duration(0)
-	for t := w.endpoint.phase; t <= at; t += heartbeat {
+	for t := w.endpoint.phase; t <= at; t += w.endpoint.interval {
 		if again := w.writesAgain(t, written); again > 0 && again <= at {
 			written = again
 		}
@@ -82,6 +85,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := &uptimeWorld{now: 100 * time.Second, outages: []span{{from: 0, to: 50 * time.Second}}}
 		w.endpoint.phase = time.Duration(rapid.IntRange(0, 1199).Draw(t, "phase")) * time.Millisecond
+		w.endpoint.interval = time.Duration(rapid.IntRange(1000, 1200).Draw(t, "interval")) * time.Millisecond
 		w.endpoint.back = time.Duration(rapid.IntRange(0, int(promisedBack.Milliseconds())).Draw(t, "back")) * time.Millisecond
 		for range 3 {
 			w.nodes = append(w.nodes, knowledge.NewUptimeRecord(heartbeat))
@@ -115,12 +119,18 @@
 					}
 				}
 			},
-			// An outage begins only when heartbeats have got through since the last one.
+			// An outage begins only when heartbeats have got through since the last one. From noticed
+			// on all nodes know of a question that failed.
 			"outage": func(t *rapid.T) {
 				if w.now > returned()+promisedBack+heartbeat {
 					from := w.now
 					w.now += time.Duration(rapid.IntRange(100, 7000).Draw(t, "outage")) * time.Millisecond
 					w.outages = append(w.outages, span{from: from, to: w.now})
+					if w.now-from >= noticed {
+						for _, n := range w.nodes {
+							n.Failed()
+						}
+					}
 				}
 			},
 			"answer":        func(t *rapid.T) { ask(node.Draw(t, "node")) },
@@ -149,6 +159,26 @@
 	}
 }
 
+// Guards against withdrawals that are doubted because the node that asks the store has died, and
+// against living endpoints that are given up after an outage that is as short as that pause.
+func TestUptimeTellsATakeoverFromAnOutage(t *testing.T) {
+	const pause = 2100 * time.Millisecond
+	for _, failed := range []bool{false, true} {
+		r := knowledge.NewUptimeRecord(heartbeat)
+		at := time.Second
+		for ; at <= 6*time.Second; at += time.Second {
+			r.Answered(at)
+		}
+		if failed {
+			r.Failed()
+		}
+		r.Answered(at - time.Second + pause)
+		if doubted := r.Doubt() > 0; doubted != failed {
+			t.Errorf("a pause of %v, a question failed: %t, entries are doubted: %t", pause, failed, doubted)
+		}
+	}
+}
+
 // Guards against an account that never ends its doubts, or never begins them, because a clock was
 // set back, isn't told, or is told by a node that knows nothing.
 func TestUptimeOfFaultyClocks(t *testing.T) {
--- a/node/feed.go
+++ b/node/feed.go
@@ -77,6 +77,8 @@
 
 	// linkChanged is called when the store was lost or has come back; it must not block.
 	linkChanged func()
+	// unanswered is called for each question that failed; nil for nobody. It must not block.
+	unanswered func()
 	// longest bounds the time for which the store is to hold the next question; nil for no bound.
 	longest func() time.Duration
 	// learned returns the version up to which the table is known by other nodes' answers.
@@ -232,6 +234,9 @@
 		f.log.Warn("store lost", zap.String("table", f.table), zap.Error(err))
 		f.linkChanged()
 	}
+	if f.unanswered != nil {
+		f.unanswered()
+	}
 	metrics.Count("store_call_failed")
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -166,6 +166,7 @@
 		store: n.store, table: platform.TableEndpoints, wait: endpointsWait, log: log,
 		listed: n.ownEndpoints(n.endpointsListed), changed: n.ownEndpoints(n.endpointsChanged),
 		learned: n.entries.known, patience: n.storePatience, linkChanged: n.gossip.TellAll, longest: n.settlingWait,
+		unanswered: n.uptime.Failed,
 	}
 	n.endpointFeed.direct = func() bool { return n.asksStore(n.endpointFeed) }
 	return n
--- a/node/peers.go
+++ b/node/peers.go
@@ -98,6 +98,9 @@
 		})
 	}
 	n.fleet.SetRemote(s.GetAddress(), loads, waiting)
+	if s.GetStore() == exchangev1.StoreLink_STORE_LINK_LOST {
+		n.uptime.Failed()
+	}
 	n.heardLeaving(s)
 	n.heardAnnounced(s)
 	n.heardLimits(s)
--- a/tests/node/withdrawal_test.go
+++ b/tests/node/withdrawal_test.go
@@ -179,6 +179,7 @@
 			}
 		},
 		Entry("refused connections", 3*time.Second, (*rig.Link).Cut),
+		Entry("refused connections, hardly long enough for entries to lapse", 2200*time.Millisecond, (*rig.Link).Cut),
 		Entry("silent connections", 3*time.Second, func(l *rig.Link) { Expect(l.Stall(rig.Downstream)).To(Succeed()) }),
 		Entry("silent connections, longer than keys are served", 5200*time.Millisecond,
 			func(l *rig.Link) { Expect(l.Stall(rig.Downstream)).To(Succeed()) }),
