Spec of a withdrawal after a short loss: by the calls that arrive, with an endpoint that lives

Traced by its logs: the last answer before the loss of 1.0 s was 0.69 s older and the first one after it 0.17 s late, a pause of 1.86 s with failed questions, from 1.5 heartbeats (1.8 s) on an outage. That it lasted a second only, no node can know; entries do lapse from 2.05 s on. The spec demanded a line that the endpoint was given up within a second, of an endpoint that nobody listened for, so that no health check could tell and nothing could reach it. What has to hold is that an endpoint which withdraws gets nothing a second later.

--- a/tests/node/withdrawal_test.go
+++ b/tests/node/withdrawal_test.go
@@ -186,6 +186,21 @@
 	)
 })
 
+var _ = Describe("an endpoint that withdraws after a short loss of the store", func() {
+	// Guards against doubts after losses in which no entry lapses: they may look longer than they were.
+	It("gets nothing more a second later", func() {
+		s := newOutageSite()
+		w := &withdrawal{id: "withdraws", worker: s.busyApp("withdraws"), at: 300 * time.Millisecond}
+		s.load()
+		time.Sleep(2500 * time.Millisecond) // until what they knew at the start is settled
+		s.outage(time.Second, (*rig.Link).Cut)
+		s.withdraw(w, withdrawalBound)
+		Expect(w.allowed).To(BeNumerically(">", 0))
+		time.Sleep(2 * time.Second)
+		Expect(w.worker.Runs()).To(HaveLen(w.allowed))
+	})
+})
+
 var _ = Describe("an engine that said at its health check during an outage of the store that it leaves", func() {
 	// Guards against engines that are taken back as soon as the store is, before their entries can
 	// say that they leave.
