Test that a node which did not notice an outage covers it for nobody

The one planted fault that neither the model nor the other tests found: a span of another node that ends 1.5 to 2 heartbeats before the return, joined. The test finds it (planted: both checks fail) and passes on the code. No change of code.

--- a/knowledge/uptime_test.go
+++ b/knowledge/uptime_test.go
@@ -179,6 +179,23 @@
 	}
 }
 
+// Guards against living endpoints that are given up because a node which didn't notice an outage
+// tells of the time before it.
+func TestUptimeOfOthersDoesNotCoverAnOutage(t *testing.T) {
+	const before, after = 6 * time.Second, 8100 * time.Millisecond
+	told := knowledge.Uptime{Since: time.Second, Until: before}
+	r := knowledge.NewUptimeRecord(heartbeat)
+	r.Told(told)
+	r.Failed()
+	r.Answered(after)
+	if r.Heard(told) || r.Doubt() == 0 {
+		t.Errorf("an outage of %v is covered by %+v", after-before, told)
+	}
+	if r.Told(told); r.Doubt() == 0 {
+		t.Errorf("an outage of %v is covered by %+v and its entries", after-before, told)
+	}
+}
+
 // Guards against an account that never ends its doubts, or never begins them, because a clock was
 // set back, isn't told, or is told by a node that knows nothing.
 func TestUptimeOfFaultyClocks(t *testing.T) {
