--- a/node/configuration.go
+++ b/node/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/knowledge"
 	"github.com/crocusreel/crocusreel/platform"
 	"github.com/crocusreel/crocusreel/routing"
@@ -37,6 +38,11 @@
 
 func (n *Node) applyConfiguration(data []byte, rowVersion int64, confirmation knowledge.Confirmation) {
 	if known, _ := n.config.Current(); rowVersion <= known.RowVersion {
+		if rowVersion < known.RowVersion {
+			metrics.Count("configuration_outdated")
+			n.log.Info("configuration not applied: its row is older than the known one", zap.Int64("row", rowVersion),
+				zap.Int64("known", known.RowVersion))
+		}
 		n.config.Confirm(rowVersion, confirmation)
 		return
 	}
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -55,6 +55,8 @@
 	defer n.endpointUpdates.mu.Unlock()
 	if !n.endpointTable.replace(l, confirmation.AnsweredAt) {
 		metrics.Count("endpoints_outdated")
+		n.log.Info("endpoint listing not applied: it is older than the known table", zap.Int64("version", l.Version),
+			zap.Int64("known", n.endpointTable.knownVersion()))
 		return
 	}
 	n.recordUptime(updateUptime)
--- a/node/feed.go
+++ b/node/feed.go
@@ -132,7 +132,8 @@
 			return nil
 		}
 		if errors.Is(err, platform.ErrHistoryGone) {
-			f.log.Info("change history not available; reading the full table again", zap.String("table", f.table))
+			f.log.Info("change history not available; reading the full table again", zap.String("table", f.table),
+				zap.Int64("since", f.version), zap.Int64("era", f.store.Era()))
 			f.relist = true
 			continue
 		}
@@ -157,6 +158,7 @@
 		if err != nil {
 			return err
 		}
+		f.logFallenVersion(listing)
 		f.onListing(listing, knowledge.Confirmation{ConfirmedAt: sentAt, AnsweredAt: boottime.Now()})
 		f.version, f.relist = listing.Version, false
 		if f.version == 0 {
@@ -172,6 +174,7 @@
 	if err != nil {
 		return err
 	}
+	f.logFallenVersion(listing)
 	answered := boottime.Now()
 	if len(listing.Rows) == 0 {
 		f.recordDelay(answered - sentAt - wait)
@@ -184,6 +187,16 @@
 	return nil
 }
 
+// logFallenVersion logs an answer whose version is below the known one.
+func (f *feed) logFallenVersion(l platform.Listing) {
+	if l.Version >= f.version {
+		return
+	}
+	metrics.Count("store_version_fell")
+	f.log.Warn("version of the store fell", zap.String("table", f.table), zap.Int64("known", f.version),
+		zap.Int64("version", l.Version), zap.Int64("era", l.Era), zap.Int("rows", len(l.Rows)))
+}
+
 // nextWait returns the wait to request from the store for the next poll, and records it. It is 0
 // before the first answer, after a loss, and after another node was followed: an immediate answer
 // then shows how current the table is.
