--- a/internal/standin/admin/faults.go
+++ b/internal/standin/admin/faults.go
@@ -147,6 +147,10 @@
 	// DropHistory discards the change history up to now, once for each call that sets it:
 	// watchers must read whole tables again.
 	DropHistory bool `json:"drop_history,omitempty"`
+	// KeepCopy makes a copy of the store, and Restore replaces its content by the last copy and
+	// begins a new era, once for each call that sets them.
+	KeepCopy bool `json:"keep_copy,omitempty"`
+	Restore  bool `json:"restore,omitempty"`
 	// WeightsDown answers weight reservations with 503.
 	WeightsDown bool `json:"weights_down,omitempty"`
 }
--- a/internal/standin/platform/calls.go
+++ b/internal/standin/platform/calls.go
@@ -42,7 +42,8 @@
 		}
 		return s.respond(c, body(rows, false, 0))
 	}
-	rows, more, version := s.store.list(table, from, to, limit)
+	rows, more, at := s.store.list(table, from, to, limit)
+	setEra(c, at.Era)
 	op.Rows = rows
 	if limit == 1 && to == from+"\x00" {
 		op.Kind = "get"
@@ -51,7 +52,7 @@
 		}
 	}
 	s.record(op)
-	return s.respond(c, body(rows, more, version))
+	return s.respond(c, body(rows, more, at.Version))
 }
 
 // vmRows converts a list of VMs to rows of the VM table.
@@ -76,7 +77,8 @@
 }
 
 // changes serves the changes of a table after a version. It waits until there are any, at most for
-// the requested time, and answers 410 if the history no longer reaches back to the version.
+// the requested time, and answers 410 if the history no longer reaches back to the version or the
+// store does not have it.
 func (s *Server) changes(c echo.Context) error {
 	since, err := strconv.ParseInt(c.QueryParam(platform.ParamSince), 10, 64)
 	if err != nil {
@@ -89,22 +91,25 @@
 	timeout := time.NewTimer(min(milliseconds(wait), maxWait))
 	defer timeout.Stop()
 	for {
-		rows, changed, version, compacted := s.store.changesSince(c.QueryParam(platform.ParamTable), since)
-		if compacted {
+		rows, changed, at, gone := s.store.changesSince(c.QueryParam(platform.ParamTable), since)
+		setEra(c, at.Era)
+		if gone {
 			return c.NoContent(http.StatusGone)
 		}
 		if len(rows) > 0 {
-			return s.respond(c, body(rows, false, version))
+			return s.respond(c, body(rows, false, at.Version))
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return s.respond(c, body(nil, false, version))
+			return s.respond(c, body(nil, false, at.Version))
 		case <-c.Request().Context().Done():
 			abort()
 		}
-		if s.currentFaults().Unreachable {
+		if f := s.currentFaults(); f.Unreachable {
 			abort()
+		} else if f.Down {
+			return c.NoContent(http.StatusServiceUnavailable)
 		}
 	}
 }
@@ -119,17 +124,18 @@
 		abort()
 	}
 	op := admin.Operation{Kind: "commit", Txn: &txn, InvokedNS: s.nowNS()}
-	var version int64
-	op.Rows, version, op.Applied = s.store.commit(txn)
+	var at platform.Revision
+	op.Rows, at, op.Applied = s.store.commit(txn)
+	setEra(c, at.Era)
 	op.AnswerLost = op.Applied && s.loseAnswer()
 	s.record(op)
 	if op.AnswerLost {
 		abort()
 	}
 	if !op.Applied {
-		return c.JSON(http.StatusPreconditionFailed, body(nil, false, version))
+		return c.JSON(http.StatusPreconditionFailed, body(nil, false, at.Version))
 	}
-	return s.respond(c, body(nil, false, version))
+	return s.respond(c, body(nil, false, at.Version))
 }
 
 // loseAnswer decides whether the response to an applied commit is dropped.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -93,6 +94,7 @@
 		if f.Unreachable {
 			abort()
 		}
+		setEra(c, s.store.revision().Era)
 		if f.Down || f.WritesDown && limit == s.writes {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
@@ -102,10 +104,16 @@
 		if !sleepWhileConnected(c, s.options.Latency+milliseconds(f.SlowMS)) {
 			abort()
 		}
+		setEra(c, s.store.revision().Era)
 		return next(c)
 	}
 }
 
+// setEra sets the header that holds the era in which a call was served.
+func setEra(c echo.Context, era int64) {
+	c.Response().Header().Set(platform.HeaderStoreEra, strconv.FormatInt(era, 10))
+}
+
 // sleepWhileConnected waits for d and returns false if the client disconnects first. A call whose
 // client disconnects before the call is applied is not applied.
 func sleepWhileConnected(c echo.Context, d time.Duration) bool {
@@ -159,6 +167,12 @@
 	if f.DropHistory {
 		s.store.dropHistory()
 	}
+	if f.KeepCopy {
+		s.store.keepCopy()
+	}
+	if f.Restore {
+		s.store.restore()
+	}
 	return c.JSON(http.StatusOK, f)
 }
 
--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -67,6 +67,8 @@
 	keys []string
 	// configVersion is the last written version of the configuration.
 	configVersion int
+	// storeCalls counts the calls that the store got.
+	storeCalls atomic.Int64
 	// requestCount counts the requests; it makes their IDs unique.
 	requestCount atomic.Int32
 	// dir holds the settings and logs of the nodes.
@@ -98,9 +100,13 @@
 // newSite starts a store that holds a configuration. It starts no endpoints and no nodes.
 func newSite() *site {
 	GinkgoHelper()
-	server := httptest.NewServer(standin.New(standin.Options{Latency: 2 * time.Millisecond}).Handler())
-	DeferCleanup(server.Close)
 	s := &site{memory: worker.NewKVStore(), keys: []string{"key"}, dir: GinkgoT().TempDir(), addresses: make(map[string]string)}
+	store := standin.New(standin.Options{Latency: 2 * time.Millisecond}).Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		s.storeCalls.Add(1)
+		store.ServeHTTP(rw, r)
+	}))
+	DeferCleanup(server.Close)
 	s.storeAddress = strings.TrimPrefix(server.URL, "http://")
 	s.store = platform.NewStore(s.storeAddress, time.Second)
 	s.faults = admin.NewClient(s.storeAddress)
@@ -112,6 +118,12 @@
 func (s *site) configure() {
 	GinkgoHelper()
 	s.configVersion++
+	s.writeConfiguration()
+}
+
+// writeConfiguration writes the configuration in its current version.
+func (s *site) writeConfiguration() {
+	GinkgoHelper()
 	routes := []map[string]any{
 		{"name": "calls", "host": "a.example", "prefix": "/calls/", "type": "idempotent", "service": "app", "max_attempts": 2, "timeout_ms": 3000, "target_latency_ms": 200},
 		{"name": "bookings", "host": "a.example", "prefix": "/bookings/", "type": "non_idempotent", "service": "app", "max_attempts": 1, "timeout_ms": 3000},
