--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -55,6 +55,8 @@
 	Body   []byte
 	// Resumed reports that the run continues from a copy of its KV memory.
 	Resumed bool
+	// StartedAt is the time at which the run began.
+	StartedAt time.Time
 }
 
 // KVStore holds the copies and backups of the KV memory of runs, shared by engines between which
@@ -260,6 +262,7 @@
 		return
 	}
 	w.mu.Lock()
+	run.StartedAt = time.Now()
 	w.runs = append(w.runs, run)
 	w.mu.Unlock()
 	conn, _, err := rw.(http.Hijacker).Hijack()
