Lease and accepted configurations over a restoration of the platform's store

Now a row of a new era proves nothing but to a holder whose lease still runs: others wait until it has expired. A token is higher than all seen ones and than those of earlier eras (the era is its upper half). - Accepted configurations that the store lost stayed in force and were never written again; an edit on top of the copy's head was accepted under a number that was in force already, and adopted by nobody.

What stays lost: versions between the copy's head and the one in force, and unload intents.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -67,12 +67,13 @@
 		opts:       opts,
 		log:        opts.Log,
 		now:        opts.Now,
-		versions:   &versionStore{tables: opts.Platform, now: opts.Now},
 		ops:        make(chan func(*state), opQueueSize),
 		stopped:    make(chan struct{}),
 		pushSignal: make(chan struct{}, 1),
 		fetchSlot:  make(chan struct{}, 1),
 	}
+	c.versions = newVersionStore(opts.Platform, opts.Now)
+	c.versions.adopted = func() uint64 { return c.Snapshot().Version() }
 	c.reconciler = newReconciler(c)
 	self := &peerv1.Member{
 		Id:                opts.Settings.VM.ID,
--- a/controller/fakes_test.go
+++ b/controller/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -23,7 +24,11 @@
 	version int64 // of the last transaction
 	mu      sync.Mutex
 	rows    map[string]platform.Row
-	vms     []platform.VM
+	// era increases with each restore; copied and copiedVersion are what it brings back.
+	era           int64
+	copied        map[string]platform.Row
+	copiedVersion int64
+	vms           []platform.VM
 	// down makes every call fail without an effect.
 	down bool
 	// commitFault returns the outcome of the next commit; nil applies every commit.
@@ -50,7 +55,7 @@
 	refused
 )
 
-func newFakePlatform() *fakePlatform { return &fakePlatform{rows: make(map[string]platform.Row)} }
+func newFakePlatform() *fakePlatform { return &fakePlatform{rows: make(map[string]platform.Row), era: 1} }
 
 func (p *fakePlatform) set(change func(*fakePlatform)) {
 	p.mu.Lock()
@@ -65,7 +70,18 @@
 	if p.down {
 		return platform.Row{}, platform.ErrUnavailable
 	}
-	return p.rows[table+"/"+key], nil
+	row := p.rows[table+"/"+key]
+	row.Era = p.era
+	return row, nil
+}
+
+// keepCopy makes a copy of the rows; restore brings it back in a new era.
+func (p *fakePlatform) keepCopy() {
+	p.set(func(p *fakePlatform) { p.copied, p.copiedVersion = maps.Clone(p.rows), p.version })
+}
+
+func (p *fakePlatform) restore() {
+	p.set(func(p *fakePlatform) { p.rows, p.version, p.era = maps.Clone(p.copied), p.copiedVersion, p.era+1 })
 }
 
 func (p *fakePlatform) Scan(_ context.Context, _, _, _ string, _ int) ([]platform.Row, error) {
@@ -103,6 +119,9 @@
 
 func (p *fakePlatform) apply(txn platform.Txn) (platform.Revision, error) {
 	for _, c := range txn.Conditions {
+		if c.Era != 0 && c.Era != p.era {
+			return platform.Revision{}, platform.ErrConflict
+		}
 		if p.rows[c.Table+"/"+c.Key].Version != c.Version {
 			return platform.Revision{}, platform.ErrConflict
 		}
@@ -112,7 +131,7 @@
 		at := w.Table + "/" + w.Key
 		p.rows[at] = platform.Row{Table: w.Table, Key: w.Key, Value: w.Value, Version: p.version}
 	}
-	return platform.Revision{Version: p.version}, nil
+	return platform.Revision{Era: p.era, Version: p.version}, nil
 }
 
 func (p *fakePlatform) PutObject(context.Context, string, []byte) error {
--- a/controller/lease.go
+++ b/controller/lease.go
@@ -23,6 +23,9 @@
 	// skewMarginDivisor sets the extra time that a successor waits beyond the lease duration, as a
 	// fraction (duration/skewMarginDivisor). It covers clocks that run at different rates.
 	skewMarginDivisor = 4
+	// fenceEraShift is the number of bits below the store's era in a fencing token. A copy of the store
+	// holds an older token, so the era makes the next one higher than all tokens before.
+	fenceEraShift = 32
 )
 
 // leaseRow is the stored form of the lease. The lease is free if Holder is empty.
@@ -68,6 +71,11 @@
 	known    bool
 	// seenAt is when the row was first seen with revision.
 	seenAt time.Time
+	// restored is set if the row comes from a copy of the store that may be older than the last write of
+	// the lease. Whoever it names, another process may hold the lease.
+	restored bool
+	// highestFence is the highest fencing token seen.
+	highestFence uint64
 	// expiresAt is when the lease expires by the clock of this process; zero if the lease is not
 	// held.
 	expiresAt time.Time
@@ -109,7 +117,7 @@
 // acquires the lease once it is free or has expired.
 func (l *lease) renewOrAcquire(ctx context.Context, mayAcquire bool) {
 	l.mu.Lock()
-	renew := l.known && l.isHolder()
+	renew := l.known && l.isHolder() && !l.restored
 	l.mu.Unlock()
 	if renew {
 		l.writeRow(ctx, func(*leaseRow) {})
@@ -117,11 +125,18 @@
 	}
 	if mayAcquire && l.readRow(ctx) && l.acquirable() {
 		l.writeRow(ctx, func(row *leaseRow) {
-			row.Holder, row.Process, row.Fence = l.vmID, l.process, row.Fence+1
+			row.Holder, row.Process, row.Fence = l.vmID, l.process, l.nextFence(row.Fence)
 		})
 	}
 }
 
+// nextFence returns a fencing token that is higher than any that was used before.
+func (l *lease) nextFence(stored uint64) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(stored, l.highestFence, uint64(l.revision.Era)<<fenceEraShift) + 1
+}
+
 // storeIntent adds an intent to the row and reports whether it is certainly stored. A successful
 // write also shows that no other process has acquired the lease so far.
 func (l *lease) storeIntent(ctx context.Context, intent unloadIntent) bool {
@@ -167,7 +182,15 @@
 	if !l.known || row.Revision() != l.revision {
 		l.seenAt = l.now()
 	}
+	if l.revision.Version > 0 && row.Era > l.revision.Era {
+		l.restored = !l.expiresAt.After(l.now())
+		metrics.Count("lease_store_restored")
+		l.log.Warn("store was restored from a copy; the lease row may be older than the lease", zap.String("region", l.region),
+			zap.Int64("era", row.Era), zap.String("holder", stored.Holder), zap.Uint64("fence", stored.Fence),
+			zap.Uint64("highest_fence", l.highestFence), zap.Bool("held_here", !l.restored))
+	}
 	l.known, l.row, l.revision = true, stored, row.Revision()
+	l.highestFence = max(l.highestFence, stored.Fence)
 	if !l.isHolder() {
 		l.expiresAt = time.Time{}
 	}
@@ -175,12 +198,13 @@
 }
 
 // acquirable reports whether this process may acquire the lease: it is free, the row names this
-// process, or the former holder's lease has certainly expired.
+// process, or the former holder's lease has certainly expired. A row that comes from a copy of the
+// store shows neither of the first two.
 func (l *lease) acquirable() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	expired := l.now().Sub(l.seenAt) > l.duration+l.duration/skewMarginDivisor
-	return expired || l.row.Holder == "" || l.isHolder()
+	return expired || (!l.restored && (l.row.Holder == "" || l.isHolder()))
 }
 
 // writeRow applies change to the row and stores it, on condition that the stored row is still the
@@ -225,7 +249,8 @@
 		metrics.Count("lease_taken")
 		l.log.Info("lease acquired", zap.String("region", l.region), zap.Uint64("fence", row.Fence))
 	}
-	l.row, l.revision, l.known, l.seenAt = row, revision, true, writeStart
+	l.row, l.revision, l.known, l.seenAt, l.restored = row, revision, true, writeStart, false
+	l.highestFence = max(l.highestFence, row.Fence)
 	l.expiresAt = writeStart.Add(l.duration)
 	if row.Holder == "" {
 		l.expiresAt = time.Time{}
--- a/controller/reader.go
+++ b/controller/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -13,6 +14,7 @@
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/operator"
 	"github.com/crocusreel/crocusreel/peer/peerv1"
+	"github.com/crocusreel/crocusreel/platform"
 )
 
 const (
@@ -92,11 +94,14 @@
 }
 
 func (c *Controller) readHead(ctx context.Context) error {
-	head, _, err := c.versions.head(ctx)
+	head, row, err := c.versions.head(ctx)
 	if err != nil {
 		return err
 	}
-	if head.Version <= c.Snapshot().Version() {
+	switch inForce := c.Snapshot().Version(); {
+	case head.Version < inForce:
+		return c.writeAgain(ctx, head, row)
+	case head.Version == inForce:
 		return nil
 	}
 	version, err := c.versions.read(ctx, head.Version)
@@ -106,6 +111,20 @@
 	return c.adoptVersion(version)
 }
 
+// writeAgain writes the configuration in force to a platform that was restored from a copy without
+// it. If another VM does so at the same time, one of them succeeds.
+func (c *Controller) writeAgain(ctx context.Context, head operator.Version, row platform.Row) error {
+	inForce := c.Current()
+	err := c.versions.writeAgain(ctx, inForce, row)
+	c.log.Warn("platform has lost the configuration in force; writing it again", zap.Uint64("version", inForce.Version),
+		zap.String("edit_id", inForce.EditID), zap.Uint64("head", head.Version), zap.Int64("era", row.Era), zap.Error(err))
+	if errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	metrics.Count("config_written_again")
+	return err
+}
+
 func (c *Controller) adoptVersion(version operator.Version) error {
 	document, err := json.Marshal(version.Document)
 	if err != nil {
--- a/controller/versions.go
+++ b/controller/versions.go
@@ -10,6 +10,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/crocusreel/crocusreel/config"
+	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/knowledge"
 	"github.com/crocusreel/crocusreel/operator"
 	"github.com/crocusreel/crocusreel/platform"
 )
@@ -28,6 +30,20 @@
 type versionStore struct {
 	tables platform.Tables
 	now    func() time.Time
+	// restorations tracks the restorations of the platform's store from a copy.
+	restorations *knowledge.RestorationTracker
+	// adopted returns the version in force at this VM.
+	adopted func() uint64
+}
+
+// newVersionStore returns a versionStore for a VM on which no version is in force.
+func newVersionStore(tables platform.Tables, now func() time.Time) *versionStore {
+	started := now()
+	return &versionStore{
+		tables: tables, now: now,
+		restorations: knowledge.NewRestorationTracker(func() time.Duration { return now().Sub(started) }),
+		adopted:      func() uint64 { return 0 },
+	}
 }
 
 func versionKey(version uint64) string { return fmt.Sprintf("%s%012d", versionPrefix, version) }
@@ -39,6 +55,9 @@
 	if err != nil {
 		return operator.Version{}, row, eris.Wrap(err, "read configuration head")
 	}
+	if v.restorations.Observe(row.Era) {
+		metrics.Count("config_store_restored")
+	}
 	if row.Version == 0 {
 		return operator.Version{}, row, nil
 	}
@@ -92,6 +111,31 @@
 	return versions, nil
 }
 
+// writeAgain stores the version in force after the platform was restored from a copy that lacks it.
+// row is the head row of the copy. The versions between the two are lost. Errors:
+// platform.ErrConflict if another VM has written meanwhile.
+func (v *versionStore) writeAgain(ctx context.Context, inForce operator.Version, row platform.Row) error {
+	inForce.At = v.now().UTC()
+	txn, err := versionTxn(inForce, row.Revision())
+	if err != nil {
+		return err
+	}
+	_, err = v.tables.Commit(ctx, txn)
+	return eris.Wrapf(err, "write configuration %d again", inForce.Version)
+}
+
+// checkComplete returns operator.ErrPlatformUnavailable while the platform may lack accepted versions
+// after it was restored from a copy: an edit would be based on an older version.
+func (v *versionStore) checkComplete(head operator.Version) error {
+	if adopted := v.adopted(); head.Version < adopted {
+		return eris.Wrapf(operator.ErrPlatformUnavailable, "platform has lost configuration %d, its latest is %d", adopted, head.Version)
+	}
+	if left := v.restorations.GraceRemaining(); left > 0 {
+		return eris.Wrapf(operator.ErrPlatformUnavailable, "platform was restored from a copy; retry in %s", left.Round(time.Millisecond))
+	}
+	return nil
+}
+
 // apply stores an edit as the next version. The document must be valid. It fails with
 // *operator.Conflict, with operator.ErrPlatformUnavailable if this call has written nothing, or with
 // operator.ErrResultUnknown if the edit may be in force.
@@ -100,11 +144,14 @@
 	if err != nil {
 		return operator.Version{}, eris.Wrap(operator.ErrPlatformUnavailable, err.Error())
 	}
+	if err := v.checkComplete(head); err != nil {
+		return operator.Version{}, err
+	}
 	if head.Version != e.ExpectedVersion {
 		return v.resolveOutdated(ctx, e, head)
 	}
 	next := operator.Version{Version: head.Version + 1, EditID: e.EditID, At: v.now().UTC(), Document: &e.Document}
-	txn, err := versionTxn(next, row.Version)
+	txn, err := versionTxn(next, row.Revision())
 	if err != nil {
 		return operator.Version{}, err
 	}
@@ -181,7 +228,7 @@
 
 // versionTxn returns the transaction that sets the head and adds the version's own row. Both are
 // written together; otherwise a reader could find a head without its document.
-func versionTxn(next operator.Version, headRow int64) (platform.Txn, error) {
+func versionTxn(next operator.Version, headRow platform.Revision) (platform.Txn, error) {
 	full, err := json.Marshal(next)
 	if err != nil {
 		return platform.Txn{}, eris.Wrap(err, "encode configuration")
@@ -194,7 +241,7 @@
 	key := versionKey(next.Version)
 	return platform.Txn{
 		Conditions: []platform.Condition{
-			{Table: configTable, Key: headKey, Version: headRow},
+			{Table: configTable, Key: headKey, Version: headRow.Version, Era: headRow.Era},
 			{Table: configTable, Key: key, Version: 0},
 		},
 		Writes: []platform.Write{
--- a/controller/versions_test.go
+++ b/controller/versions_test.go
@@ -16,7 +16,7 @@
 	"github.com/crocusreel/crocusreel/operator"
 )
 
-func newStore(p *fakePlatform) *versionStore { return &versionStore{tables: p, now: time.Now} }
+func newStore(p *fakePlatform) *versionStore { return newVersionStore(p, time.Now) }
 
 func newEdit(base uint64, id string) operator.Edit {
 	return operator.Edit{ExpectedVersion: base, EditID: id, Document: config.Document{Base: "[service]\nname = \"" + id + "\"\n"}}
