--- a/controller/fakes_test.go
+++ b/controller/fakes_test.go
@@ -24,7 +24,7 @@
 	version int64 // of the last transaction
 	mu      sync.Mutex
 	rows    map[string]platform.Row
-	// era increases with each restore; copied and copiedVersion are what it brings back.
+	// era increases with each restore; 0 means that the platform does not report it. copied and copiedVersion are what it brings back.
 	era           int64
 	copied        map[string]platform.Row
 	copiedVersion int64
@@ -55,7 +55,7 @@
 	refused
 )
 
-func newFakePlatform() *fakePlatform { return &fakePlatform{rows: make(map[string]platform.Row), era: 1} }
+func newFakePlatform() *fakePlatform { return &fakePlatform{rows: make(map[string]platform.Row)} }
 
 func (p *fakePlatform) set(change func(*fakePlatform)) {
 	p.mu.Lock()
--- a/controller/restoration_test.go
+++ b/controller/restoration_test.go
@@ -18,6 +18,7 @@
 	// Guards against two lease holders: the copy names a former holder, whose successor may still act.
 	It("gives nobody the lease before the last holder's has expired, and no fencing token twice", func() {
 		f := newFleet(true, "e1")
+		f.platform.era = 1
 		a, b := f.newReconciler("vm-1"), f.newReconciler("vm-2")
 		a.lease.renewOrAcquire(ctx, true)
 		f.platform.keepCopy()
@@ -49,6 +50,7 @@
 	// Guards against a holder that loses its lease, and all orders with it, in each restoration.
 	It("leaves the lease to the holder that it names and that still holds it", func() {
 		f := newFleet(true, "e1")
+		f.platform.era = 1
 		a := f.newReconciler("vm-1")
 		a.lease.renewOrAcquire(ctx, true)
 		f.platform.keepCopy()
@@ -64,8 +66,11 @@
 	// Guards against accepted configurations that are lost, and against edits on top of an older one.
 	It("gets accepted configurations again, and refuses edits until it has them", func() {
 		n := newNetwork()
+		n.platform.era = 1
 		nodes := n.startAll(3)
-		apply := func(base uint64) (operator.Version, error) { return nodes[0].Apply(ctx, newEdit(base, fmt.Sprint("e", base))) }
+		apply := func(base uint64) (operator.Version, error) {
+			return nodes[0].Apply(ctx, newEdit(base, fmt.Sprint("e", base)))
+		}
 		_, err := apply(0)
 		Expect(err).NotTo(HaveOccurred())
 		n.platform.keepCopy()
