Ledger over a restoration of the platform's store: at most once where records were lost

A copy of the store lacks the latest claims and results: a repeat of a key found no record, claimed it and ran the work a second time.

Each gateway now keeps the records that it wrote within the last minute (bounded), looks every 500 ms whether the platform was restored while it has any, writes them again, and grants no claim for 2.1 s from then on: the caller gets ledger_unavailable with that time. A claim written into the new era by a gateway that learns of it by that write is withdrawn. A result that is recorded after the restoration goes on top of the restored record, or waits for the withdrawal of a rival claim.

Not kept: records of a gateway that ended, or that does not reach the platform, within the 2.1 s; results beyond 16 MB and those in the object store; a gateway that starts after the restoration knows no era before and grants at once (docs/PROOFS.md).

--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
 
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/internal/metrics"
@@ -51,6 +52,9 @@
 // holds it. If the row is unchanged, the write is repeated with the same version: at most one of
 // the two writes can be applied, and both carry the same attempt ID.
 func (a *claimAttempt) run(ctx context.Context) ClaimResult {
+	if left := a.ledger.restorations.GraceRemaining(); left > 0 {
+		return a.refuse(left, "the platform was restored from a copy; records are being written again")
+	}
 	for range maxClaimTries {
 		revision, err := a.write(ctx)
 		if err == nil {
@@ -100,7 +104,14 @@
 }
 
 func (a *claimAttempt) granted(revision platform.Revision) ClaimResult {
+	a.ledger.observeEra(revision.Era)
+	if a.ledger.restorations.GraceRemaining() > 0 {
+		// The record of an earlier attempt may have been lost.
+		a.unconfirmed = true
+		return a.unavailable()
+	}
 	a.claim.revision = revision
+	a.ledger.kept.keep(a.claim.Key, a.claim.record, a.ledger.opts.Now())
 	metrics.Count("ledger_claimed")
 	return ClaimResult{Claim: &a.claim}
 }
@@ -113,8 +124,11 @@
 		a.ledger.retryInBackground(a.withdraw)
 	}
 	a.claim.soleAttempt = a.claim.soleAttempt && !a.conflicted
-	return ClaimResult{Refusal: crocusreel.Refuse(crocusreel.ReasonLedgerUnavailable, a.claim.notRunOutcome(),
-		outageRetryAfter, "the run could not be recorded")}
+	return a.refuse(outageRetryAfter, "the run could not be recorded")
+}
+
+func (a *claimAttempt) refuse(retryAfter time.Duration, message string) ClaimResult {
+	return ClaimResult{Refusal: crocusreel.Refuse(crocusreel.ReasonLedgerUnavailable, a.claim.notRunOutcome(), retryAfter, "%s", message)}
 }
 
 // withdraw ensures that the claim does not remain in the started state. It also overwrites a row
@@ -196,9 +210,13 @@
 			break
 		}
 	}
-	if err != nil || row.Version == 0 {
+	if err != nil {
 		return row, Record{}, err
 	}
+	l.observeEra(row.Era)
+	if row.Version == 0 {
+		return row, Record{}, nil
+	}
 	var rec Record
 	if json.Unmarshal(row.Value, &rec) != nil {
 		// A record that cannot be decoded may belong to work that ran.
--- a/ledger/end.go
+++ b/ledger/end.go
@@ -72,9 +72,23 @@
 
 // endRecord replaces the started record of a held claim. A lost answer is resolved by reading the
 // row: either it has the new state, or the write is repeated with the same version.
+// recordEnd keeps the final record of a claim, or none if the work did not run.
+func (l *Ledger) recordEnd(c *Claim, rec Record) {
+	if rec.State == StateNotRun {
+		l.kept.remove(c.Key)
+		return
+	}
+	l.kept.keep(c.Key, rec, l.opts.Now())
+}
+
 func (l *Ledger) endRecord(ctx context.Context, c *Claim, rec Record) error {
-	_, err := l.writeRecord(ctx, c.Key, c.revision, rec)
-	if err == nil || errors.Is(err, platform.ErrUnavailable) {
+	written, err := l.writeRecord(ctx, c.Key, c.revision, rec)
+	if err == nil {
+		l.recordEnd(c, rec)
+		l.observeEra(written.Era)
+		return nil
+	}
+	if errors.Is(err, platform.ErrUnavailable) {
 		return err
 	}
 	row, found, readErr := l.readRecord(ctx, c.Key)
@@ -82,6 +96,11 @@
 		return readErr
 	}
 	switch {
+	case row.Era > c.revision.Era && replaceable(row, found, rec.AttemptID):
+		c.revision = row.Revision()
+		return eris.Wrap(err, "platform was restored from a copy since the claim")
+	case row.Era > c.revision.Era && found.State == StateStarted:
+		return eris.Wrap(errRivalClaim, found.AttemptID)
 	case row.Revision() == c.revision:
 		return eris.Wrap(err, "record is still in the started state")
 	case found.AttemptID == rec.AttemptID && found.State == rec.State:
--- a/ledger/interleaving_test.go
+++ b/ledger/interleaving_test.go
@@ -96,7 +96,9 @@
 		Gateway: fmt.Sprint("gw", n),
 		Now:     time.Now,
 		Workers: 1,
-		Jitter:  func(limit time.Duration) time.Duration { return limit },
+		// The driver decides about each call, and the platform is never restored.
+		WatchInterval: 24 * time.Hour,
+		Jitter:        func(limit time.Duration) time.Duration { return limit },
 		NewAttemptID: func() string {
 			ids++
 			return fmt.Sprint("attempt-", n, "-", ids)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/knowledge"
 	"github.com/crocusreel/crocusreel/platform"
 )
 
@@ -130,6 +131,9 @@
 	// InlineBytes is the size of the largest result body that is stored in the record itself;
 	// larger ones are stored in the object store. Default 16 KiB.
 	InlineBytes int
+	// WatchInterval is the interval at which a gateway that has written records recently looks whether
+	// the platform was restored from a copy. Default 500 ms.
+	WatchInterval time.Duration
 }
 
 // Ledger claims and ends records. It is safe for concurrent use.
@@ -138,6 +142,12 @@
 	objects platform.Objects
 	opts    Options
 	pool    *workerPool
+
+	restorations *knowledge.RestorationTracker
+	kept         keptRecords
+	// stopWatch ends watch, which closes watchStopped.
+	stopWatch    context.CancelFunc
+	watchStopped chan struct{}
 }
 
 // New starts a Ledger. The caller must stop it with Close.
@@ -149,13 +159,31 @@
 	if opts.Jitter == nil {
 		opts.Jitter = func(limit time.Duration) time.Duration { return rand.N(limit) + 1 }
 	}
-	return &Ledger{tables: tables, objects: objects, opts: opts, pool: newWorkerPool(opts.Workers, opts.QueueLength)}
+	setDefault(&opts.WatchInterval, defaultWatchInterval)
+	started := opts.Now()
+	l := &Ledger{
+		tables: tables, objects: objects, opts: opts, pool: newWorkerPool(opts.Workers, opts.QueueLength),
+		restorations: knowledge.NewRestorationTracker(func() time.Duration { return opts.Now().Sub(started) }),
+		kept:         keptRecords{byKey: make(map[Key]keptRecord)},
+		watchStopped: make(chan struct{}),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l.stopWatch = cancel
+	go func() {
+		defer close(l.watchStopped)
+		l.watch(ctx)
+	}()
+	return l
 }
 
 // Close stops the background work: it waits for the queued jobs until ctx is done and drops the
 // rest. Records that have not been ended then remain in the started state, which later attempts
 // read as unknown.
-func (l *Ledger) Close(ctx context.Context) { l.pool.close(ctx) }
+func (l *Ledger) Close(ctx context.Context) {
+	l.stopWatch()
+	<-l.watchStopped
+	l.pool.close(ctx)
+}
 
 func setDefault[T comparable](field *T, value T) {
 	var zero T
