Ledger: end a claim also if its record was written again meanwhile

Cause: a claim that is ended after a restoration took over the restored row's revision, and a conflict with this gateway's own rewriting of the record was then not recognised as one of a restoration: the end was given up, the record stayed started, and a repeat that may run was refused.

--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -110,7 +110,7 @@
 		a.unconfirmed = true
 		return a.unavailable()
 	}
-	a.claim.revision = revision
+	a.claim.revision, a.claim.era = revision, revision.Era
 	a.ledger.kept.keep(a.claim.Key, a.claim.record, a.ledger.opts.Now())
 	metrics.Count("ledger_claimed")
 	return ClaimResult{Claim: &a.claim}
--- a/ledger/end.go
+++ b/ledger/end.go
@@ -95,11 +95,12 @@
 	if readErr != nil {
 		return readErr
 	}
+	restored := row.Era > c.era
 	switch {
-	case row.Era > c.revision.Era && replaceable(row, found, rec.AttemptID):
+	case restored && replaceable(row, found, rec.AttemptID):
 		c.revision = row.Revision()
 		return eris.Wrap(err, "platform was restored from a copy since the claim")
-	case row.Era > c.revision.Era && found.State == StateStarted:
+	case restored && found.AttemptID != rec.AttemptID && found.State == StateStarted:
 		return eris.Wrap(errRivalClaim, found.AttemptID)
 	case row.Revision() == c.revision:
 		return eris.Wrap(err, "record is still in the started state")
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -106,6 +106,8 @@
 	record Record
 	// revision is that of the row that holds the claim.
 	revision platform.Revision
+	// era is that of the platform's store in which the claim was granted.
+	era int64
 	// soleAttempt is set if the caller stated that this is its first attempt and no record of
 	// another attempt was found.
 	soleAttempt bool
