Gossip: probe a new node again after 100 ms, then less often

Known red: "sends the full state at once to a node that has restarted quickly" failed at its first wait when the first probe left before the other node listened; the next one was due after 1 s. A node that starts beside others waits as long. A new node is now probed after 100, 200, 400, 800 ms and then each second, so a start costs three datagrams more for each address that does not answer.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -53,11 +53,14 @@
 	// falls below minLivePeriods periods, so that two datagrams may be lost.
 	maxLiveTime    = 5 * time.Second
 	minLivePeriods = 3
-	// probeInterval is the time between datagrams to a node that is not live. forgetAfter is the
-	// time without a datagram after which a node is removed; a node that was disconnected for that
-	// long finds the others through the store.
-	probeInterval = time.Second
-	forgetAfter   = time.Minute
+	// probeInterval is the time between datagrams to a node that is not live. A node that was just
+	// added is probed after minProbeInterval, and then after twice the last interval: of nodes that
+	// start at the same time, some do not receive the first probes yet. forgetAfter is the time
+	// without a datagram after which a node is removed; a node that was disconnected for that long
+	// finds the others through the store.
+	probeInterval    = time.Second
+	minProbeInterval = 100 * time.Millisecond
+	forgetAfter      = time.Minute
 	// DefaultMaxAnnounceAllNodes is the usual number of nodes up to which new work is announced to
 	// all of them at once: if nodes of other data centres learn of it late, work is sent to other
 	// data centres more often and starts later. Beyond it, the bytes sent would grow with the
@@ -94,6 +97,8 @@
 	lastReceived time.Duration
 	addedAt      time.Duration
 	lastProbe    time.Duration
+	// probeGap is the time from lastProbe to the next probe.
+	probeGap time.Duration
 	// lastFullSent is when the node was last sent a full datagram, 0 if the next one has to be
 	// full.
 	lastFullSent time.Duration
@@ -211,7 +216,7 @@
 	}
 	p, ok := g.peers[address]
 	if !ok {
-		p = &peer{Peer: Peer{Address: address}, addedAt: g.opts.Now()}
+		p = &peer{Peer: Peer{Address: address}, addedAt: g.opts.Now(), probeGap: minProbeInterval}
 		g.peers[address] = p
 	}
 	return p
@@ -448,7 +453,10 @@
 			if filter.includes(p.DataCentre) || (farDue && schedule == &g.far) || p.lastFullSent == 0 {
 				to.addLive(address, p, now, max(fullStateInterval, fullStateMinRounds*schedule.period()))
 			}
-		case p.lastProbe == 0 || now-p.lastProbe >= probeInterval:
+		case p.lastProbe == 0 || now-p.lastProbe >= p.probeGap:
+			if p.lastProbe != 0 {
+				p.probeGap = min(2*p.probeGap, probeInterval)
+			}
 			p.lastProbe = now
 			to.probed = append(to.probed, address)
 		}
