--- a/knowledge/uptime.go
+++ b/knowledge/uptime.go
@@ -57,13 +57,18 @@
 	r.failed = true
 }
 
-// BeginEra records that the store was restored from a copy, which may lack entries of live endpoints.
-// The known span ends.
-func (r *UptimeTracker) BeginEra(era int64) {
+// BeginEra records the store's era. restored is set if the store was restored from a copy since the
+// known era: the copy may lack entries of live endpoints, so the known span ends. It is not set for
+// the first era that is known.
+func (r *UptimeTracker) BeginEra(era int64, restored bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if era > r.known.Era {
+	switch {
+	case era <= r.known.Era:
+	case restored:
 		r.known, r.failed, r.restored = Uptime{Era: era}, false, true
+	default:
+		r.known.Era = era
 	}
 }
 
--- a/node/endpoint_table_test.go
+++ b/node/endpoint_table_test.go
@@ -54,6 +54,46 @@
 		Expect(node.Rows(&e)).To(BeEmpty())
 	})
 
+	// Guards against changes that are ignored because a restored store assigns their versions again, and
+	// against rows from before the restoration that come back.
+	It("begins anew with a listing of a later era, and ignores changes of any other", func() {
+		var e node.EndpointTable
+		Expect(node.Replace(&e, platform.Listing{Era: 1, Version: 50, Rows: []platform.Row{row("a", 3), row("b", 49)}}, 1)).To(BeTrue())
+		Expect(node.Update(&e, platform.Listing{Era: 2, Version: 60, Rows: []platform.Row{row("c", 60)}}, 2)).To(BeEmpty())
+		Expect(node.Replace(&e, platform.Listing{Era: 2, Version: 20, Rows: []platform.Row{row("a", 3)}}, 2)).To(BeTrue())
+		Expect(node.Rows(&e)).To(Equal(map[string]int64{"a": 3}))
+		Expect(node.Update(&e, platform.Listing{Era: 1, Version: 51, Rows: []platform.Row{row("b", 51)}}, 3)).To(BeEmpty())
+		Expect(node.Replace(&e, platform.Listing{Era: 1, Version: 52, Rows: []platform.Row{row("b", 51)}}, 3)).To(BeFalse())
+		Expect(node.Update(&e, platform.Listing{Era: 2, Version: 21, Rows: []platform.Row{removal("a", 21)}}, 4)).To(HaveLen(1))
+		Expect(node.Rows(&e)).To(BeEmpty())
+	})
+
+	// Guards against a follower that lacks rows or keeps old ones because its version is of an earlier
+	// era, and against one that knows no eras and requests the table without end.
+	DescribeTable("is sent to followers by their era",
+		func(storeEra, era, version int64, whole bool, rows int) {
+			var e node.EndpointTable
+			node.Replace(&e, platform.Listing{Era: 2, Version: 20, Rows: []platform.Row{row("a", 3), row("b", 18)}}, 1)
+			node.Update(&e, platform.Listing{Era: 2, Version: 22, Rows: []platform.Row{row("c", 22)}}, 1)
+			req := &exchangev1.SnapshotRequest{StoreEra: storeEra, EndpointsEra: era, EndpointsVersion: version}
+			resp := &exchangev1.SnapshotResponse{}
+			node.FillResponse(&e, resp, node.FollowerRevision(&e, req))
+			Expect(resp.GetEndpointsWhole()).To(Equal(whole))
+			l, err := node.ChangedRows(resp)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(l.Rows).To(HaveLen(rows))
+			Expect(l.Revision()).To(Equal(platform.Revision{Era: 2, Version: 22}))
+		},
+		Entry("of the same era, up to date", int64(2), int64(2), int64(22), false, 0),
+		Entry("of the same era, behind", int64(2), int64(2), int64(20), false, 1),
+		Entry("of the same era, far behind", int64(2), int64(2), int64(19), true, 3),
+		Entry("of an earlier era with a higher version", int64(1), int64(1), int64(50), true, 3),
+		Entry("of an earlier era with the same version", int64(1), int64(1), int64(22), true, 3),
+		Entry("of a later era", int64(3), int64(3), int64(5), false, 0),
+		Entry("that knows no eras, with a higher version", int64(0), int64(0), int64(50), false, 0),
+		Entry("that knows no eras, behind", int64(0), int64(0), int64(20), false, 1),
+	)
+
 	// Guards against followers that know less than their leader and send requests to endpoints that
 	// have left. Followers receive changes, unpacked or packed, or the full table packed some
 	// changes ago.
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -132,6 +132,12 @@
 // ChangedRows returns the changes that a response holds.
 var ChangedRows = changedRows
 
+// FollowerRevision returns the revision of the endpoints that a requesting node has.
+var FollowerRevision = (*endpointTable).followerRevision
+
+// ConfigurationNewer reports whether a configuration is newer than that of a requesting node.
+var ConfigurationNewer = configurationNewer
+
 // KnownRevision returns the revision of the latest change.
 var KnownRevision = (*endpointTable).knownRevision
 
--- a/node/feed.go
+++ b/node/feed.go
@@ -93,8 +93,8 @@
 	// position is the revision up to which changes are known; version 0 means that the full table
 	// must be read.
 	position platform.Revision
-	// gone is the last position from which the store could not continue, and goneCount the number of
-	// such answers since the last changes.
+	// gone is the position from which the store could not continue, until the table is read again;
+	// goneCount is the number of such answers since the last changes.
 	gone      platform.Revision
 	goneCount int
 
@@ -169,7 +169,7 @@
 			return err
 		}
 		f.onListing(listing, knowledge.Confirmation{ConfirmedAt: sentAt, AnsweredAt: boottime.Now()})
-		f.position = listing.Revision()
+		f.position, f.gone = listing.Revision(), platform.Revision{}
 		if f.position.Version == 0 {
 			// Nothing was ever written, so there is no version from which to wait for changes.
 			pause(ctx, emptyPause)
--- a/node/feed_test.go
+++ b/node/feed_test.go
@@ -73,6 +73,44 @@
 		Eventually(done, 2*time.Second).Should(Receive(BeNil()))
 	})
 
+	// Guards against a store that is called without a pause because it has no position to continue from:
+	// hundreds of nodes would do so at the same time.
+	It("pauses between listings if the store cannot continue from them", func() {
+		var calls atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			if strings.HasPrefix(r.URL.Path, platform.PathChanges) {
+				rw.WriteHeader(http.StatusGone)
+				return
+			}
+			_, _ = fmt.Fprint(rw, `{"rows":[],"has_more":false,"schema_version":7,"now_ms":1}`)
+		}))
+		DeferCleanup(server.Close)
+		ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+		DeferCleanup(cancel)
+		store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), time.Second)
+		Expect(node.Run(node.NewFeed(store, func() bool { return true }), ctx)).To(Succeed())
+		Expect(calls.Load()).To(BeNumerically("<=", 30))
+	})
+
+	// Guards against changes of a restored store that are applied to the state from before: the store
+	// has the version by chance, and the changes up to it were lost.
+	It("reads the table again when changes come in another era than the known state", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			rw.Header().Set(platform.HeaderStoreEra, "2")
+			_, _ = fmt.Fprint(rw, `{"rows":[],"has_more":false,"schema_version":9,"now_ms":1}`)
+		}))
+		DeferCleanup(server.Close)
+		listed := make(chan platform.Revision, 10)
+		store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), time.Second)
+		f := node.NewListingFeed(store, func(l platform.Listing) { listed <- l.Revision() })
+		node.SetVersion(f, 7)
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go func() { _ = node.Run(f, ctx) }()
+		Eventually(listed, time.Second).Should(Receive(Equal(platform.Revision{Era: 2, Version: 9})))
+	})
+
 	// Guards against overestimating the length of an outage: the store holds a poll open while
 	// nothing changes, so its return would be detected up to a second late.
 	It("detects the return of the store without a held poll", func() {
--- a/node/restoration.go
+++ b/node/restoration.go
@@ -20,7 +20,9 @@
 func (n *Node) observeEra(era int64, source string) {
 	before := n.restorations.Era()
 	n.store.ObserveEra(era)
-	if !n.restorations.Observe(era) {
+	restored := n.restorations.Observe(era)
+	n.uptime.BeginEra(era, restored)
+	if !restored {
 		return
 	}
 	metrics.Count("store_restorations")
@@ -29,7 +31,6 @@
 	n.log.Warn("store was restored from a copy", zap.Int64("era", era), zap.Int64("era_before", before), zap.String("source", source),
 		zap.Int64("config_version", known.Number()), zap.Int64("config_row", known.Revision.Version),
 		zap.Duration("config_age", ages.Confirmed), zap.Int64("endpoints_version", endpoints.Version))
-	n.uptime.BeginEra(era)
 	n.changes.notify()
 	select {
 	case n.registrationLost <- struct{}{}:
--- a/tests/node/restore_test.go
+++ b/tests/node/restore_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"slices"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,6 +21,9 @@
 	// applyBound is the time from the store's acknowledgement of a configuration after which every
 	// node applies it.
 	applyBound = 2 * time.Second
+	// callsPerNodeAndSecond is the rate of reads that a store of 6,000 a second allows each of 410
+	// nodes.
+	callsPerNodeAndSecond = 14
 	// awayTime is how long the store is away before it comes back from a copy.
 	awayTime = 700 * time.Millisecond
 )
@@ -47,6 +53,15 @@
 	return s
 }
 
+// manyNodes returns the number of nodes of the largest site, a multiple of three. MANY_NODES selects
+// another one for manual runs.
+func manyNodes() int {
+	if n, err := strconv.Atoi(os.Getenv("MANY_NODES")); err == nil {
+		return n
+	}
+	return 9
+}
+
 func (s *restoreSite) setFaults(f admin.PlatformFaults) {
 	GinkgoHelper()
 	Expect(s.faults.SetFaults(context.Background(), f)).To(Succeed())
@@ -346,6 +361,55 @@
 		Eventually(rows, 6*time.Second, 50*time.Millisecond).Should(Equal(3))
 	})
 
+	// Guards against nodes that keep serving the copy because all of them lost power, and with it what
+	// they knew, while the store was away.
+	It("has a revocation take effect after all nodes lost power meanwhile", func() {
+		s := newRestoreSite()
+		s.keepCopy()
+		s.writeElsewhere(25)
+		s.configure()
+		s.awaitConfiguration()
+		for _, n := range s.nodes {
+			n.Kill()
+		}
+		s.restore()
+		s.writeAgain()
+		for _, n := range s.nodes {
+			Expect(n.Start()).To(Succeed())
+		}
+		s.revoke()
+		s.expectRevoked()
+	})
+
+	// Guards against a site whose nodes all read both tables from the store at once when it returns.
+	It("gets few calls from many nodes right after its return", func() {
+		s := &restoreSite{site: newSite(), apps: make(map[string]*worker.Worker)}
+		s.dataCentres = slices.Repeat([]string{"dc1", "dc2", "dc3"}, manyNodes()/3)
+		s.keys = []string{"key", "other"}
+		s.configure()
+		s.apps["app-0"] = s.startApp("app-0")
+		s.launch(manyNodes())
+		for _, n := range s.nodes {
+			Eventually(n.ready, 20*time.Second, 50*time.Millisecond).Should(BeTrue(), n.ip)
+		}
+		s.keepCopy()
+		s.writeElsewhere(25)
+		s.configure()
+		s.awaitConfiguration()
+		s.restore()
+		s.writeAgain()
+		s.revoke()
+		before := s.storeCalls.Load()
+		for second := range 5 {
+			time.Sleep(time.Second)
+			calls := s.storeCalls.Load() - before
+			before += calls
+			By(fmt.Sprintf("%d calls in second %d", calls, second))
+			Expect(calls).To(BeNumerically("<=", callsPerNodeAndSecond*manyNodes()), "second %d", second)
+		}
+		s.expectRevoked()
+	})
+
 	// Guards against nodes that call the store without a pause because it does not have their version.
 	It("gets few calls from the nodes", func() {
 		s := newRestoreSite()
--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -239,6 +239,13 @@
 
 // start starts count nodes and waits until all of them list each other's addresses.
 func (s *site) start(count int) {
+	GinkgoHelper()
+	s.launch(count)
+	s.awaitAllNodes()
+}
+
+// launch starts count nodes without waiting for them.
+func (s *site) launch(count int) {
 	GinkgoHelper()
 	network := fmt.Sprintf("127.%d.%d", loopbackOctet, 100+startedSites.Add(1))
 	var seeds []string
@@ -255,7 +262,6 @@
 	for _, n := range s.nodes {
 		Expect(n.Start()).To(Succeed())
 	}
-	s.awaitAllNodes()
 }
 
 // awaitAllNodes waits until every node lists the addresses of all nodes.
