Gossip: hear a node that restarted with a lower incarnation

The incarnation of a node is its time of day at the start. If that is set back before a restart, the others ignored its datagrams as stale until they forgot the node after a minute of silence: callers were not sent there, and its load was not known. A lower incarnation is now stale only while the known one is live. The spec fails before (not live within 2 s after the loss) and passes after. The own API's membership refutes such a record and needs no change.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -219,6 +219,20 @@
 		Eventually(again.live, 500*time.Millisecond, 5*time.Millisecond).Should(ConsistOf(b.ip))
 	})
 
+	// Guards against a node that the others ignore for a minute because its time of day, from which the
+	// incarnation is taken, was set back before it restarted.
+	It("hears a node that has restarted with a lower incarnation", func() {
+		a, b := start(loopbackIP(71), 9), start(loopbackIP(72), 1)
+		a.Add(b.ip)
+		Eventually(b.live, 3*time.Second).Should(ConsistOf(a.ip))
+		a.stop()
+		again := start(a.ip, 5)
+		again.Add(b.ip)
+		Eventually(b.lostNodes, 3*time.Second).Should(ConsistOf(a.ip))
+		Eventually(b.live, 2*time.Second).Should(ConsistOf(a.ip))
+		Eventually(again.live, 2*time.Second).Should(ConsistOf(b.ip))
+	})
+
 	// Guards against a slow start of the whole system: all nodes start at once and know the seeds
 	// only. A seed that knows hundreds of nodes has seconds between its regular rounds; if it
 	// responded only then, the new nodes could not serve for as long.
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -37,7 +37,7 @@
 }
 
 // recordState records a state. It returns false if the state is not newer than the last one of its
-// node, or is brief although the addresses of that incarnation are not known.
+// live node, or is brief although the addresses of that incarnation are not known.
 func (g *Gossip) recordState(s *exchangev1.NodeState) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -46,7 +46,9 @@
 		return false
 	}
 	stale := s.GetIncarnation() == p.incarnation && s.GetSequence() <= p.sequence
-	if s.GetIncarnation() < p.incarnation || stale {
+	// Incarnations come from the time of day, which may have been set back before a restart. Late
+	// datagrams of an earlier incarnation arrive only while the later one is live.
+	if stale || (s.GetIncarnation() < p.incarnation && p.live) {
 		metrics.Count("gossip_stale")
 		return false
 	}
