--- a/knowledge/knowledge.go
+++ b/knowledge/knowledge.go
@@ -1,6 +1,6 @@
-// Package knowledge tracks what a node knows of the state in the store: the configuration and when
-// its version was last confirmed to be the newest, the evacuated data centres, and the uptime of
-// the store.
+// Package knowledge tracks what a process knows of the state in the store: the configuration and when
+// its version was last confirmed to be the newest, the evacuated data centres, the uptime of the
+// store, and its restorations from a copy.
 package knowledge
 
 import (
