Fleet: an endpoint that came back into service has not left

Found while reading the change: an endpoint that was dropped (its entry had expired) and came back within the minute before a restoration of the store was taken for one that has left, and got nothing for 4 s. The spec fails before and passes after.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -185,6 +185,9 @@
 		f.services[in.Service] = append(f.services[in.Service], e)
 	}
 	hasLeft := e.missingSince != 0 || f.hasLeftLocked(e.key)
+	if !restored {
+		delete(f.left, e.key)
+	}
 	e.Slots = in.Slots
 	e.missingSince = 0
 	e.warmingUntil = f.now() + in.Warming
--- a/fleet/left_test.go
+++ b/fleet/left_test.go
@@ -72,6 +72,16 @@
 		Expect(usable("stays")).To(BeFalse())
 	})
 
+	// Guards against an endpoint in service that is taken for one that has left, because its entry had
+	// expired for a moment before.
+	It("keeps endpoints that had been dropped and came back", func() {
+		f.Remove("left", false)
+		f.Update(entry("left"))
+		load("left")
+		f.ReplaceRestored([]fleet.Instance{entry("left")})
+		Expect(usable("left")).To(BeTrue())
+	})
+
 	// Guards against new endpoints that are taken for ones that have left long ago.
 	It("takes endpoints that left long before any copy", func() {
 		f.Remove("left", false)
