--- a/tests/soak/chaos_test.go
+++ b/tests/soak/chaos_test.go
@@ -46,6 +46,8 @@
 		random := rand.New(rand.NewPCG(seed, 1<<32+uint64(injector)))
 		c.wg.Go(func() { c.run(ctx, random) })
 	}
+	random := rand.New(rand.NewPCG(seed, 1<<33))
+	c.wg.Go(func() { c.restorePlatform(ctx, random) })
 	return c
 }
 
@@ -62,7 +64,7 @@
 		c.recordError(f.begin())
 		sleep(ctx, length)
 		c.recordError(f.end())
-		c.release(f)
+		c.release(f.target)
 		sleep(ctx, pause)
 	}
 }
@@ -75,20 +77,35 @@
 }
 
 func (c *chaos) acquire(f fault) bool {
+	if !c.reserve(f.target) {
+		return false
+	}
+	c.count(f.kind)
+	return true
+}
+
+// reserve excludes other faults of a target until release. It returns false if the target has a
+// fault.
+func (c *chaos) reserve(target string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy[f.target] {
+	if c.busy[target] {
 		return false
 	}
-	c.busy[f.target] = true
-	c.counts[f.kind]++
+	c.busy[target] = true
 	return true
 }
 
-func (c *chaos) release(f fault) {
+func (c *chaos) release(target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy[target] = false
+}
+
+func (c *chaos) count(kind string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy[f.target] = false
+	c.counts[kind]++
 }
 
 func (c *chaos) recordError(err error) {
