--- a/knowledge/evacuations_test.go
+++ b/knowledge/evacuations_test.go
@@ -79,10 +79,8 @@
 	return orders
 }
 
-// Guards against an order that a node loses or restores because it learns of it from several
-// sources at once, or because the store was restored from a copy. In any order of events, the set of
-// a node equals that of the store at the node's revision, apart from lost orders, and revisions never
-// decrease.
+// Guards against a set that differs from that of the store at the node's revision, apart from lost
+// orders, because a node learns of orders from several sources or the store was restored from a copy.
 func TestEvacuationsMatchTheStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &evacuationModel{revision: platform.Revision{Era: 1, Version: 1}}
--- a/tests/node/restore_soak_test.go
+++ b/tests/node/restore_soak_test.go
@@ -86,9 +86,8 @@
 
 var _ = Describe("a random run with restorations of the store", func() {
 	for _, seed := range restoreSeeds() {
-		// Guards against revoked keys, withdrawn endpoints and evacuated data centres that are used, and
-		// against callers who are denied what the operator allows, when the store comes back from an older
-		// copy while the operator, endpoints, nodes and links change and fail.
+		// Guards against broken bounds for callers when the store comes back from an older copy while the
+		// operator, endpoints, nodes and links change and fail.
 		It(fmt.Sprintf("keeps the bounds with seed %d", seed), func() {
 			s := &restoreSoak{
 				restoreSite: &restoreSite{site: newSite(), apps: make(map[string]*worker.Worker)},
--- a/tests/soak/restoration_test.go
+++ b/tests/soak/restoration_test.go
@@ -18,9 +18,8 @@
 	rewriteSlack = time.Second
 )
 
-// restorePlatform restores the platform from older copies until ctx ends. From the copy until lost
-// records are written again, gateways and their links to the platform have no other faults: the
-// records of a gateway that fails then stay lost.
+// restorePlatform restores the platform from older copies until ctx ends. Meanwhile it keeps other
+// faults away from the gateways: the records of one that fails would stay lost.
 func (c *chaos) restorePlatform(ctx context.Context, random *rand.Rand) {
 	targets := []string{"platform"}
 	for _, v := range c.rig.VMs {
