Gossip: hear a lower incarnation 2 s after the known one was first heard

Traced by reading: the first full datagram of the restarted node was dropped while the known incarnation was live, and those after it were brief, which cannot be used without the addresses, for up to 6 s. A lower incarnation is stale only while a datagram that was sent before the restart may still arrive (2 s).

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -66,6 +66,8 @@
 	// data centres more often and starts later. Beyond it, the bytes sent would grow with the
 	// square of the number of nodes.
 	DefaultMaxAnnounceAllNodes = 128
+	// maxDatagramDelay is the time within which a datagram arrives that was sent before a later one.
+	maxDatagramDelay = 2 * time.Second
 	// maxDatagramBytes bounds a datagram in bytes, so that it fits into one packet of the network.
 	maxDatagramBytes = 1400
 	// maxKnownDiscovered bounds the addresses of other nodes in a datagram to a newly discovered
@@ -92,6 +94,8 @@
 	Peer
 	// incarnation and sequence identify the newest state that was received.
 	incarnation, sequence uint64
+	// incarnationSince is when the first state of this incarnation was received.
+	incarnationSince time.Duration
 	// lastReceived is when the last state was received, addedAt when the node became known, and
 	// lastProbe when it was last probed.
 	lastReceived time.Duration
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -37,7 +37,7 @@
 }
 
 // recordState records a state. It returns false if the state is not newer than the last one of its
-// live node, or is brief although the addresses of that incarnation are not known.
+// node, or is brief although the addresses of that incarnation are not known.
 func (g *Gossip) recordState(s *exchangev1.NodeState) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -46,9 +46,10 @@
 		return false
 	}
 	stale := s.GetIncarnation() == p.incarnation && s.GetSequence() <= p.sequence
-	// Incarnations come from the time of day, which may have been set back before a restart. Late
-	// datagrams of an earlier incarnation arrive only while the later one is live.
-	if stale || (s.GetIncarnation() < p.incarnation && p.live) {
+	// Incarnations come from the time of day, which may have been set back before a restart. A lower
+	// one is an earlier one only if it arrives soon after the known one was first heard.
+	earlier := s.GetIncarnation() < p.incarnation && g.opts.Now()-p.incarnationSince < maxDatagramDelay
+	if stale || earlier {
 		metrics.Count("gossip_stale")
 		return false
 	}
@@ -67,6 +68,9 @@
 			g.liveCache = nil
 		}
 	}()
+	if newIncarnation {
+		p.incarnationSince = g.opts.Now()
+	}
 	p.incarnation, p.sequence = s.GetIncarnation(), s.GetSequence()
 	p.lastReceived = g.opts.Now()
 	if !p.live || p.Ready != s.GetReady() || p.Leaving != s.GetLeaving() {
