--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -38,14 +38,19 @@
 	// exchange. Without it, a connection to an endpoint that has died may stay silent until it
 	// times out. EndpointContext is nil if the death of the endpoint cannot be detected.
 	EndpointContext context.Context
+	// NewConnection makes Do open a connection for the request instead of using an idle one.
+	NewConnection bool
 }
 
 // Error is the error of a failed exchange.
 type Error struct {
 	// Sent reports that the endpoint may have received the request. If it is false, the request
 	// definitely did not run.
-	Sent  bool
-	Cause error
+	Sent bool
+	// NewConnection reports that the connection could not be opened, or was opened for this
+	// exchange.
+	NewConnection bool
+	Cause         error
 }
 
 // Error implements the error interface.
@@ -109,12 +114,16 @@
 // not been read yet. Every error is an *Error. When ctx is done, the connection is closed so that
 // the endpoint stops working on the request.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	conn, err := c.getConn(ctx, address)
+	conn, err := c.getConn(ctx, address, r.NewConnection)
 	if err != nil {
-		return nil, &Error{Cause: err}
+		return nil, &Error{Cause: err, NewConnection: true}
+	}
+	resp := &Response{
+		client: c, conn: conn, address: address, stop: closeOnDone(conn, ctx, r.EndpointContext),
+		NewConnection: conn.usableUntil.IsZero(),
 	}
-	resp := &Response{client: c, conn: conn, address: address, stop: closeOnDone(conn, ctx, r.EndpointContext)}
 	if err := resp.exchange(r); err != nil {
+		err.NewConnection = resp.NewConnection
 		resp.Close()
 		switch {
 		case ctx.Err() != nil:
@@ -154,9 +163,11 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-func (c *Client) getConn(ctx context.Context, address string) (*conn, error) {
-	if kept := c.takeIdle(address); kept != nil {
-		return kept, nil
+func (c *Client) getConn(ctx context.Context, address string, newConnection bool) (*conn, error) {
+	if !newConnection {
+		if kept := c.takeIdle(address); kept != nil {
+			return kept, nil
+		}
 	}
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -225,7 +236,8 @@
 
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader
+	reader *bufio.Reader
+	// usableUntil is the end of the reuse time; zero until the first exchange has ended.
 	usableUntil time.Time
 }
 
@@ -257,6 +269,9 @@
 // or call Close.
 type Response struct {
 	*http.Response
+	// NewConnection reports that the connection was opened for this exchange.
+	NewConnection bool
+
 	client  *Client
 	conn    *conn
 	address string
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/crocusreel/crocusreel/knowledge"
 	"github.com/crocusreel/crocusreel/peer"
 	"github.com/crocusreel/crocusreel/platform"
+	"github.com/crocusreel/crocusreel/reach"
 	"github.com/crocusreel/crocusreel/relay"
 	"github.com/crocusreel/crocusreel/retry"
 )
@@ -73,6 +74,7 @@
 	population     population
 	roster         roster
 	fleet          *fleet.Fleet
+	reach          *reach.Tracker
 	gossip         *gossip.Gossip
 	relay          *relay.Relay
 	client         *h1.Client
@@ -159,7 +161,9 @@
 		Claims:  relay.NewClaims(),
 		Vacated: relay.NewVacatedRuns(boottime.Now),
 		Log:     log,
+		Reach:   reachRecorder{n},
 	}
+	n.reach = n.newReach()
 	n.relay.Vacated.Broadcast = n.gossip.AnnounceAll
 	n.relay.Strikes.Broadcast = n.gossip.AnnounceAllUrgent
 	n.relay.Claims.Broadcast = n.gossip.AnnounceAllUrgent
@@ -238,7 +242,7 @@
 	}
 	addServer(&group, peer.NewServer(n.peerHandler(), nil), peers)
 	for _, task := range []func(context.Context) error{
-		n.configFeed.run, n.endpointFeed.run, n.gossip.Run, n.join, n.follow, n.housekeeping, n.checkHealth, n.awaitSignal,
+		n.configFeed.run, n.endpointFeed.run, n.gossip.Run, n.join, n.follow, n.housekeeping, n.checkHealth, n.watchReach, n.awaitSignal,
 	} {
 		daemon.AddTask(&group, task)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/notice"
+	"github.com/crocusreel/crocusreel/reach"
 	"github.com/crocusreel/crocusreel/retry"
 	"github.com/crocusreel/crocusreel/routing"
 )
@@ -169,10 +170,20 @@
 	// Admit is called right before each new run; a refusal ends the request. It prevents work for
 	// keys that were revoked while the request waited.
 	Admit func(r *Request) *crocusreel.Refusal
+	// Reach learns from each exchange whether this node reaches the endpoints. It is nil if nobody
+	// needs to know.
+	Reach ReachRecorder
 
 	migrations migrations
 }
 
+// ReachRecorder records evidence of whether this node reaches the endpoints of a service. Its
+// methods must not block.
+type ReachRecorder interface {
+	RecordAnswer(in fleet.Instance, newConnection bool)
+	RecordFailure(in fleet.Instance, kind reach.Failure)
+}
+
 // Serve processes the request until it ends and writes the answer to sink.
 func (l *Relay) Serve(ctx context.Context, r *Request, sink Sink) Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
@@ -288,6 +299,8 @@
 	}
 	j.result.Attempts++
 	j.result.Endpoint = attempt.Instance.ID
+	stopSilence := j.watchSilence(attempt.Instance)
+	defer stopSilence()
 	resp, err := j.Client.Do(ctx, attempt.Instance.Address, &h1.Request{
 		Method:          j.r.Method,
 		Target:          j.r.Target,
@@ -300,6 +313,7 @@
 	if err == nil {
 		j.recordNotice(attempt.Instance, resp)
 	}
+	j.recordReach(attempt.Instance, resp, err)
 	return resp, err
 }
 
