--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -89,6 +89,10 @@
 	// startEngine or startPlainWorker started.
 	addresses map[string]string
 	links     []*rig.Link
+	// endpointLinks are the proxies in front of the endpoints that startApp, startEngine or
+	// startPlainWorker started, if perProcess is set: each can cut off single nodes.
+	perProcess    bool
+	endpointLinks []*rig.ProcessLink
 }
 
 // nodeProcess is the process of a node.
@@ -207,6 +211,26 @@
 	return address
 }
 
+// exposeEndpoint returns the address at which the nodes reach the endpoint that listens at target.
+func (s *site) exposeEndpoint(id, target string) string {
+	GinkgoHelper()
+	if !s.perProcess {
+		return s.exposeListener(id, target)
+	}
+	link, err := rig.NewProcessLink(target)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(link.Close)
+	s.endpointLinks = append(s.endpointLinks, link)
+	return link.Address()
+}
+
+// cutOff cuts the node off from all endpoints, or ends its cut with rig.NoCut.
+func (s *site) cutOff(n *nodeProcess, cut rig.Cut) {
+	for _, link := range s.endpointLinks {
+		link.Cut(n.Process, cut)
+	}
+}
+
 // startApp starts and registers a plain endpoint in dc1.
 func (s *site) startApp(id string) *worker.Worker {
 	GinkgoHelper()
@@ -221,7 +245,7 @@
 	w, err := worker.Start(o)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(w.Stop)
-	s.addresses[o.ID] = s.exposeListener(o.ID, w.Address())
+	s.addresses[o.ID] = s.exposeEndpoint(o.ID, w.Address())
 	return w
 }
 
@@ -232,7 +256,7 @@
 	w, err := worker.Start(worker.Options{ID: id, Events: events, EventInterval: 10 * time.Millisecond, KVStore: s.memory})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(w.Stop)
-	s.addresses[id] = s.exposeListener(id, w.Address())
+	s.addresses[id] = s.exposeEndpoint(id, w.Address())
 	s.register(id, "pool", s.addresses[id], "ready")
 	return w
 }
