--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -163,6 +163,17 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// Connects reports whether a connection to the address can be opened. It closes it again.
+func (c *Client) Connects(ctx context.Context, address string) bool {
+	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	c.OnOpen()
+	_ = raw.Close()
+	return true
+}
+
 func (c *Client) getConn(ctx context.Context, address string, newConnection bool) (*conn, error) {
 	if !newConnection {
 		if kept := c.takeIdle(address); kept != nil {
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -19,6 +19,23 @@
 	return targets
 }
 
+// OtherEndpoints returns up to n endpoints of any service, chosen at random, that differ from the
+// given one and are not known to be leaving.
+func (f *Fleet) OtherEndpoints(than Instance, n int) []Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var others []Instance
+	for _, e := range f.byID { // in random order
+		if len(others) == n {
+			break
+		}
+		if e.ID != than.ID && !e.isLeaving && e.missingSince == 0 {
+			others = append(others, e.Instance)
+		}
+	}
+	return others
+}
+
 // Count returns the number of endpoints of a service that are not known to be leaving.
 func (f *Fleet) Count(service string) int {
 	f.mu.Lock()
--- a/relay/dead_endpoint.go
+++ b/relay/dead_endpoint.go
@@ -18,11 +18,18 @@
 // those would be refused although it is harmless. An endpoint that has died refuses connections or
 // has restarted.
 
+// A node that is cut off from all endpoints is refused by live ones, too. A refused connection is
+// therefore compared with one to another endpoint.
+
+// maxComparedEndpoints is the number of other endpoints that are tried for the comparison.
+const maxComparedEndpoints = 3
+
 // deathCheckTimeout limits the connection attempt to an endpoint that broke a connection. An
 // endpoint that has died refuses within a round trip.
 const deathCheckTimeout = 50 * time.Millisecond
 
-// endpointGone reports whether the placement's incarnation of its endpoint has ended.
+// endpointGone reports whether the placement's incarnation of its endpoint seems to have ended from
+// this node's point of view.
 func (j *job) endpointGone(ctx context.Context, p *fleet.Placement) bool {
 	if p.EndpointContext().Err() != nil {
 		return true
@@ -32,12 +39,41 @@
 	return j.Client.RefusesConnections(ctx, p.Instance().Address)
 }
 
+// endpointDied reports whether the placement's incarnation of its endpoint has ended.
+func (j *job) endpointDied(ctx context.Context, p *fleet.Placement) bool {
+	if p.EndpointContext().Err() != nil {
+		return true
+	}
+	if !j.endpointGone(ctx, p) {
+		return false
+	}
+	others := j.Fleet.OtherEndpoints(p.Instance(), maxComparedEndpoints)
+	for _, other := range others {
+		if j.connects(ctx, other.Address) {
+			return true
+		}
+	}
+	if len(others) == 0 {
+		return true
+	}
+	metrics.Count("endpoint_death_not_counted")
+	j.Log.Info("death of an endpoint not counted: this node reaches no other one either", zap.String("request", j.r.ID),
+		zap.String("endpoint", p.Instance().ID), zap.Int("tried", len(others)))
+	return false
+}
+
+func (j *job) connects(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, deathCheckTimeout)
+	defer cancel()
+	return j.Client.Connects(ctx, address)
+}
+
 // strikeIfDead records a strike against the request if the placement's endpoint has died. An
 // endpoint that announced its departure is exempt, because it did not die of the request, unless
 // its incarnation is known to have ended: a restart marks the old incarnation as leaving, too.
 func (j *job) strikeIfDead(ctx context.Context, p *fleet.Placement) {
 	in := p.Instance()
-	if leaving(p) && p.EndpointContext().Err() == nil || !j.endpointGone(ctx, p) {
+	if leaving(p) && p.EndpointContext().Err() == nil || !j.endpointDied(ctx, p) {
 		return
 	}
 	strikes := j.Strikes.Add(j.r.Fingerprint, uint32(in.Incarnation().Key()))
