--- a/entry/bodies.go
+++ b/entry/bodies.go
@@ -20,6 +20,19 @@
 // NewBodyMemory returns a bound of limit bytes.
 func NewBodyMemory(limit int64) *BodyMemory { return &BodyMemory{limit: limit} }
 
+// Reserve counts n bytes against the bound. It returns false, and counts nothing, if they exceed it;
+// otherwise Release must be called with the same number.
+func (m *BodyMemory) Reserve(n int64) bool {
+	if m.used.Add(n) > m.limit {
+		m.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// Release returns what Reserve has counted.
+func (m *BodyMemory) Release(n int64) { m.used.Add(-n) }
+
 // meteredBody counts the bytes read from one request body against the common bound.
 type meteredBody struct {
 	io.Reader
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -111,7 +111,7 @@
 	if service == nil {
 		return nil, refuseNotRun(crocusreel.ReasonNoEndpoint, notReadyRetryAfter, "route %s has no service", route.Name)
 	}
-	if refusal := h.refuseLateStream(route, head.Size); refusal != nil {
+	if refusal := h.RefuseLateStream(route, head.Size); refusal != nil {
 		return nil, refusal
 	}
 	body, refusal := readBody(w, r, snapshot.Table.Limits.MaxBodyBytes)
@@ -185,9 +185,9 @@
 		ages.Confirmed.Round(time.Millisecond), ages.Answered.Round(time.Millisecond))
 }
 
-// refuseLateStream refuses a stream that may not end before this node stops. It assumes the longest
+// RefuseLateStream refuses a stream that may not end before this node stops. It assumes the longest
 // answer that the request allows.
-func (h *Handler) refuseLateStream(route *routing.Route, size relay.Size) *crocusreel.Refusal {
+func (h *Handler) RefuseLateStream(route *routing.Route, size relay.Size) *crocusreel.Refusal {
 	if !h.Gate.Leaving() || route.Kind != routing.Streaming {
 		return nil
 	}
@@ -295,6 +295,9 @@
 		zap.Duration("waited", v.Waited),
 		zap.Duration("took", time.Since(req.Received)),
 	)
+	if v.Via != "" {
+		fields = append(fields, zap.String("via", v.Via))
+	}
 	if req.Route.Kind == routing.Streaming {
 		fields = append(fields, zap.Duration("first_event", v.FirstEvent), zap.Int("events", v.Events),
 			zap.Duration("longest_gap", v.LongestGap),
--- a/exchange/exchangev1/exchange.connect.go
+++ b/exchange/exchangev1/exchange.connect.go
@@ -36,12 +36,16 @@
 const (
 	// ExchangeSnapshotProcedure is the fully-qualified name of the Exchange's Snapshot RPC.
 	ExchangeSnapshotProcedure = "/exchange.v1.Exchange/Snapshot"
+	// ExchangeForwardProcedure is the fully-qualified name of the Exchange's Forward RPC.
+	ExchangeForwardProcedure = "/exchange.v1.Exchange/Forward"
 )
 
 // ExchangeClient is a client for the exchange.v1.Exchange service.
 type ExchangeClient interface {
 	// Snapshot serves nodes that do not poll the store themselves, or that get no answer from it.
 	Snapshot(context.Context, *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error)
+	// Forward serves a request for a node that reaches no endpoint of the request's service.
+	Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.ServerStreamForClient[ForwardResponse], error)
 }
 
 // NewExchangeClient constructs a client for the exchange.v1.Exchange service. By default, it uses
@@ -61,12 +65,19 @@
 			connect.WithSchema(exchangeMethods.ByName("Snapshot")),
 			connect.WithClientOptions(opts...),
 		),
+		forward: connect.NewClient[ForwardRequest, ForwardResponse](
+			httpClient,
+			baseURL+ExchangeForwardProcedure,
+			connect.WithSchema(exchangeMethods.ByName("Forward")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // exchangeClient implements ExchangeClient.
 type exchangeClient struct {
 	snapshot *connect.Client[SnapshotRequest, SnapshotResponse]
+	forward  *connect.Client[ForwardRequest, ForwardResponse]
 }
 
 // Snapshot calls exchange.v1.Exchange.Snapshot.
@@ -74,10 +85,17 @@
 	return c.snapshot.CallUnary(ctx, req)
 }
 
+// Forward calls exchange.v1.Exchange.Forward.
+func (c *exchangeClient) Forward(ctx context.Context, req *connect.Request[ForwardRequest]) (*connect.ServerStreamForClient[ForwardResponse], error) {
+	return c.forward.CallServerStream(ctx, req)
+}
+
 // ExchangeHandler is an implementation of the exchange.v1.Exchange service.
 type ExchangeHandler interface {
 	// Snapshot serves nodes that do not poll the store themselves, or that get no answer from it.
 	Snapshot(context.Context, *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error)
+	// Forward serves a request for a node that reaches no endpoint of the request's service.
+	Forward(context.Context, *connect.Request[ForwardRequest], *connect.ServerStream[ForwardResponse]) error
 }
 
 // NewExchangeHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -93,10 +111,18 @@
 		connect.WithSchema(exchangeMethods.ByName("Snapshot")),
 		connect.WithHandlerOptions(opts...),
 	)
+	exchangeForwardHandler := connect.NewServerStreamHandler(
+		ExchangeForwardProcedure,
+		svc.Forward,
+		connect.WithSchema(exchangeMethods.ByName("Forward")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/exchange.v1.Exchange/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ExchangeSnapshotProcedure:
 			exchangeSnapshotHandler.ServeHTTP(w, r)
+		case ExchangeForwardProcedure:
+			exchangeForwardHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -109,3 +135,7 @@
 func (UnimplementedExchangeHandler) Snapshot(context.Context, *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("exchange.v1.Exchange.Snapshot is not implemented"))
 }
+
+func (UnimplementedExchangeHandler) Forward(context.Context, *connect.Request[ForwardRequest], *connect.ServerStream[ForwardResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("exchange.v1.Exchange.Forward is not implemented"))
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -87,6 +87,11 @@
 	Leaving       bool
 	// Store is the state of the node's own connection to the store.
 	Store exchangev1.StoreLink
+	// Forwards is set if the node serves requests for other nodes.
+	Forwards bool
+	// Lost holds the services of which the node reaches no endpoint, Reached those of which an
+	// endpoint has answered it recently.
+	Lost, Reached ServiceSet
 }
 
 // peer is a known node and the progress of the exchange with it.
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -85,18 +85,13 @@
 	}
 	p.live = true
 	p.Ready, p.Leaving, p.Store = s.GetReady(), s.GetLeaving(), s.GetStore()
+	p.Forwards = s.GetForwards()
+	p.Lost, p.Reached = NewServiceSet(s.GetLostServices()), NewServiceSet(s.GetReachedServices())
 	if s.GetBrief() {
 		return true
 	}
-	p.Peer = Peer{
-		Address:       s.GetAddress(),
-		CallerAddress: s.GetCallerAddress(),
-		PeerAddress:   s.GetPeerAddress(),
-		DataCentre:    s.GetDataCentre(),
-		Ready:         s.GetReady(),
-		Leaving:       s.GetLeaving(),
-		Store:         s.GetStore(),
-	}
+	p.Address, p.CallerAddress, p.PeerAddress = s.GetAddress(), s.GetCallerAddress(), s.GetPeerAddress()
+	p.DataCentre = s.GetDataCentre()
 	for _, address := range s.GetKnown() {
 		g.addLocked(address)
 	}
--- a/internal/rig/processlink.go
+++ b/internal/rig/processlink.go
@@ -1,15 +1,14 @@
 package rig
 
 import (
-	"bufio"
 	"encoding/binary"
 	"fmt"
 	"net"
 	"os"
-	"strings"
 	"sync"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 // Cut is the way in which a process is cut off from a listener.
@@ -208,7 +207,7 @@
 // if it is none of them.
 func (l *ProcessLink) ownerLocked(client net.Conn) *Process {
 	inode := socketInode(client.RemoteAddr().(*net.TCPAddr), client.LocalAddr().(*net.TCPAddr))
-	if inode == "" {
+	if inode == 0 {
 		return nil
 	}
 	for p := range l.cuts {
@@ -219,41 +218,60 @@
 	return nil
 }
 
-// socketInode returns the inode of the TCP socket with the given addresses; empty if there is none.
-func socketInode(local, remote *net.TCPAddr) string {
-	f, err := os.Open("/proc/net/tcp")
+// Layout of the messages of sock_diag(7): a request for one socket is a netlink header, eight bytes of
+// options and the socket's ID; the inode stands at a fixed offset of the answer.
+const (
+	sockDiagByFamily  = 20
+	sockDiagIDBytes   = 48
+	sockDiagBytes     = unix.SizeofNlMsghdr + 8 + sockDiagIDBytes
+	sockDiagInodeAt   = unix.SizeofNlMsghdr + 4 + sockDiagIDBytes + 16
+	sockDiagAllStates = 0xffffffff
+	sockDiagNoCookie  = 0xffffffff
+)
+
+// socketInode returns the inode of the TCP socket with the given addresses; 0 if there is none. It
+// asks the kernel for this socket alone, as /proc/net/tcp grows with every closed connection.
+func socketInode(local, remote *net.TCPAddr) uint32 {
+	fd, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_DGRAM|unix.SOCK_CLOEXEC, unix.NETLINK_SOCK_DIAG)
 	if err != nil {
-		return ""
+		return 0
 	}
-	defer func() { _ = f.Close() }()
-	const (
-		localField  = 1
-		remoteField = 2
-		inodeField  = 9
-	)
-	for lines := bufio.NewScanner(f); lines.Scan(); {
-		fields := strings.Fields(lines.Text())
-		if len(fields) > inodeField && fields[localField] == procAddress(local) && fields[remoteField] == procAddress(remote) {
-			return fields[inodeField]
-		}
+	defer func() { _ = unix.Close(fd) }()
+	m := make([]byte, 0, sockDiagBytes)
+	m = binary.NativeEndian.AppendUint32(m, sockDiagBytes)
+	m = binary.NativeEndian.AppendUint16(m, sockDiagByFamily)
+	m = binary.NativeEndian.AppendUint16(m, unix.NLM_F_REQUEST)
+	m = append(m, make([]byte, 8)...) // sequence and port
+	m = append(m, unix.AF_INET, unix.IPPROTO_TCP, 0, 0)
+	m = binary.NativeEndian.AppendUint32(m, sockDiagAllStates)
+	m = binary.BigEndian.AppendUint16(m, uint16(local.Port))
+	m = binary.BigEndian.AppendUint16(m, uint16(remote.Port))
+	m = append(append(m, local.IP.To4()...), make([]byte, 12)...)
+	m = append(append(m, remote.IP.To4()...), make([]byte, 12)...)
+	m = binary.NativeEndian.AppendUint32(m, 0) // any interface
+	m = binary.NativeEndian.AppendUint32(m, sockDiagNoCookie)
+	m = binary.NativeEndian.AppendUint32(m, sockDiagNoCookie)
+	if err := unix.Sendto(fd, m, 0, &unix.SockaddrNetlink{Family: unix.AF_NETLINK}); err != nil {
+		return 0
 	}
-	return ""
-}
-
-// procAddress returns an IPv4 address as written in /proc/net/tcp.
-func procAddress(a *net.TCPAddr) string {
-	return fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(a.IP.To4()), a.Port)
+	answer := make([]byte, 4096)
+	n, _, err := unix.Recvfrom(fd, answer, 0)
+	if err != nil || n < sockDiagInodeAt+4 || binary.NativeEndian.Uint16(answer[4:]) != sockDiagByFamily {
+		return 0
+	}
+	return binary.NativeEndian.Uint32(answer[sockDiagInodeAt:])
 }
 
 // ownsSocket reports whether the process has the socket with the given inode open.
-func ownsSocket(pid int, inode string) bool {
+func ownsSocket(pid int, inode uint32) bool {
+	want := fmt.Sprintf("socket:[%d]", inode)
 	dir := fmt.Sprintf("/proc/%d/fd", pid)
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return false
 	}
 	for _, e := range entries {
-		if name, err := os.Readlink(dir + "/" + e.Name()); err == nil && name == "socket:["+inode+"]" {
+		if name, err := os.Readlink(dir + "/" + e.Name()); err == nil && name == want {
 			return true
 		}
 	}
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -172,3 +172,20 @@
 
 // RosterCurrent returns the current list of nodes, or nil.
 func RosterCurrent(r *Roster) *fleet.Roster { return r.current.Load() }
+
+// ReachingNodes returns the nodes that callers are sent to with regard to the endpoints that they
+// reach.
+var ReachingNodes = reachingNodes
+
+// ServiceSetOf returns the set of the named services.
+func ServiceSetOf(names ...string) gossip.ServiceSet { return gossip.NewServiceSet(serviceKeys(names)) }
+
+// ForwardCandidates returns the nodes that may serve requests of a service for a node of the data
+// centre. boundRegions restricts them if it is not nil.
+func ForwardCandidates(nodes []gossip.Peer, service string, regions map[string]string, dataCentre string, boundRegions []string) []gossip.Peer {
+	v := forwardView{
+		nodes: nodes, service: gossip.KeyOf(service), regions: regions, ownDataCentre: dataCentre,
+		bound: boundRegions != nil, boundRegions: boundRegions,
+	}
+	return v.candidates(func(gossip.Peer) bool { return false })
+}
--- a/node/health.go
+++ b/node/health.go
@@ -8,7 +8,9 @@
 	"go.uber.org/zap"
 
 	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/gossip"
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/reach"
 	"github.com/crocusreel/crocusreel/routing"
 )
 
@@ -31,11 +33,12 @@
 
 // checkHealth checks endpoints of this data centre while the store does not report which ones are
 // leaving: busy engines while the store is unavailable or slow, and endpoints whose entries are
-// missing and may have been withdrawn. The first node of a data centre does it for all its nodes.
+// missing and may have been withdrawn. The first node of a data centre that has not lost the service
+// does it for all its nodes.
 func (n *Node) checkHealth(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause(ctx, healthInterval)
-		if !n.firstInDataCentre() || n.fleet.Disabled[fleet.HealthChecks] {
+		if n.fleet.Disabled[fleet.HealthChecks] {
 			continue
 		}
 		known, _ := n.config.Current()
@@ -43,7 +46,7 @@
 			continue
 		}
 		for name, service := range known.Table.Services {
-			if service.HealthPath != "" {
+			if service.HealthPath != "" && n.checksHealthOf(name) {
 				n.checkAll(ctx, n.endpointsToCheck(name, service), service.HealthPath)
 			}
 		}
@@ -70,8 +73,20 @@
 }
 
 func (n *Node) firstInDataCentre() bool {
+	return n.firstAmong(func(gossip.Peer) bool { return true })
+}
+
+// checksHealthOf reports whether this node checks the endpoints of the service in its data centre.
+func (n *Node) checksHealthOf(service string) bool {
+	key := gossip.KeyOf(service)
+	return n.reach.Verdict(service) != reach.Lost && n.firstAmong(func(p gossip.Peer) bool { return !p.Lost.Has(key) })
+}
+
+// firstAmong reports whether this node is the first one in its data centre of those that counts
+// returns true for.
+func (n *Node) firstAmong(counts func(gossip.Peer) bool) bool {
 	for _, p := range n.gossip.Live() {
-		if p.DataCentre == n.settings.DataCentre && !p.Leaving && p.Address < n.settings.IP {
+		if p.DataCentre == n.settings.DataCentre && !p.Leaving && p.Address < n.settings.IP && counts(p) {
 			return false
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -80,7 +80,13 @@
 	client         *h1.Client
 	engines        *platform.EngineClient
 	gate           *entry.Gate
-	endpointTable  endpointTable
+	entry          *entry.Handler
+	bodyMemory     *entry.BodyMemory
+	// forwards are the requests that other nodes serve for this one, forwarded counts those that
+	// this one serves for others.
+	forwards      *forwards
+	forwarded     forwardedCount
+	endpointTable endpointTable
 	// registrationLost requests to check this node's row in the store after a restoration.
 	registrationLost chan struct{}
 	endpointUpdates  endpointUpdates
@@ -120,7 +126,10 @@
 		client:           h1.NewClient(),
 		gate:             entry.NewGate(),
 		peerClient:       peer.NewHTTPClient(nil),
+		bodyMemory:       entry.NewBodyMemory(int64(requestBodiesShare * float64(s.MemoryMB) * (1 << 20))),
 	}
+	n.forwards = newForwards(n)
+	n.reach = n.newReach()
 	n.engines = platform.NewEngineClient(n.client)
 	n.client.OnOpen = func() { metrics.Count("endpoint_connections") }
 	n.gossip = gossip.New(gossip.Options{
@@ -162,8 +171,10 @@
 		Vacated: relay.NewVacatedRuns(boottime.Now),
 		Log:     log,
 		Reach:   reachRecorder{n},
+
+		Forwarder: n.forwards,
 	}
-	n.reach = n.newReach()
+	n.entry = n.newEntry()
 	n.relay.Vacated.Broadcast = n.gossip.AnnounceAll
 	n.relay.Strikes.Broadcast = n.gossip.AnnounceAllUrgent
 	n.relay.Claims.Broadcast = n.gossip.AnnounceAllUrgent
@@ -185,12 +196,12 @@
 	return n
 }
 
-func (n *Node) callerHandler() http.Handler {
+func (n *Node) newEntry() *entry.Handler {
 	h := &entry.Handler{
 		Config:     n.config,
 		Relay:      n.relay,
 		Gate:       n.gate,
-		BodyMemory: entry.NewBodyMemory(int64(requestBodiesShare * float64(n.settings.MemoryMB) * (1 << 20))),
+		BodyMemory: n.bodyMemory,
 		Freshness: entry.FreshnessLimits{
 			MaxKeyAge:    n.maxKeyAge(),
 			MaxDenialAge: maxDenialAge,
@@ -215,7 +226,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen on the caller address")
 	}
-	n.callerServer = newCallerServer(n.callerHandler(), callers)
+	n.callerServer = newCallerServer(n.entry, callers)
 	var group run.Group
 	group.Add(n.callerServer.serve, func(error) {
 		_ = callers.Close()
--- a/node/peers.go
+++ b/node/peers.go
@@ -8,7 +8,9 @@
 
 	"github.com/crocusreel/crocusreel/exchange/exchangev1"
 	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/gossip"
 	"github.com/crocusreel/crocusreel/peer"
+	"github.com/crocusreel/crocusreel/reach"
 	"github.com/crocusreel/crocusreel/relay"
 )
 
@@ -23,6 +25,10 @@
 		Ready:         n.ready(),
 		Leaving:       n.gate.Leaving(),
 		Store:         n.storeLink(),
+
+		Forwards:        true,
+		LostServices:    serviceKeys(n.reach.Services(reach.Lost)),
+		ReachedServices: serviceKeys(n.reach.Services(reach.Reached)),
 	}
 	for _, l := range n.fleet.OwnLoads() {
 		s.Loads = append(s.Loads, &exchangev1.EndpointLoad{
@@ -64,6 +70,14 @@
 	return s
 }
 
+func serviceKeys(names []string) []uint32 {
+	keys := make([]uint32, 0, len(names))
+	for _, name := range names {
+		keys = append(keys, uint32(gossip.KeyOf(name)))
+	}
+	return keys
+}
+
 // announce sends this node's state at once to the nodes of a data centre, or to all nodes if
 // dataCentre is empty.
 func (n *Node) announce(dataCentre string) {
@@ -136,11 +150,13 @@
 // forgetPeer discards the work announced by a node that is no longer live.
 func (n *Node) forgetPeer(address string) {
 	n.fleet.ForgetNode(address)
+	n.forwards.abort(address)
 	n.relay.Claims.SetRemote(address, nil)
 }
 
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(exchangev1.NewExchangeHandler(exchangeServer{n}, peer.HandlerOptions()))
+	path, handler := exchangev1.NewExchangeHandler(exchangeServer{n}, peer.HandlerOptions())
+	mux.Handle(path, withResponseController(handler))
 	return mux
 }
--- a/node/reach.go
+++ b/node/reach.go
@@ -110,6 +110,7 @@
 		zap.String("service", c.Service), zap.Int("probed", c.Probed), zap.Int("answered", c.Answered),
 		zap.Int("failed", c.Failed), zap.Duration("since_answer", c.SinceAnswer),
 	}
+	n.gossip.AnnounceAllUrgent()
 	if !c.Lost {
 		metrics.Count("reach_restored")
 		n.log.Info("endpoints within reach again", append(fields, zap.Duration("after", c.Duration))...)
@@ -117,4 +118,19 @@
 	}
 	metrics.Count("reach_lost")
 	n.log.Warn("endpoints out of reach", fields...)
+	n.suspectOtherServices(c.Service)
+}
+
+// suspectOtherServices has the endpoints of the other services probed: a node that has lost one
+// service has probably lost all.
+func (n *Node) suspectOtherServices(lost string) {
+	known, _ := n.config.Current()
+	if known.Table == nil {
+		return
+	}
+	for name := range known.Table.Services {
+		if name != lost {
+			n.reach.Suspect(name)
+		}
+	}
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -18,6 +18,7 @@
 	"github.com/crocusreel/crocusreel/gossip"
 	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/platform"
+	"github.com/crocusreel/crocusreel/reach"
 )
 
 const (
@@ -107,15 +108,48 @@
 			CallerAddress: n.settings.CallerAddress,
 			DataCentre:    n.settings.DataCentre,
 			Ready:         true,
+			Lost:          gossip.NewServiceSet(serviceKeys(n.reach.Services(reach.Lost))),
+			Reached:       gossip.NewServiceSet(serviceKeys(n.reach.Services(reach.Reached))),
 		})
 	}
 	v := addressView{
-		nodes: nodes, regions: n.settings.Regions, boundRegions: n.hostRegions(q.Host),
+		nodes: reachingNodes(nodes), regions: n.settings.Regions, boundRegions: n.hostRegions(q.Host),
 		ownDataCentre: n.settings.DataCentre, farFresh: n.gossip.FarLiveTime() <= addressFreshness,
 	}
 	return v.choose(q)
 }
 
+// reachingNodes returns the nodes that callers are sent to with regard to the endpoints that they
+// reach: all but those that have lost a service that another ready node reaches. If that leaves no
+// ready node, it returns all nodes.
+func reachingNodes(nodes []gossip.Peer) []gossip.Peer {
+	reached := make(map[gossip.ServiceKey]bool)
+	anyLost := false
+	for _, p := range nodes {
+		anyLost = anyLost || p.Lost != ""
+		if p.Ready && !p.Leaving {
+			for key := range p.Reached.All {
+				reached[key] = true
+			}
+		}
+	}
+	if !anyLost {
+		return nodes
+	}
+	var reaching []gossip.Peer
+	ready := false
+	for _, p := range nodes {
+		if !p.Lost.HasAny(reached) {
+			reaching = append(reaching, p)
+			ready = ready || p.Ready && !p.Leaving
+		}
+	}
+	if !ready {
+		return nodes
+	}
+	return reaching
+}
+
 // addressFreshness is the maximum time for which answers may name a node that is gone.
 const addressFreshness = 5 * time.Second
 
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -20,6 +20,10 @@
 	pingTimeout = 2 * time.Second
 	// headerTimeout limits the time in which a peer has to send its headers.
 	headerTimeout = 5 * time.Second
+	// streamBufferBytes and connectionBufferBytes bound what the streaming client buffers of a
+	// stream, and of all streams of a connection.
+	streamBufferBytes     = 64 << 10
+	connectionBufferBytes = 2 << 20
 	// maxIdleConnections is the maximum number of idle connections that are kept for reuse.
 	maxIdleConnections = 512
 )
@@ -37,6 +41,16 @@
 	}}
 }
 
+// NewStreamingClient returns a client for calls to peers that return long streams. The transport buffers
+// little of a stream that its reader does not read, so that the sender stops.
+func NewStreamingClient() *http.Client {
+	c := NewHTTPClient(nil)
+	config := pingConfig()
+	config.MaxReceiveBufferPerStream, config.MaxReceiveBufferPerConnection = streamBufferBytes, connectionBufferBytes
+	c.Transport.(*http.Transport).HTTP2 = config
+	return c
+}
+
 // NewServer returns a server for calls of peers. If config is not nil, the server must be started on a
 // TLS listener.
 func NewServer(handler http.Handler, config *tls.Config) *http.Server {
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -135,13 +135,15 @@
 	defer t.mu.Unlock()
 	s := t.stateLocked(service)
 	s.answeredAt = t.now()
+	refuted := newConnection
 	for endpoint, f := range s.failures {
 		if newConnection || f.kind == Silent {
 			delete(s.failures, endpoint)
+			refuted = refuted || len(s.failures) == 0
 		}
 	}
-	if !s.lost && len(s.failures) == 0 && !s.probing {
-		s.suspected, s.failedRounds = false, 0
+	if refuted && !s.lost && !s.probing {
+		s.suspected, s.failedRounds, s.probed = false, 0, 0
 	}
 }
 
@@ -171,6 +173,15 @@
 	return true
 }
 
+// Suspect has the endpoints of the service probed unless they are lost already.
+func (t *Tracker) Suspect(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.stateLocked(service); !s.lost {
+		s.suspected = true
+	}
+}
+
 // DueRounds returns the services of which a round of probes is due, and marks the rounds as begun.
 // RecordRound ends each of them.
 func (t *Tracker) DueRounds() []string {
--- a/relay/call.go
+++ b/relay/call.go
@@ -50,14 +50,18 @@
 
 // call serves a request whose answer is a single message.
 func (j *job) call(ctx context.Context) Result {
-	runs := 0
 	var errorAnswer *answer
 	for {
+		if errorAnswer == nil && j.outOfReach() {
+			if result, served := j.forward(ctx); served {
+				return result
+			}
+		}
 		p, refusal := j.place(ctx)
 		if refusal != nil {
 			return j.exhausted(ctx, errorAnswer, refusal)
 		}
-		got := j.sendOnce(ctx, p, runs)
+		got := j.sendOnce(ctx, p, j.r.Runs)
 		p.Release(got.health)
 		j.tried = append(j.tried, p.Instance().ID)
 		if got.answer != nil && !j.shouldRetryStatus(got.answer.resp.StatusCode) {
@@ -71,13 +75,13 @@
 			errorAnswer = got.answer
 		}
 		if !got.notRun {
-			runs++
+			j.r.Runs++
 			j.ran = true
 		}
 		if got.broken() {
 			j.strikeIfDead(ctx, p)
 		}
-		if ctx.Err() != nil || !j.mayRetry(got, runs) || j.strikeLimitReached() {
+		if ctx.Err() != nil || !j.mayContinue(got, j.r.Runs) || j.strikeLimitReached() {
 			return j.exhausted(ctx, errorAnswer, j.failureRefusal(got))
 		}
 		j.result.Detail = got.cause
@@ -85,10 +89,11 @@
 }
 
 // causeLost means that the connection broke before the answer, causeTruncated that it broke within
-// the answer.
+// the answer, causeUnreachable that the request could not be sent.
 const (
-	causeLost      = "connection_lost"
-	causeTruncated = "answer_truncated"
+	causeLost        = "connection_lost"
+	causeTruncated   = "answer_truncated"
+	causeUnreachable = "endpoint_unreachable"
 )
 
 // shouldRetryStatus reports whether a request whose answer has this status should be sent to
@@ -97,6 +102,12 @@
 	return j.r.Route.Kind.Repeatable() && status >= http.StatusInternalServerError
 }
 
+// mayContinue reports whether the request may be sent again, by this node or by another one. A
+// request that was never sent and is to be forwarded is not a retry.
+func (j *job) mayContinue(got attemptResult, runs int) bool {
+	return got.cause == causeUnreachable && j.outOfReach() || j.mayRetry(got, runs)
+}
+
 func (j *job) mayRetry(got attemptResult, runs int) bool {
 	if !got.notRun && (!j.r.Route.Kind.Repeatable() || runs >= j.r.Route.MaxAttempts) {
 		return false
@@ -185,7 +196,7 @@
 func sendErrorResult(err error) attemptResult {
 	var failed *h1.Error
 	if errors.As(err, &failed) && !failed.Sent {
-		return attemptResult{notRun: true, health: fleet.Unreachable, cause: "endpoint_unreachable"}
+		return attemptResult{notRun: true, health: fleet.Unreachable, cause: causeUnreachable}
 	}
 	if errors.Is(err, fleet.ErrRestarted) {
 		return attemptResult{health: fleet.Neutral, cause: causeLost}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -44,6 +44,13 @@
 	Size     Size
 	// Fingerprint identifies the work over all attempts of the caller.
 	Fingerprint Fingerprint
+	// Forwarded is set if another node has admitted the request and forwarded it to this one.
+	Forwarded bool
+	// Counted is set once the request is counted in the retry budget of a node, as a first attempt
+	// or as a retry.
+	Counted bool
+	// Runs is the number of endpoints that may have executed the request so far.
+	Runs int
 }
 
 // Size is the size of a generation as stated by its request, in tokens. It is zero for plain work.
@@ -145,7 +152,9 @@
 	Attempts int
 	Moves    int
 	Endpoint string
-	Waited   time.Duration
+	// Via is the address of the node that served the request, empty if it was this one.
+	Via    string
+	Waited time.Duration
 	// FirstEvent is the time from receipt to the first part of the answer.
 	FirstEvent time.Duration
 	Events     int
@@ -173,6 +182,8 @@
 	// Reach learns from each exchange whether this node reaches the endpoints. It is nil if nobody
 	// needs to know.
 	Reach ReachRecorder
+	// Forwarder has requests served by other nodes; nil if there are none.
+	Forwarder Forwarder
 
 	migrations migrations
 }
@@ -188,12 +199,20 @@
 func (l *Relay) Serve(ctx context.Context, r *Request, sink Sink) Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	l.Budgets.Get(r.Service.Name).RecordAttempt()
 	job := &job{Relay: l, r: r, sink: sink}
 	if n := l.Strikes.Count(r.Fingerprint); n >= strikeLimit {
 		return Result{Refusal: job.suspectRefusal(n)}
 	}
 	defer job.dropClaim()
+	if job.outOfReach() {
+		if result, served := job.forward(ctx); served {
+			return result
+		}
+	}
+	if !r.Counted {
+		l.Budgets.Get(r.Service.Name).RecordAttempt()
+		r.Counted = true
+	}
 	if r.Route.Kind == routing.Streaming {
 		return job.stream(ctx)
 	}
@@ -211,6 +230,8 @@
 	ownClaim *Claim
 	// ran is set once an endpoint may have executed the request.
 	ran bool
+	// declined is set once the request was to be forwarded and no other node accepted it.
+	declined bool
 }
 
 func (j *job) work() fleet.Work {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -86,6 +86,11 @@
 // start finds an endpoint that accepts the request. It returns a nil segment if there is none.
 func (j *job) start(ctx context.Context) (*segment, Result) {
 	for {
+		if j.outOfReach() {
+			if result, served := j.forward(ctx); served {
+				return nil, result
+			}
+		}
 		p, refusal := j.place(ctx)
 		if refusal != nil {
 			return nil, j.exhausted(ctx, nil, refusal)
@@ -109,7 +114,7 @@
 		if got.broken() {
 			j.strikeIfDead(ctx, p)
 		}
-		if ctx.Err() != nil || !j.mayRetry(got, maxSends) || j.strikeLimitReached() {
+		if ctx.Err() != nil || !j.mayContinue(got, maxSends) || j.strikeLimitReached() {
 			return nil, j.exhausted(ctx, nil, j.failureRefusal(got))
 		}
 	}
