--- a/internal/standin/worker/notices.go
+++ b/internal/standin/worker/notices.go
@@ -75,6 +75,9 @@
 // connections get theirs from responseHead.
 func (w *Worker) withNotices(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if w.breakIfDown(rw) {
+			return
+		}
 		for name, value := range w.noticeHeaders() {
 			rw.Header().Set(name, value)
 		}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -80,6 +80,10 @@
 	// event. With 0 events the worker is a plain service.
 	Events        int
 	EventInterval time.Duration
+	// Slots is the number of requests that run at a time, 0 for no limit. QueueLength further ones
+	// wait, and all others are turned away. WorkTime is the time that a plain service needs for one.
+	Slots, QueueLength int
+	WorkTime           time.Duration
 	// KVStore is shared by engines between which runs move. Engines need one.
 	KVStore *KVStore
 	// MoveTime is the time to copy the memory of a run.
@@ -113,6 +117,7 @@
 	streams        map[string]*stream
 	closedByCaller []string // IDs of streams whose connection the caller closed
 	leaving        bool
+	capacity       capacity
 	// notices are the notice headers of all responses.
 	notices map[string]string
 	// pause is the Retry-After in seconds with which all requests are refused; empty if they are
@@ -256,11 +261,12 @@
 		return
 	}
 	first, ok := w.firstEvent(r)
-	if !ok {
+	if !ok || !w.enter(r) {
 		rw.Header().Set("Crocusreel-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	defer w.leave()
 	w.mu.Lock()
 	run.StartedAt = time.Now()
 	w.runs = append(w.runs, run)
@@ -288,6 +294,7 @@
 // answer writes the response of a plain call, subject to the fault. The caller closes the
 // connection.
 func (w *Worker) answer(conn net.Conn, run Run, fault Fault) {
+	time.Sleep(w.options.WorkTime)
 	body := "answer to " + run.ID
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	text := w.responseHead(run, http.StatusOK, length) + body
