--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 REQUESTS ?= 10000
 TESTFLAGS ?=
 # WIRE_NAMES are names that only the adapter and the stand-ins may use.
-WIRE_NAMES := 'rows-(tx|get|feed)|blob-(put|get)|Crocusreel-(Attempt-Id|Expect-Instance|Response-Seal|Token-Usage|Tenant|Not-Executed|Kv-Backup|Prompt-Prefix|Cache-Hold|Pin-Ms|Instance-Id)|Kv-(From|Fetch)|kv-(move|events|handle)|Store-Era|op/config|schema_version|Server-(Limit|Leaving)'
+WIRE_NAMES := 'rows-(tx|get|feed)|blob-(put|get)|Crocusreel-(Attempt-Id|Expect-Instance|Response-Seal|Token-Usage|Tenant|Not-Executed|Kv-Backup|Prompt-Prefix|Cache-Hold|Pin-Ms|Instance-Id)|Kv-(From|Fetch)|kv-(move|events|handle)|Store-Era|op/config|schema_version|Server-(Limit|Leaving|Brittle)'
 GENERATED := '\.pb\.go$$|\.connect\.go$$'
 
 # CONCURRENT are the packages that the race detector looks at.
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -8,6 +8,8 @@
 	"errors"
 	"hash/fnv"
 	"time"
+
+	"github.com/crocusreel/crocusreel/brittle"
 )
 
 // Incarnation identifies one start of an endpoint. An endpoint that crashed can start again under
@@ -109,6 +111,17 @@
 	remote      map[string]Load
 	remoteTotal Load
 	health      health
+	// guard limits what is sent while the service is brittle. ownRejections counts the requests of
+	// this node that the instance has turned away, remoteRejections those of each other node.
+	guard            brittle.Guard
+	ownRejections    uint32
+	ownRejectedAt    time.Duration
+	remoteRejections map[string]uint32
+	// brittleSentAt is the time of the last request from this node while the service was brittle.
+	brittleSentAt time.Duration
+	// brittleRank is the rank of this node among the nodes of brittleRoster, for this instance.
+	brittleRank   int
+	brittleRoster *Roster
 	// leavingByHealth is set while the instance counts as leaving by its health check alone.
 	leavingByHealth bool
 	// leavingSince is the time at which the instance was found to be leaving.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -35,6 +35,8 @@
 	// evacuated maps each evacuated data centre to the time at which this node learned of its
 	// evacuation.
 	evacuated map[string]time.Duration
+	// overload holds what is known of the load and the brittleness of each service.
+	overload map[string]*serviceOverload
 	// nextTickAt is the time of the next call of Tick that was requested through ScheduleTick.
 	nextTickAt time.Duration
 	random     *rand.Rand
@@ -57,6 +59,9 @@
 	OnExclusion func(Exclusion)
 	// OnNotice is called for each change of an endpoint's notice. It must not block.
 	OnNotice func(NoticeChange)
+	// OnBrittle is called when the endpoints of a service become brittle or no longer are. It must
+	// not block.
+	OnBrittle func(BrittleChange)
 	// ScheduleTick schedules a call of Tick after the given time. It must not block.
 	ScheduleTick func(after time.Duration)
 }
@@ -76,9 +81,11 @@
 		remote:       make(map[string]remoteState),
 		notices:      make(map[EndpointKey]*noticeRecord),
 		left:         make(map[EndpointKey]time.Duration),
+		overload:     make(map[string]*serviceOverload),
 		Broadcast:    func(string) {},
 		OnExclusion:  func(Exclusion) {},
 		OnNotice:     func(NoticeChange) {},
+		OnBrittle:    func(BrittleChange) {},
 		ScheduleTick: func(time.Duration) {},
 		ClusterSize:  func() ClusterSize { return ClusterSize{Nodes: 1, HalfLive: true} },
 		Roster:       func() *Roster { return nil },
@@ -293,5 +300,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.pruneNoticesLocked()
+	f.endBrittleLocked()
 	f.dispatchAllLocked()
 }
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -93,6 +93,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	key := in.Incarnation().Key()
+	if n.Brittle {
+		f.recordBrittleLocked(in.Service, n.BrittleLimit, f.now(), "")
+	}
 	record := f.noticeRecordLocked(key, !n.Empty())
 	if record == nil {
 		// Record the time, so that an older limit reported by another node is not applied to an
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -111,7 +111,7 @@
 				continue
 			}
 			load := e.total()
-			if !f.fitsLocked(e, w, &load) || !f.coldLimitAllowsLocked(e, w.Service, &load, now) || !f.limitAllowsLocked(e, now) {
+			if !f.fitsLocked(e, w, &load) || !f.coldLimitAllowsLocked(e, w.Service, &load, now) || !f.limitAllowsLocked(e, now) || !f.brittleAllowsLocked(e, now) {
 				continue
 			}
 			if cost := f.costLocked(e, w, &load, now); best == nil || cost < bestCost {
@@ -159,7 +159,11 @@
 func (f *Fleet) fitsLocked(e *Endpoint, w *Work, load *Load) bool {
 	spec := w.Service.Engine
 	if spec == nil {
-		return float64(load.Count) < plainOvercommit*float64(max(e.Slots, 1))
+		overcommit := plainOvercommit
+		if f.isBrittleLocked(e.Service, f.now()) {
+			overcommit = 1
+		}
+		return float64(load.Count) < overcommit*float64(max(e.Slots, 1))
 	}
 	if load.Count >= e.Slots {
 		return false
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -18,6 +18,8 @@
 	released   bool
 	// incomingTokens is the memory, in tokens, that is being copied to the endpoint for this run.
 	incomingTokens int
+	// placedAt is the time of the placement.
+	placedAt time.Duration
 	// Waited is the time that the work spent in the queue.
 	Waited time.Duration
 }
@@ -54,11 +56,12 @@
 )
 
 func (f *Fleet) placeLocked(e *Endpoint, d Demand) *Placement {
-	p := &Placement{fleet: f, endpoint: e, demand: d, prefilling: d.Prompt > 0}
+	p := &Placement{fleet: f, endpoint: e, demand: d, prefilling: d.Prompt > 0, placedAt: f.now()}
 	f.used[e] = struct{}{}
 	now := f.now()
 	e.lastRequestAt = now
 	f.useSlotLocked(e, now)
+	e.brittleSentAt = now
 	e.own.Count++
 	e.own.Tokens += p.expectedTokens()
 	e.own.PendingPrefill += p.pendingPrefill()
@@ -149,6 +152,9 @@
 	e.own.Tokens -= p.expectedTokens()
 	e.own.PendingPrefill -= p.pendingPrefill()
 	f.recordLocked(e, r)
+	if r == Good {
+		f.overloadLocked(e.Service).recordWorkTime(f.now() - p.placedAt)
+	}
 	f.dispatchLocked(e.Service)
 	if p.demand.Prompt > 0 && f.othersWaitingLocked(e.Service) {
 		// The waiting nodes would otherwise learn of the capacity only with the next regular
@@ -174,6 +180,7 @@
 		h.failed(now, 1)
 	case Busy:
 		h.failed(now, busyWeight)
+		f.rejectedLocked(e, now)
 	case Silent:
 		h.failed(now, silentWeight)
 		h.avoid(now, silentSuspension)
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -77,6 +77,7 @@
 // ctx ends. If maxWait is 0, it does not wait.
 func (f *Fleet) Acquire(ctx context.Context, w Work, maxWait time.Duration) (*Placement, *crocusreel.Refusal) {
 	f.mu.Lock()
+	f.overloadLocked(w.Service.Name).demand.Record(f.now())
 	if refusal := f.unservableLocked(&w); refusal != nil {
 		defer f.mu.Unlock()
 		return nil, refusal
@@ -236,7 +237,7 @@
 // grantLocked grants the placement to a waiter if it is its turn.
 func (f *Fleet) grantLocked(q *queue, w *waiter, e *Endpoint) {
 	// The turns at a cold or limited endpoint already prevent simultaneous claims by several nodes.
-	pacedByEndpoint := e.limited() || (w.work.Service.Engine == nil && f.isColdLocked(e, w.work.Service, f.now()))
+	pacedByEndpoint := e.limited() || f.brittlePacedLocked(e, f.now()) || (w.work.Service.Engine == nil && f.isColdLocked(e, w.work.Service, f.now()))
 	if !pacedByEndpoint && !f.mayClaimLocked(w) {
 		return
 	}
--- a/fleet/unhealthy.go
+++ b/fleet/unhealthy.go
@@ -28,10 +28,11 @@
 // takeHealthCheckLocked reports whether a health check may be sent to the endpoint now, and counts
 // the check against the endpoint's request limit, because a check is a request too.
 func (f *Fleet) takeHealthCheckLocked(e *Endpoint, now time.Duration) bool {
-	if e.isLeaving || f.pausedLocked(e) || !f.limitAllowsLocked(e, now) {
+	if e.isLeaving || f.pausedLocked(e) || !f.limitAllowsLocked(e, now) || !f.brittleAllowsLocked(e, now) {
 		return false
 	}
 	f.useSlotLocked(e, now)
+	e.brittleSentAt = now
 	return true
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -152,6 +152,7 @@
 	n.fleet.Broadcast = n.announce
 	n.fleet.OnExclusion = n.logExclusion
 	n.fleet.OnNotice = n.logNoticeChange
+	n.fleet.OnBrittle = n.logBrittleChange
 	n.engines.OnNotice = n.fleet.RecordNoticeByAddress
 	n.fleet.ScheduleTick = func(after time.Duration) { time.AfterFunc(after, n.fleet.Tick) }
 	n.relay = &relay.Relay{
--- a/node/notices.go
+++ b/node/notices.go
@@ -59,6 +59,30 @@
 	n.fleet.RecordRemoteLimits(s.GetAddress(), reports)
 }
 
+// logBrittleChange logs that the endpoints of a service are brittle, or no longer are.
+func (n *Node) logBrittleChange(c fleet.BrittleChange) {
+	if !c.Brittle {
+		n.log.Info("endpoints are no longer brittle", zap.String("service", c.Service))
+		return
+	}
+	metrics.Count("services_brittle")
+	n.log.Info("endpoints are brittle", zap.String("service", c.Service), zap.Float64("rejections_per_second", c.PerSecond),
+		zap.String("node", c.Node), zap.Duration("age", c.Age), zap.Duration("work_time", c.WorkTime))
+}
+
+// applyPeerBrittle applies which services are brittle according to another node, and how many of its
+// requests their endpoints have turned away.
+func (n *Node) applyPeerBrittle(s *exchangev1.NodeState) {
+	for _, b := range s.GetBrittle() {
+		n.fleet.RecordRemoteBrittle(s.GetAddress(), fleet.BrittleReport{
+			Service: b.GetService(), PerSecond: b.GetRejectionsPerSecond(), Age: time.Duration(b.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	for _, r := range s.GetRejections() {
+		n.fleet.RecordRemoteRejections(s.GetAddress(), fleet.RejectionReport{Key: fleet.EndpointKey(r.GetKey()), Count: r.GetCount()})
+	}
+}
+
 // applyPeerLeaving applies which endpoints have announced to another node that they are about to
 // stop.
 func (n *Node) applyPeerLeaving(s *exchangev1.NodeState) {
--- a/node/peers.go
+++ b/node/peers.go
@@ -58,6 +58,14 @@
 			Key: uint32(l.Key), Limited: l.Limited, RequestsPerSecond: l.Limit, AgeMs: uint32(l.Age.Milliseconds()),
 		})
 	}
+	for _, b := range n.fleet.OwnBrittle() {
+		s.Brittle = append(s.Brittle, &exchangev1.BrittleService{
+			Service: b.Service, RejectionsPerSecond: b.PerSecond, AgeMs: uint32(b.Age.Milliseconds()),
+		})
+	}
+	for _, r := range n.fleet.OwnRejections() {
+		s.Rejections = append(s.Rejections, &exchangev1.EndpointRejections{Key: uint32(r.Key), Count: r.Count})
+	}
 	for _, k := range n.relay.Strikes.OwnRecent(relay.StrikeBroadcastPeriod) {
 		s.Strikes = append(s.Strikes, &exchangev1.Strike{Work: uint64(k.Work), Endpoint: k.Endpoint})
 	}
@@ -120,6 +128,7 @@
 	n.applyPeerUnhealthy(s)
 	n.applyPeerLeaving(s)
 	n.applyPeerLimits(s)
+	n.applyPeerBrittle(s)
 	if len(s.GetVacated()) > 0 {
 		runs := make([]relay.RunKey, 0, len(s.GetVacated()))
 		for _, run := range s.GetVacated() {
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -19,6 +19,11 @@
 	Limit   float64
 	// LimitErr is the error in parsing the limit; nil if there is none.
 	LimitErr error
+	// Brittle is set if the endpoint reports that it falls over if it has to turn away more than
+	// BrittleLimit requests per second for want of room. BrittleErr is the error in parsing that.
+	Brittle      bool
+	BrittleLimit float64
+	BrittleErr   error
 	// Leaving is set if the endpoint is about to stop.
 	Leaving bool
 	// Pause is how long an endpoint that refused a request asks this VM to send no further
@@ -32,7 +37,7 @@
 func (n Notice) Empty() bool { return n == Notice{} }
 
 // Err returns the errors in parsing the notice, joined; nil if there are none.
-func (n Notice) Err() error { return errors.Join(n.LimitErr, n.PauseErr) }
+func (n Notice) Err() error { return errors.Join(n.LimitErr, n.BrittleErr, n.PauseErr) }
 
 // ParseLimit parses value, the content of the named header, as a number of requests per second.
 // Limited is false if value is empty or invalid.
--- a/pace/slot.go
+++ b/pace/slot.go
@@ -21,6 +21,17 @@
 	Rank, Nodes int
 	// PerSecond is the maximum number of slots per second of all nodes together.
 	PerSecond float64
+	// Length is how long a slot can be used, 0 for SlotLength. Nodes whose slots overlap may send at
+	// the same moment.
+	Length time.Duration
+}
+
+// length returns how long a slot can be used.
+func (s Slots) length() time.Duration {
+	if s.Length > 0 {
+		return s.Length
+	}
+	return SlotLength
 }
 
 // slotsPerPeriod returns the number of slots in a period, which slightly exceeds the number of
@@ -47,7 +58,7 @@
 			return max(gap-(now-lastSent), time.Nanosecond)
 		}
 	}
-	if sinceBegin < SlotLength && (lastSent == 0 || lastSent < now-sinceBegin) {
+	if sinceBegin < s.length() && (lastSent == 0 || lastSent < now-sinceBegin) {
 		return 0
 	}
 	return period - sinceBegin
