--- /dev/null
+++ b/tests/node/reach_soak_test.go
@@ -0,0 +1,345 @@
+package node_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/internal/rig"
+	"github.com/crocusreel/crocusreel/internal/standin/admin"
+	"github.com/crocusreel/crocusreel/internal/standin/worker"
+)
+
+// reachCall is a call of a random run.
+type reachCall struct {
+	reply
+	node   int
+	path   string
+	key    string
+	sentAt time.Time
+}
+
+// reachFault is a fault of one node, or of all if node is negative.
+type reachFault struct {
+	node       int
+	begin, end time.Time
+}
+
+// reachSoak is the state of one random run in which nodes are cut off from all endpoints.
+type reachSoak struct {
+	*reachSite
+	random  *rand.Rand
+	workers []*worker.Worker
+	number  int
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	calls []reachCall
+	// nodeFaults are those of nodes and of the store, cuts those between nodes and endpoints.
+	nodeFaults, cuts []*reachFault
+	// revokedAt holds when the store acknowledged that a key was revoked.
+	revokedAt map[string]time.Time
+}
+
+// reachSeeds returns the seeds of the random runs with cuts, as soakSeeds does.
+func reachSeeds() []int {
+	if os.Getenv("SOAK_SEEDS") != "" {
+		return soakSeeds()
+	}
+	return []int{1, 2}
+}
+
+// reachNodes is the number of nodes of a random run.
+const reachNodes = 4
+
+var _ = Describe("a random run with nodes that are cut off from all endpoints", func() {
+	for _, seed := range reachSeeds() {
+		// Guards against callers that are not served, or whose work runs twice, while nodes are cut off
+		// from the endpoints and other nodes, endpoints, keys and the store change and fail.
+		It(fmt.Sprintf("keeps the bounds with seed %d", seed), func() {
+			s := &reachSoak{
+				reachSite: &reachSite{site: newSite()}, random: rand.New(rand.NewPCG(uint64(seed), 5)),
+				revokedAt: make(map[string]time.Time),
+			}
+			s.perProcess, s.linked = true, true
+			s.dataCentres = []string{"dc1", "dc1", "dc2", "dc2"}
+			s.keys = []string{"key", "key-0"}
+			s.configure()
+			for i := range 3 {
+				s.workers = append(s.workers, s.startApp(fmt.Sprintf("app-%d", i)), s.startEngine(fmt.Sprintf("engine-%d", i), 20))
+			}
+			s.launch(reachNodes)
+			for _, n := range s.nodes {
+				Eventually(n.ready, 10*time.Second, 20*time.Millisecond).Should(BeTrue())
+				s.expectCall(n)
+			}
+			stop := make(chan struct{})
+			var load sync.WaitGroup
+			for i := range 2 * callerCount {
+				load.Go(func() { s.call(i, stop) })
+			}
+			for range 2 {
+				s.playCut()
+			}
+			close(stop)
+			load.Wait()
+			s.check()
+			for _, n := range s.nodes {
+				s.expectCall(n)
+			}
+		})
+	}
+})
+
+// call sends requests of all kinds to random nodes, over connections that stay open, until stop is
+// closed.
+func (s *reachSoak) call(caller int, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(uint64(caller), 6))
+	open := &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{}}
+	defer open.CloseIdleConnections()
+	paths := []string{"/calls/1", "/bookings/1", "/drafts/1"}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
+		}
+		s.mu.Lock()
+		keys := slices.Clone(s.keys)
+		s.mu.Unlock()
+		c := reachCall{node: random.IntN(len(s.nodes)), path: paths[random.IntN(len(paths))], key: keys[random.IntN(len(keys))], sentAt: time.Now()}
+		c.reply = s.sendOver(open, s.nodes[c.node], c.path, c.key)
+		s.mu.Lock()
+		s.calls = append(s.calls, c)
+		s.mu.Unlock()
+	}
+}
+
+// sendOver is like send, over the connections of the given client.
+func (s *site) sendOver(over *http.Client, n *nodeProcess, path, key string) reply {
+	id := fmt.Sprintf("%s-%d", filepath.Base(s.dir), s.requestCount.Add(1))
+	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, callerPort, path), strings.NewReader("body"))
+	if err != nil {
+		return reply{id: id}
+	}
+	req.Host = "a.example"
+	req.Header.Set("Crocusreel-Attempt-Id", id)
+	req.Header.Set("Crocusreel-Deadline-Ms", "4000")
+	req.Header.Set("Crocusreel-Token-Usage", "1000,400")
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := over.Do(req)
+	if err != nil {
+		return reply{id: id}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return reply{id: id, status: resp.StatusCode, body: string(body), complete: err == nil}
+}
+
+// playCut cuts off some of the nodes, at times all, while other things change and fail shortly before
+// its beginning, during it and around its end.
+func (s *reachSoak) playCut() {
+	GinkgoHelper()
+	cut := []rig.Cut{rig.CutSilent, rig.CutReset, rig.CutNew}[s.random.IntN(3)]
+	order := s.random.Perm(len(s.nodes))
+	cutOff := order[:1+s.random.IntN(len(s.nodes))]
+	length := contactBound + 1500*time.Millisecond + time.Duration(s.random.IntN(1500))*time.Millisecond
+	By(fmt.Sprintf("nodes %v cut off, %v, for %v", cutOff, cut, length))
+	var changes sync.WaitGroup
+	s.disturb(&changes)
+	time.Sleep(time.Duration(s.random.IntN(400)) * time.Millisecond)
+	began := time.Now()
+	for _, i := range cutOff {
+		s.cutOff(s.nodes[i], cut)
+	}
+	for range 1 + s.random.IntN(2) {
+		time.Sleep(time.Duration(s.random.IntN(1200)) * time.Millisecond)
+		s.disturb(&changes)
+	}
+	time.Sleep(time.Until(began.Add(length)))
+	s.mu.Lock()
+	for _, i := range cutOff {
+		s.cuts = append(s.cuts, &reachFault{node: i, begin: began, end: time.Now()})
+	}
+	s.mu.Unlock()
+	for _, i := range cutOff {
+		s.cutOff(s.nodes[i], rig.NoCut)
+	}
+	time.Sleep(time.Duration(s.random.IntN(300)) * time.Millisecond)
+	s.disturb(&changes)
+	changes.Wait()
+	time.Sleep(1500 * time.Millisecond)
+}
+
+// fault records a fault from now on; the function that it returns records its end.
+func (s *reachSoak) fault(node int) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := &reachFault{node: node, begin: time.Now(), end: never}
+	s.nodeFaults = append(s.nodeFaults, f)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		f.end = time.Now()
+	}
+}
+
+// disturb makes one random change or injects one random fault, which may overlap with others.
+func (s *reachSoak) disturb(changes *sync.WaitGroup) {
+	GinkgoHelper()
+	i := s.random.IntN(len(s.nodes))
+	n := s.nodes[i]
+	length := time.Duration(s.random.IntN(1200)) * time.Millisecond
+	run := func(node int, begin, finish func()) {
+		end := s.fault(node)
+		begin()
+		changes.Go(func() {
+			defer GinkgoRecover()
+			defer end()
+			time.Sleep(length)
+			finish()
+		})
+	}
+	start := func() {
+		Expect(n.Start()).To(Succeed())
+		Eventually(n.ready, 10*time.Second, 20*time.Millisecond).Should(BeTrue())
+	}
+	kind := s.random.IntN(8)
+	By(fmt.Sprintf("disturbance %d of node %d for %v", kind, i, length))
+	switch kind {
+	case 0:
+		run(i, n.Kill, start)
+	case 1:
+		run(i, n.Terminate, func() { n.Kill(); start() })
+	case 2:
+		run(i, n.Freeze, n.Thaw)
+	case 3:
+		ctx := GinkgoT().Context()
+		run(-1, func() { Expect(s.faults.SetFaults(ctx, admin.PlatformFaults{Unreachable: true})).To(Succeed()) },
+			func() { Expect(s.faults.SetFaults(ctx, admin.PlatformFaults{})).To(Succeed()) })
+	case 4:
+		link := s.storeLink(i)
+		run(i, link.Cut, func() { Expect(link.Recreate()).To(Succeed()) })
+	case 5:
+		s.revoke()
+	case 6:
+		s.configure()
+	case 7:
+		s.replaceEngine()
+	}
+}
+
+// revoke replaces the second key by a new one.
+func (s *reachSoak) revoke() {
+	GinkgoHelper()
+	s.number++
+	s.mu.Lock()
+	old := s.keys[1]
+	s.keys = []string{"key", fmt.Sprintf("key-%d", s.number)}
+	s.mu.Unlock()
+	s.configure()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revokedAt[old] = time.Now()
+}
+
+// replaceEngine adds an engine and lets the one that was added before the last ones leave.
+func (s *reachSoak) replaceEngine() {
+	GinkgoHelper()
+	s.number++
+	s.workers = append(s.workers, s.startEngine(fmt.Sprintf("engine-new-%d", s.number), 20))
+	s.register("engine-0", "pool", s.addresses["engine-0"], "draining")
+}
+
+// excused reports whether the call's node, or the store, had a fault from contactBound before the call.
+func (s *reachSoak) excused(c reachCall) bool {
+	for _, f := range s.nodeFaults {
+		if (f.node == c.node || f.node < 0) && c.sentAt.After(f.begin.Add(-time.Second)) && c.sentAt.Before(f.end.Add(contactBound)) {
+			return true
+		}
+	}
+	return false
+}
+
+// check compares the answers to callers with the runs of the endpoints, and those at nodes that were
+// cut off with those at others.
+func (s *reachSoak) check() {
+	GinkgoHelper()
+	starts := make(map[string]int)
+	runs := make(map[string]worker.Run)
+	for _, w := range s.workers {
+		for _, run := range w.Runs() {
+			runs[run.ID] = run
+			if !run.Resumed {
+				starts[run.ID]++
+			}
+		}
+	}
+	for _, c := range s.calls {
+		if c.path != "/calls/1" {
+			Expect(starts[c.id]).To(BeNumerically("<=", 1), "%s ran %d times", c.id, starts[c.id])
+			if c.status == http.StatusServiceUnavailable {
+				Expect(starts[c.id]).To(BeZero(), "%s was told 503 and ran", c.id)
+			}
+		}
+		if at, revoked := s.revokedAt[c.key]; revoked && c.sentAt.After(at.Add(revocationBound)) {
+			Expect(starts[c.id]).To(BeZero(), "%s ran with a key revoked %v before it was sent", c.id, c.sentAt.Sub(at))
+		}
+		switch {
+		case c.status != http.StatusOK || !c.complete:
+		case c.path == "/drafts/1":
+			Expect(c.body).To(Equal(expectedEvents(c.id, 20)))
+		default:
+			Expect(c.body).To(Equal("answer to " + c.id))
+		}
+	}
+	s.checkServed()
+}
+
+// checkServed checks for each cut that did not affect all nodes that the first attempts at the nodes
+// that were cut off were served at least two thirds as often as those at the others, or that few
+// failed.
+func (s *reachSoak) checkServed() {
+	GinkgoHelper()
+	cuts := make(map[time.Time][]*reachFault)
+	for _, cut := range s.cuts {
+		cuts[cut.begin] = append(cuts[cut.begin], cut)
+	}
+	for begin, cut := range cuts {
+		end := cut[0].end
+		at := func(node int) bool {
+			return slices.ContainsFunc(cut, func(f *reachFault) bool { return f.node == node })
+		}
+		var cutOff, others attempts
+		for _, c := range s.calls {
+			if c.sentAt.Before(begin.Add(contactBound)) || c.sentAt.After(end) || s.excused(c) {
+				continue
+			}
+			counted := &others
+			if at(c.node) {
+				counted = &cutOff
+			}
+			counted.made++
+			if c.status == http.StatusOK && c.complete {
+				counted.served++
+			}
+		}
+		AddReportEntry("served", fmt.Sprintf("cut off: %d of %d, others: %d of %d", cutOff.served, cutOff.made, others.served, others.made))
+		if others.made == 0 || cutOff.made == 0 {
+			continue
+		}
+		seldom := float64(cutOff.served)/float64(cutOff.made) < 2.0/3*float64(others.served)/float64(others.made)
+		many := float64(cutOff.made-cutOff.served) > 10+float64(cutOff.made+others.made)/50
+		Expect(seldom && many).To(BeFalse(), "cut off: %d of %d served, others: %d of %d", cutOff.served, cutOff.made, others.served, others.made)
+	}
+}
