--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -64,9 +64,9 @@
 	// dialTimeout limits the time to establish a connection. A handshake takes a few milliseconds,
 	// and an endpoint whose machine is down does not answer at all.
 	dialTimeout = 400 * time.Millisecond
-	// userTimeout is the time after which a connection is closed that has become silent without a
-	// reset.
-	userTimeout = 1500 * time.Millisecond
+	// toleratedSilence is how long an endpoint may be silent, without even acknowledging data, before
+	// its connections are closed: sound endpoints are, for a second or so.
+	toleratedSilence = 1500 * time.Millisecond
 	// defaultReuseTime is the time for which an unused connection is kept if the endpoint states no
 	// timeout. Timeouts are stated in whole seconds, so an endpoint that states none may have one
 	// below a second.
@@ -106,7 +106,7 @@
 		idle:   make(map[string][]*conn),
 		OnOpen: func() {},
 	}
-	sockopt.DetectDeadPeer(&c.dialer, userTimeout)
+	sockopt.DetectDeadPeer(&c.dialer, toleratedSilence)
 	return c
 }
 
--- a/internal/httponce/client.go
+++ b/internal/httponce/client.go
@@ -29,9 +29,9 @@
 type Options struct {
 	// ConnectTimeout bounds the TCP handshake. The default is 1 second.
 	ConnectTimeout time.Duration
-	// UserTimeout is the time after which a connection is closed if sent data or keep-alive probes
-	// stay unacknowledged. 0 keeps the defaults of the operating system, which are in minutes.
-	UserTimeout time.Duration
+	// ToleratedSilence is how long the peer may be silent, without even acknowledging data, before its
+	// connections are closed. 0 keeps the defaults of the operating system, which are in minutes.
+	ToleratedSilence time.Duration
 }
 
 // Client sends requests over HTTP/1.1 with pooled connections. It is safe for concurrent use.
@@ -47,8 +47,8 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	d := &dialer{net.Dialer{Timeout: o.ConnectTimeout}}
-	if o.UserTimeout > 0 {
-		sockopt.DetectDeadPeer(&d.Dialer, o.UserTimeout)
+	if o.ToleratedSilence > 0 {
+		sockopt.DetectDeadPeer(&d.Dialer, o.ToleratedSilence)
 	}
 	return &Client{transport: &http.Transport{
 		DialContext:         d.dial,
