--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -1,19 +1,24 @@
 package fleet
 
 // ProbeTargets returns up to n endpoints of a service, chosen at random, to which the caller sends a
-// probe now: it is already counted against their request limits.
+// probe now: it is already counted against their request limits. Cold endpoints are chosen only if
+// there are no others.
 func (f *Fleet) ProbeTargets(service string, n int) []Instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	all := f.services[service]
 	now := f.now()
 	var targets []Instance
-	for _, i := range f.random.Perm(len(all)) {
-		if len(targets) == n {
-			break
-		}
-		if e := all[i]; !e.isEvacuated && f.takeHealthCheckLocked(e, now) {
-			targets = append(targets, e.Instance)
+	order := f.random.Perm(len(all))
+	for _, cold := range []bool{false, true} {
+		for _, i := range order {
+			if len(targets) == n || cold && len(targets) > 0 {
+				return targets
+			}
+			e := all[i]
+			if !e.isEvacuated && cold == (now < e.warmingUntil) && f.takeHealthCheckLocked(e, now) {
+				targets = append(targets, e.Instance)
+			}
 		}
 	}
 	return targets
--- a/node/reach.go
+++ b/node/reach.go
@@ -18,7 +18,7 @@
 
 const (
 	// probesPerRound is the number of endpoints of a service that are probed in one round.
-	probesPerRound = 4
+	probesPerRound = 3
 	// probeTimeout bounds a probe, which usually takes milliseconds. An endpoint of a plain service
 	// answers it after the requests in its queue.
 	probeTimeout = 500 * time.Millisecond
@@ -28,7 +28,7 @@
 
 // newReach returns the tracker of whether this node reaches the endpoints.
 func (n *Node) newReach() *reach.Tracker {
-	t := reach.NewTracker(boottime.Now, func() float64 { return 0.5 + rand.Float64() })
+	t := reach.NewTracker(boottime.Now, func() int { return n.population.current().Nodes }, func() float64 { return 0.5 + rand.Float64() })
 	t.OnChange = n.reachChanged
 	t.OnSuspicion = func() { metrics.Count("reach_suspected") }
 	metrics.GaugeFunc("services_out_of_reach", func() any { return t.Services(reach.Lost) })
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -21,10 +21,12 @@
 	minRestoredShare = 0.5
 	// confirmGap is the pause before the next round while the endpoints may be out of reach,
 	// lostGap while they are, and clearedGap the minimum time between a round that found the
-	// endpoints within reach and the next one.
-	confirmGap = 100 * time.Millisecond
-	lostGap    = 300 * time.Millisecond
-	clearedGap = time.Second
+	// endpoints within reach and the next one. lostGapPerNode is the minimum of lostGap for each
+	// node of the site: all of them probe if the endpoints themselves are down.
+	confirmGap     = 100 * time.Millisecond
+	lostGap        = 300 * time.Millisecond
+	lostGapPerNode = 5 * time.Millisecond
+	clearedGap     = time.Second
 	// recentAnswerTime is how long an answer shows that the endpoints are within reach.
 	recentAnswerTime = 3 * time.Second
 )
@@ -74,6 +76,8 @@
 // Tracker holds the verdicts of this node. Its methods are safe for concurrent use.
 type Tracker struct {
 	now func() time.Duration
+	// nodes returns the number of nodes of the site.
+	nodes func() int
 	// jitter returns a random factor from 0.5 to 1.5 for pauses, so that nodes that were cut off
 	// together do not return at the same moment.
 	jitter func() float64
@@ -109,11 +113,11 @@
 	at   time.Duration
 }
 
-// NewTracker returns a Tracker. now reads a monotonic clock; jitter returns random factors from 0.5
-// to 1.5.
-func NewTracker(now func() time.Duration, jitter func() float64) *Tracker {
+// NewTracker returns a Tracker. now reads a monotonic clock, nodes returns the number of nodes of the
+// site, and jitter random factors from 0.5 to 1.5.
+func NewTracker(now func() time.Duration, nodes func() int, jitter func() float64) *Tracker {
 	return &Tracker{
-		now: now, jitter: jitter, services: make(map[string]*state),
+		now: now, nodes: nodes, jitter: jitter, services: make(map[string]*state),
 		OnSuspicion: func() {}, OnChange: func(Change) {},
 	}
 }
@@ -219,9 +223,9 @@
 	restored := float64(answered) >= minRestoredShare*float64(probed)
 	switch {
 	case probed == 0:
-		s.nextRound = now + t.pause(lostGap)
+		s.nextRound = now + t.lostPause()
 	case s.lost && !restored:
-		s.nextRound = now + t.pause(lostGap)
+		s.nextRound = now + t.lostPause()
 	case s.lost:
 		change.Lost, change.Duration = false, now-s.lostSince
 		t.clearLocked(s, now)
@@ -236,7 +240,7 @@
 			break
 		}
 		s.lost, s.lostSince = true, now
-		s.nextRound = now + t.pause(lostGap)
+		s.nextRound = now + t.lostPause()
 		change.Lost = true
 		return change, true
 	}
@@ -252,8 +256,10 @@
 	clear(s.failures)
 }
 
-func (t *Tracker) pause(d time.Duration) time.Duration {
-	return time.Duration(t.jitter() * float64(d))
+// lostPause returns the pause between two rounds while the endpoints are out of reach.
+func (t *Tracker) lostPause() time.Duration {
+	gap := max(lostGap, time.Duration(t.nodes())*lostGapPerNode)
+	return time.Duration(t.jitter() * float64(gap))
 }
 
 // Verdict returns what is known about the endpoints of the service.
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -12,13 +12,14 @@
 type clock struct {
 	*reach.Tracker
 	now       time.Duration
+	nodes     int
 	changes   []reach.Change
 	suspicion int
 }
 
 func newClock() *clock {
-	c := &clock{now: time.Hour}
-	c.Tracker = reach.NewTracker(func() time.Duration { return c.now }, func() float64 { return 1 })
+	c := &clock{now: time.Hour, nodes: 3}
+	c.Tracker = reach.NewTracker(func() time.Duration { return c.now }, func() int { return c.nodes }, func() float64 { return 1 })
 	c.OnChange = func(change reach.Change) { c.changes = append(c.changes, change) }
 	c.OnSuspicion = func() { c.suspicion++ }
 	return c
@@ -163,3 +164,22 @@
 	}
 	c.expect(t, reach.Lost)
 }
+
+// Guards against endpoints that are probed by hundreds of nodes at a high rate while they start again.
+func TestManyNodesProbeLostEndpointsRarely(t *testing.T) {
+	c := newClock()
+	c.nodes = 300
+	c.fail(reach.Unconnected, 2)
+	c.round(0)
+	c.round(0)
+	rounds := 0
+	for end := c.now + 15*time.Second; c.now < end; c.now += 20 * time.Millisecond {
+		for range c.DueRounds() {
+			rounds++
+			c.RecordRound("app", 3, 0)
+		}
+	}
+	if rounds < 5 || rounds > 10 {
+		t.Errorf("%d rounds in 15 s, want 5 to 10", rounds)
+	}
+}
