--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -73,9 +73,10 @@
 	}
 	p.incarnation, p.sequence = s.GetIncarnation(), s.GetSequence()
 	p.lastReceived = g.opts.Now()
-	if !p.live || p.Ready != s.GetReady() || p.Leaving != s.GetLeaving() {
+	lost := NewServiceSet(s.GetLostServices())
+	if !p.live || p.Ready != s.GetReady() || p.Leaving != s.GetLeaving() || p.Lost != lost {
 		g.opts.Log.Info("node heard", zap.String("node", s.GetAddress()), zap.Bool("ready", s.GetReady()),
-			zap.Bool("leaving", s.GetLeaving()), zap.Uint64("incarnation", s.GetIncarnation()))
+			zap.Bool("leaving", s.GetLeaving()), zap.Int("services_lost", lost.Len()), zap.Uint64("incarnation", s.GetIncarnation()))
 	}
 	if !p.live || newIncarnation {
 		// A node that was not live may have missed the addresses. One that has just started
@@ -86,7 +87,7 @@
 	p.live = true
 	p.Ready, p.Leaving, p.Store = s.GetReady(), s.GetLeaving(), s.GetStore()
 	p.Forwards = s.GetForwards()
-	p.Lost, p.Reached = NewServiceSet(s.GetLostServices()), NewServiceSet(s.GetReachedServices())
+	p.Lost, p.Reached = lost, NewServiceSet(s.GetReachedServices())
 	if s.GetBrief() {
 		return true
 	}
--- a/gossip/services.go
+++ b/gossip/services.go
@@ -32,6 +32,9 @@
 	return ServiceSet(encoded)
 }
 
+// Len returns the number of services in the set.
+func (s ServiceSet) Len() int { return len(s) / serviceKeyBytes }
+
 // Has reports whether the set contains the service.
 func (s ServiceSet) Has(key ServiceKey) bool {
 	for k := range s.All {
