--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -35,6 +35,8 @@
 	share float64
 	// gateways is the number of gateways that send reports.
 	gateways int
+	// fallback is set for the pool that a gateway uses for itself alone.
+	fallback bool
 }
 
 // queuedRequest is a request that waits for a permit or a refusal.
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -26,6 +26,12 @@
 	preemptions int64
 	failures    int
 	leaving     bool
+	// suspectedAt is when the engine was found failing, 0 if it is not or if the failure has been
+	// attributed to it. suspectedUnreachable is set if the connection was refused. suspectedCause is
+	// the error.
+	suspectedAt          time.Duration
+	suspectedUnreachable bool
+	suspectedCause       string
 	// losses are answers that gateways lost at this engine and whose cause no poll has shown yet.
 	losses []loss
 	// nextPermitAt is the earliest time of the next permit if the engine has announced a rate
@@ -82,6 +88,8 @@
 		return
 	}
 	e.failures = 0
+	e.suspectedAt = 0
+	c.resolveSuspected(e, r.startedAt, now)
 	if e.incarnation != "" && e.incarnation != r.report.Incarnation {
 		c.handleEngineDeath(e, "new incarnation "+r.report.Incarnation, now)
 		e.preemptions = 0
@@ -106,16 +114,67 @@
 	e.failures++
 	c.hooks.count("engine_polls_failed", 1)
 	var ee *endpoint.Error
-	if errors.As(err, &ee) && ee.Kind == endpoint.KindUnreachable {
+	unreachable := errors.As(err, &ee) && ee.Kind == endpoint.KindUnreachable
+	if unreachable {
 		e.failures = max(e.failures, failuresToEject)
-		c.handleEngineDeath(e, err.Error(), now)
 	}
 	if e.failures >= failuresToEject {
-		c.strikeLosses(e, now)
+		if e.suspectedAt == 0 {
+			e.suspectedAt, e.suspectedUnreachable = now, false
+		}
+		e.suspectedUnreachable = e.suspectedUnreachable || unreachable
+		e.suspectedCause = err.Error()
+		c.compareSuspected(e, now)
 	}
 	e.updateState(now)
 }
 
+// A scheduler that is cut off from the engines finds all of them failing. A failure is therefore
+// attributed to the engine only once another engine has answered a later poll, or if there is no other.
+
+// compareSuspected has another engine polled for the comparison, or decides at once if there is none.
+func (c *core) compareSuspected(e *engine, now time.Duration) {
+	for name, other := range c.engines {
+		if other != e && other.failures < failuresToEject {
+			c.hooks.poll(name)
+			return
+		}
+	}
+	if len(c.engines) == 1 {
+		c.confirmFailed(e, now)
+	}
+}
+
+// resolveSuspected attributes the failures of other engines, before the given engine answered a poll
+// that began at startedAt, to these engines.
+func (c *core) resolveSuspected(answered *engine, startedAt, now time.Duration) {
+	for _, e := range c.engines {
+		if e != answered && e.suspectedAt != 0 && e.suspectedAt <= startedAt {
+			c.confirmFailed(e, now)
+		}
+	}
+}
+
+// confirmFailed attributes the failure to the engine: requests that were lost there get a strike, and
+// if its process is gone, those that were running there too.
+func (c *core) confirmFailed(e *engine, now time.Duration) {
+	e.suspectedAt = 0
+	if e.suspectedUnreachable {
+		c.handleEngineDeath(e, e.suspectedCause, now)
+	}
+	c.strikeLosses(e, now)
+}
+
+// reachesNone reports whether the polls of all engines, at least two, fail.
+func (c *core) reachesNone() bool {
+	for _, e := range c.engines {
+		if e.failures < failuresToEject {
+			return false
+		}
+	}
+	return len(c.engines) > 1
+}
+
 // countPreemptions passes the preemptions since the last report to the risk controller. The first
 // report of an incarnation only sets the reference count.
 func (c *core) countPreemptions(e *engine, r endpoint.LoadReport) {
@@ -190,10 +249,10 @@
 
 // recordLoss records an answer that a gateway lost. The next poll shows whether the engine died.
 // Until then the request is held back, so that one that crashes engines does not reach another
-// engine before its strike is counted. If the engine has already failed, the strike is counted at
-// once.
+// engine before its strike is counted. If the engine is already known to have failed, the strike is
+// counted at once.
 func (c *core) recordLoss(e *engine, p *Permit, now time.Duration) {
-	if e.view.State == policy.StateFailed {
+	if e.view.State == policy.StateFailed && e.suspectedAt == 0 {
 		c.addStrike(e, p, now)
 		return
 	}
--- a/scheduler/manager.go
+++ b/scheduler/manager.go
@@ -169,6 +169,7 @@
 	primaryConfig := poolConfig{spec: spec, cfg: v.cfg, share: 1, gateways: v.gateways}
 	fallbackConfig := primaryConfig
 	fallbackConfig.share = 1 / float64(v.gateways)
+	fallbackConfig.fallback = true
 	if before == nil {
 		pv.primary = m.newPool(spec.key, primaryConfig)
 		pv.fallback = m.newPool(spec.key+"-spare", fallbackConfig)
--- a/scheduler/queueing.go
+++ b/scheduler/queueing.go
@@ -82,13 +82,18 @@
 }
 
 // noEndpointRefusal returns a refusal if no engine that serves the model is healthy or in unknown
-// state, since waiting would not help; nil otherwise.
+// state, since waiting would not help; nil otherwise. If this scheduler reaches no engine at all, the
+// gateways are to decide by themselves: they may reach them.
 func (c *core) noEndpointRefusal(w *queuedRequest) *crocusreel.Refusal {
 	for _, e := range c.endpointsByModel[w.req.Model] {
 		if e.State == policy.StateHealthy || e.State == policy.StateUnknown {
 			return nil
 		}
 	}
+	if !c.pc.fallback && c.reachesNone() {
+		return crocusreel.Refuse(crocusreel.ReasonSchedulerUnreachable, crocusreel.OutcomeNotRun, engineRetryAfter,
+			"the scheduler reaches no engine")
+	}
 	return crocusreel.Refuse(crocusreel.ReasonNoEndpoint, crocusreel.OutcomeNotRun, engineRetryAfter,
 		"no live engine serves the model")
 }
