--- a/node/configuration.go
+++ b/node/configuration.go
@@ -77,6 +77,7 @@
 		zap.Int64("era", s.Revision.Era), zap.Int("routes", len(c.Routes)), zap.Int("workspaces_keys", len(c.Keys)))
 	n.warnUnknownRegions(c)
 	n.callerServer.apply(c.Limits)
+	n.reach.Forget(func(service string) bool { return c.Services[service] != nil })
 	n.announceReadiness()
 	n.changes.notify()
 }
