--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 # CONCURRENT are the packages that the race detector looks at.
 CONCURRENT := caller client controller endpoint entry fleet gateway gossip knowledge ledger node peer platform policy \
-  relay retry routing scheduler
+  reach relay retry routing scheduler
 
 .PHONY: build run test race lint generate
 
