--- a/tests/node/reach_soak_test.go
+++ b/tests/node/reach_soak_test.go
@@ -64,8 +64,8 @@
 
 var _ = Describe("a random run with nodes that are cut off from all endpoints", func() {
 	for _, seed := range reachSeeds() {
-		// Guards against callers that are not served, or whose work runs twice, while nodes are cut off
-		// from the endpoints and other nodes, endpoints, keys and the store change and fail.
+		// Guards against callers that are not served, work that runs twice and brittle endpoints that fall
+		// over, while nodes are cut off from the endpoints and nodes, keys and the store change and fail.
 		It(fmt.Sprintf("keeps the bounds with seed %d", seed), func() {
 			s := &reachSoak{
 				reachSite: &reachSite{site: newSite()}, random: rand.New(rand.NewPCG(uint64(seed), 5)),
@@ -75,8 +75,10 @@
 			s.dataCentres = []string{"dc1", "dc1", "dc2", "dc2"}
 			s.keys = []string{"key", "key-0"}
 			s.configure()
+			s.apps = s.startBrittleApps(3)
+			s.workers = append(s.workers, s.apps...)
 			for i := range 3 {
-				s.workers = append(s.workers, s.startApp(fmt.Sprintf("app-%d", i)), s.startEngine(fmt.Sprintf("engine-%d", i), 20))
+				s.workers = append(s.workers, s.startEngine(fmt.Sprintf("engine-%d", i), 20))
 			}
 			s.launch(reachNodes)
 			for _, n := range s.nodes {
@@ -88,12 +90,17 @@
 			for i := range 2 * callerCount {
 				load.Go(func() { s.call(i, stop) })
 			}
+			brittleFrom := time.Duration(s.random.IntN(6000)) * time.Millisecond
+			By(fmt.Sprintf("plain endpoints say that they are brittle after %v, and are %v later", brittleFrom, brittleNotice))
+			time.AfterFunc(brittleFrom, func() { s.announceBrittle() })
+			time.AfterFunc(brittleFrom+brittleNotice, func() { s.becomeBrittle() })
 			for range 2 {
 				s.playCut()
 			}
 			close(stop)
 			load.Wait()
 			s.check()
+			expectFewFalls(s.apps)
 			for _, n := range s.nodes {
 				s.expectCall(n)
 			}
@@ -101,6 +108,19 @@
 	}
 })
 
+// announceBrittle has the plain endpoints say that they are brittle, becomeBrittle has them fall over.
+func (s *reachSoak) announceBrittle() {
+	for _, w := range s.apps {
+		w.SetNotice("Server-Brittle", fmt.Sprint(brittleLimit))
+	}
+}
+
+func (s *reachSoak) becomeBrittle() {
+	for _, w := range s.apps {
+		w.SetBrittle(brittleLimit)
+	}
+}
+
 // call sends requests of all kinds to random nodes, over connections that stay open, until stop is
 // closed.
 func (s *reachSoak) call(caller int, stop <-chan struct{}) {
