--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -8,8 +8,6 @@
 	"errors"
 	"hash/fnv"
 	"time"
-
-	"github.com/crocusreel/crocusreel/brittle"
 )
 
 // Incarnation identifies one start of an endpoint. An endpoint that crashed can start again under
@@ -111,17 +109,8 @@
 	remote      map[string]Load
 	remoteTotal Load
 	health      health
-	// guard limits what is sent while the service is brittle. ownRejections counts the requests of
-	// this node that the instance has turned away, remoteRejections those of each other node.
-	guard            brittle.Guard
-	ownRejections    uint32
-	ownRejectedAt    time.Duration
-	remoteRejections map[string]uint32
-	// brittleSentAt is the time of the last request from this node while the service was brittle.
-	brittleSentAt time.Duration
-	// brittleRank is the rank of this node among the nodes of brittleRoster, for this instance.
-	brittleRank   int
-	brittleRoster *Roster
+	// overload is used while the service is brittle.
+	overload endpointOverload
 	// leavingByHealth is set while the instance counts as leaving by its health check alone.
 	leavingByHealth bool
 	// leavingSince is the time at which the instance was found to be leaving.
--- a/fleet/overload.go
+++ b/fleet/overload.go
@@ -45,6 +45,22 @@
 	reported bool
 }
 
+// endpointOverload is what this node knows of the rejections of one endpoint of a brittle service.
+type endpointOverload struct {
+	// guard limits what is sent.
+	guard brittle.Guard
+	// ownRejections counts the requests of this node that the endpoint has turned away, and
+	// ownRejectedAt is the time of the last one. remoteRejections holds the counts of other nodes.
+	ownRejections    uint32
+	ownRejectedAt    time.Duration
+	remoteRejections map[string]uint32
+	// sentAt is the time of the last request from this node.
+	sentAt time.Duration
+	// rank is the rank of this node among the nodes of roster, for this endpoint.
+	rank   int
+	roster *Roster
+}
+
 // BrittleChange is a change in whether the endpoints of a service are brittle.
 type BrittleChange struct {
 	Service   string
@@ -137,9 +153,9 @@
 		return
 	}
 	metrics.Count("brittle_rejections")
-	e.ownRejections++
-	e.ownRejectedAt = now
-	e.guard.Rejected(now, 1, o.perSecond, f.random.Float64())
+	e.overload.ownRejections++
+	e.overload.ownRejectedAt = now
+	e.overload.guard.Rejected(now, 1, o.perSecond, f.random.Float64())
 	f.Broadcast("")
 }
 
@@ -157,7 +173,7 @@
 	if now-o.slotsAt >= slotsRefreshInterval {
 		o.slots, o.slotsAt = f.totalSlotsLocked(e.Service), now
 	}
-	return e.guard.Paced(now, o.demand.Utilization(now, len(roster.Names), o.slots, o.workTime))
+	return e.overload.guard.Paced(now, o.demand.Utilization(now, len(roster.Names), o.slots, o.workTime))
 }
 
 // totalSlotsLocked returns the number of requests that the endpoints of a service run at a time.
@@ -177,9 +193,9 @@
 	if !f.isBrittleLocked(e.Service, now) {
 		return true
 	}
-	at := e.guard.HeldUntil()
+	at := e.overload.guard.HeldUntil()
 	if f.brittlePacedLocked(e, now) {
-		at = max(at, now+f.brittleSlotsLocked(e, now).Until(f.WallClock(), now, e.brittleSentAt))
+		at = max(at, now+f.brittleSlotsLocked(e, now).Until(f.WallClock(), now, e.overload.sentAt))
 	}
 	if at <= now {
 		return true
@@ -191,11 +207,11 @@
 // brittleSlotsLocked returns this node's slots at a brittle endpoint. The roster is known.
 func (f *Fleet) brittleSlotsLocked(e *Endpoint, now time.Duration) pace.Slots {
 	roster := f.Roster()
-	if e.brittleRoster != roster {
-		e.brittleRank, e.brittleRoster = pace.Rank(f.Name, roster.Names, uint32(e.key)), roster
+	if e.overload.roster != roster {
+		e.overload.rank, e.overload.roster = pace.Rank(f.Name, roster.Names, uint32(e.key)), roster
 	}
-	rate := brittle.Rate(e.Slots, f.overload[e.Service].workTime) * e.guard.Share(now)
-	return pace.Slots{Rank: e.brittleRank, Nodes: len(roster.Names), PerSecond: rate, Length: brittle.SlotLength(e.Slots, rate)}
+	rate := brittle.Rate(e.Slots, f.overload[e.Service].workTime) * e.overload.guard.Share(now)
+	return pace.Slots{Rank: e.overload.rank, Nodes: len(roster.Names), PerSecond: rate, Length: brittle.SlotLength(e.Slots, rate)}
 }
 
 // OwnBrittle returns the services that recently reported to this node that their endpoints are
@@ -225,8 +241,8 @@
 			continue
 		}
 		for _, e := range f.services[name] {
-			if e.ownRejectedAt != 0 && now-e.ownRejectedAt < rejectionBroadcastTime && len(reports) < maxBroadcastRejections {
-				reports = append(reports, RejectionReport{Key: e.key, Count: e.ownRejections})
+			if e.overload.ownRejectedAt != 0 && now-e.overload.ownRejectedAt < rejectionBroadcastTime && len(reports) < maxBroadcastRejections {
+				reports = append(reports, RejectionReport{Key: e.key, Count: e.overload.ownRejections})
 			}
 		}
 	}
@@ -251,21 +267,21 @@
 	if e == nil {
 		return
 	}
-	before := e.remoteRejections[node]
+	before := e.overload.remoteRejections[node]
 	if r.Count == before {
 		return
 	}
-	if e.remoteRejections == nil {
-		e.remoteRejections = make(map[string]uint32)
+	if e.overload.remoteRejections == nil {
+		e.overload.remoteRejections = make(map[string]uint32)
 	}
-	e.remoteRejections[node] = r.Count
+	e.overload.remoteRejections[node] = r.Count
 	fresh := r.Count - before
 	if r.Count < before {
 		// The node has restarted and counts from 0.
 		fresh = r.Count
 	}
 	o := f.overloadLocked(e.Service)
-	e.guard.Rejected(f.now(), int(min(fresh, maxFreshRejections)), o.perSecond, f.random.Float64())
+	e.overload.guard.Rejected(f.now(), int(min(fresh, maxFreshRejections)), o.perSecond, f.random.Float64())
 }
 
 // maxFreshRejections bounds the rejections that one datagram can add.
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -61,7 +61,7 @@
 	now := f.now()
 	e.lastRequestAt = now
 	f.useSlotLocked(e, now)
-	e.brittleSentAt = now
+	e.overload.sentAt = now
 	e.own.Count++
 	e.own.Tokens += p.expectedTokens()
 	e.own.PendingPrefill += p.pendingPrefill()
--- a/fleet/unhealthy.go
+++ b/fleet/unhealthy.go
@@ -32,7 +32,7 @@
 		return false
 	}
 	f.useSlotLocked(e, now)
-	e.brittleSentAt = now
+	e.overload.sentAt = now
 	return true
 }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -79,12 +79,10 @@
 // forwarded returns the result of a request that another node has served.
 func (j *job) forwarded(got ForwardResult) Result {
 	metrics.Count("forward_served")
-	attempts, waited := j.result.Attempts, j.result.Waited
-	firstEvent, status := j.result.FirstEvent, j.result.Status
+	earlier := j.result
 	j.result = got.Result
 	j.result.Via = got.Via
-	j.result.Attempts += attempts
-	j.result.Waited += waited
-	j.result.FirstEvent, j.result.Status = max(firstEvent, got.Result.FirstEvent), max(status, got.Result.Status)
+	j.result.Attempts += earlier.Attempts
+	j.result.Waited += earlier.Waited
 	return j.result
 }
--- a/tests/node/reach_soak_test.go
+++ b/tests/node/reach_soak_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -59,8 +56,12 @@
 	return []int{1, 2}
 }
 
-// reachNodes is the number of nodes of a random run.
-const reachNodes = 4
+const (
+	// reachNodes is the number of nodes of a random run.
+	reachNodes = 4
+	// reachDeadline is the deadline of its requests.
+	reachDeadline = 4 * time.Second
+)
 
 var _ = Describe("a random run with nodes that are cut off from all endpoints", func() {
 	for _, seed := range reachSeeds() {
@@ -138,34 +139,13 @@
 		keys := slices.Clone(s.keys)
 		s.mu.Unlock()
 		c := reachCall{node: random.IntN(len(s.nodes)), path: paths[random.IntN(len(paths))], key: keys[random.IntN(len(keys))], sentAt: time.Now()}
-		c.reply = s.sendOver(open, s.nodes[c.node], c.path, c.key)
+		c.reply = s.sendOver(open, s.nodes[c.node], c.path, c.key, reachDeadline)
 		s.mu.Lock()
 		s.calls = append(s.calls, c)
 		s.mu.Unlock()
 	}
 }
 
-// sendOver is like send, over the connections of the given client.
-func (s *site) sendOver(over *http.Client, n *nodeProcess, path, key string) reply {
-	id := fmt.Sprintf("%s-%d", filepath.Base(s.dir), s.requestCount.Add(1))
-	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, callerPort, path), strings.NewReader("body"))
-	if err != nil {
-		return reply{id: id}
-	}
-	req.Host = "a.example"
-	req.Header.Set("Crocusreel-Attempt-Id", id)
-	req.Header.Set("Crocusreel-Deadline-Ms", "4000")
-	req.Header.Set("Crocusreel-Token-Usage", "1000,400")
-	req.Header.Set("Authorization", "Bearer "+key)
-	resp, err := over.Do(req)
-	if err != nil {
-		return reply{id: id}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return reply{id: id, status: resp.StatusCode, body: string(body), complete: err == nil}
-}
-
 // playCut cuts off some of the nodes, at times all, while other things change and fail shortly before
 // its beginning, during it and around its end.
 func (s *reachSoak) playCut() {
--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -392,8 +393,16 @@
 	complete bool
 }
 
+// sendDeadline is the deadline that requests of send state.
+const sendDeadline = 12 * time.Second
+
 // send sends a request with a new ID and the given API key to the node and reads the whole answer.
 func (s *site) send(n *nodeProcess, path, key string) reply {
+	return s.sendOver(client, n, path, key, sendDeadline)
+}
+
+// sendOver is like send, over the connections of the given client and with the given deadline.
+func (s *site) sendOver(over *http.Client, n *nodeProcess, path, key string, deadline time.Duration) reply {
 	id := fmt.Sprintf("%s-%d", filepath.Base(s.dir), s.requestCount.Add(1))
 	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, callerPort, path), strings.NewReader("body"))
 	if err != nil {
@@ -401,10 +410,10 @@
 	}
 	req.Host = "a.example"
 	req.Header.Set("Crocusreel-Attempt-Id", id)
-	req.Header.Set("Crocusreel-Deadline-Ms", "12000")
+	req.Header.Set("Crocusreel-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	req.Header.Set("Crocusreel-Token-Usage", "1000,400")
 	req.Header.Set("Authorization", "Bearer "+key)
-	resp, err := client.Do(req)
+	resp, err := over.Do(req)
 	if err != nil {
 		return reply{id: id}
 	}
