--- a/node/forward.go
+++ b/node/forward.go
@@ -181,8 +181,8 @@
 }
 
 // ask asks a node to serve the request.
-func (f *forwards) ask(ctx context.Context, p gossip.Peer, r *relay.Request, sink relay.Sink) relay.ForwardResult {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (f *forwards) ask(requestCtx context.Context, p gossip.Peer, r *relay.Request, sink relay.Sink) relay.ForwardResult {
+	ctx, cancel := context.WithCancelCause(requestCtx)
 	defer cancel(nil)
 	current := &forward{cancel: cancel}
 	f.begin(p.Address, current)
@@ -214,6 +214,8 @@
 		f.n.log.Info("request not sent to another node", zap.String("request", r.ID), zap.String("node", p.Address), zap.Error(err))
 		f.exclude(p.Address, forwardExclusion)
 		return relay.ForwardResult{}
+	case requestCtx.Err() != nil:
+		return relay.ForwardResult{Accepted: true, Lost: true, Via: p.Address}
 	default:
 		metrics.Count("forward_lost")
 		f.n.log.Info("connection to the serving node broke", zap.String("request", r.ID), zap.String("node", p.Address),
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -64,11 +64,11 @@
 		j.r.Runs++
 		j.ran = true
 		j.result.Attempts++
-		j.Log.Warn("node lost that served a request", zap.String("request", j.r.ID), zap.String("node", got.Via),
-			zap.Bool("begun", j.sink.Begun()))
 		if ctx.Err() != nil {
-			return j.end(j.deadlineRefusal(), causeNodeLost), true
+			return j.end(j.deadlineRefusal(), "time over, or caller gone"), true
 		}
+		j.Log.Warn("node lost that served a request", zap.String("request", j.r.ID), zap.String("node", got.Via),
+			zap.Bool("begun", j.sink.Begun()))
 		if j.sink.Begun() || !j.mayRetry(attemptResult{cause: causeNodeLost}, j.r.Runs) {
 			return j.end(lostRefusal("the connection to node %s broke", got.Via), causeNodeLost), true
 		}
