--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -151,27 +151,17 @@
 	}
 }
 
-// RefusesConnections reports whether connections to the address are refused, which means that no
-// process listens there any more. It returns false if this is not certain, for example if the
-// endpoint is unreachable.
-func (c *Client) RefusesConnections(ctx context.Context, address string) bool {
-	raw, err := c.dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
-		c.OnOpen()
-		_ = raw.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
+// Refused reports whether the error of Dial means that no process listens at the address any more.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// Connects reports whether a connection to the address can be opened. It closes it again.
-func (c *Client) Connects(ctx context.Context, address string) bool {
+// Dial opens a connection to the address and closes it again.
+func (c *Client) Dial(ctx context.Context, address string) error {
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return false
+		return eris.Wrap(err, "connect")
 	}
 	c.OnOpen()
-	_ = raw.Close()
-	return true
+	return eris.Wrap(raw.Close(), "close")
 }
 
 func (c *Client) getConn(ctx context.Context, address string, newConnection bool) (*conn, error) {
--- a/exchange/exchangev1/exchange.connect.go
+++ b/exchange/exchangev1/exchange.connect.go
@@ -38,6 +38,8 @@
 	ExchangeSnapshotProcedure = "/exchange.v1.Exchange/Snapshot"
 	// ExchangeForwardProcedure is the fully-qualified name of the Exchange's Forward RPC.
 	ExchangeForwardProcedure = "/exchange.v1.Exchange/Forward"
+	// ExchangeCheckEndpointProcedure is the fully-qualified name of the Exchange's CheckEndpoint RPC.
+	ExchangeCheckEndpointProcedure = "/exchange.v1.Exchange/CheckEndpoint"
 )
 
 // ExchangeClient is a client for the exchange.v1.Exchange service.
@@ -46,6 +48,8 @@
 	Snapshot(context.Context, *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error)
 	// Forward serves a request for a node that reaches no endpoint of the request's service.
 	Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.ServerStreamForClient[ForwardResponse], error)
+	// CheckEndpoint tells a node to which an endpoint refuses connections whether others are refused too.
+	CheckEndpoint(context.Context, *connect.Request[CheckEndpointRequest]) (*connect.Response[CheckEndpointResponse], error)
 }
 
 // NewExchangeClient constructs a client for the exchange.v1.Exchange service. By default, it uses
@@ -71,13 +75,20 @@
 			connect.WithSchema(exchangeMethods.ByName("Forward")),
 			connect.WithClientOptions(opts...),
 		),
+		checkEndpoint: connect.NewClient[CheckEndpointRequest, CheckEndpointResponse](
+			httpClient,
+			baseURL+ExchangeCheckEndpointProcedure,
+			connect.WithSchema(exchangeMethods.ByName("CheckEndpoint")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // exchangeClient implements ExchangeClient.
 type exchangeClient struct {
-	snapshot *connect.Client[SnapshotRequest, SnapshotResponse]
-	forward  *connect.Client[ForwardRequest, ForwardResponse]
+	snapshot      *connect.Client[SnapshotRequest, SnapshotResponse]
+	forward       *connect.Client[ForwardRequest, ForwardResponse]
+	checkEndpoint *connect.Client[CheckEndpointRequest, CheckEndpointResponse]
 }
 
 // Snapshot calls exchange.v1.Exchange.Snapshot.
@@ -90,12 +101,19 @@
 	return c.forward.CallServerStream(ctx, req)
 }
 
+// CheckEndpoint calls exchange.v1.Exchange.CheckEndpoint.
+func (c *exchangeClient) CheckEndpoint(ctx context.Context, req *connect.Request[CheckEndpointRequest]) (*connect.Response[CheckEndpointResponse], error) {
+	return c.checkEndpoint.CallUnary(ctx, req)
+}
+
 // ExchangeHandler is an implementation of the exchange.v1.Exchange service.
 type ExchangeHandler interface {
 	// Snapshot serves nodes that do not poll the store themselves, or that get no answer from it.
 	Snapshot(context.Context, *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error)
 	// Forward serves a request for a node that reaches no endpoint of the request's service.
 	Forward(context.Context, *connect.Request[ForwardRequest], *connect.ServerStream[ForwardResponse]) error
+	// CheckEndpoint tells a node to which an endpoint refuses connections whether others are refused too.
+	CheckEndpoint(context.Context, *connect.Request[CheckEndpointRequest]) (*connect.Response[CheckEndpointResponse], error)
 }
 
 // NewExchangeHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -117,12 +135,20 @@
 		connect.WithSchema(exchangeMethods.ByName("Forward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	exchangeCheckEndpointHandler := connect.NewUnaryHandler(
+		ExchangeCheckEndpointProcedure,
+		svc.CheckEndpoint,
+		connect.WithSchema(exchangeMethods.ByName("CheckEndpoint")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/exchange.v1.Exchange/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ExchangeSnapshotProcedure:
 			exchangeSnapshotHandler.ServeHTTP(w, r)
 		case ExchangeForwardProcedure:
 			exchangeForwardHandler.ServeHTTP(w, r)
+		case ExchangeCheckEndpointProcedure:
+			exchangeCheckEndpointHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -139,3 +165,7 @@
 func (UnimplementedExchangeHandler) Forward(context.Context, *connect.Request[ForwardRequest], *connect.ServerStream[ForwardResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("exchange.v1.Exchange.Forward is not implemented"))
 }
+
+func (UnimplementedExchangeHandler) CheckEndpoint(context.Context, *connect.Request[CheckEndpointRequest]) (*connect.Response[CheckEndpointResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("exchange.v1.Exchange.CheckEndpoint is not implemented"))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -174,6 +174,7 @@
 		Reach:   reachRecorder{n},
 
 		Forwarder: n.forwards,
+		Witness:   n.askWitness,
 	}
 	n.entry = n.newEntry()
 	n.relay.Vacated.Broadcast = n.gossip.AnnounceAll
--- a/relay/dead_endpoint.go
+++ b/relay/dead_endpoint.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/logging"
 	"github.com/crocusreel/crocusreel/internal/metrics"
@@ -18,8 +19,8 @@
 // those would be refused although it is harmless. An endpoint that has died refuses connections or
 // has restarted.
 
-// A node that is cut off from all endpoints is refused by live ones, too. A refused connection is
-// therefore compared with one to another endpoint.
+// A node that is cut off from some endpoints, or from all, is refused by live ones, too. A refused
+// connection is therefore compared with one to another endpoint, and with one of another node.
 
 // maxComparedEndpoints is the number of other endpoints that are tried for the comparison.
 const maxComparedEndpoints = 3
@@ -36,7 +37,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, deathCheckTimeout)
 	defer cancel()
-	return j.Client.RefusesConnections(ctx, p.Instance().Address)
+	return h1.Refused(j.Client.Dial(ctx, p.Instance().Address))
 }
 
 // endpointDied reports whether the placement's incarnation of its endpoint has ended.
@@ -47,25 +48,48 @@
 	if !j.endpointGone(ctx, p) {
 		return false
 	}
-	others := j.Fleet.OtherEndpoints(p.Instance(), maxComparedEndpoints)
-	for _, other := range others {
-		if j.connects(ctx, other.Address) {
-			return true
-		}
-	}
-	if len(others) == 0 {
+	cause := ""
+	switch others := j.Fleet.OtherEndpoints(p.Instance(), maxComparedEndpoints); {
+	case len(others) > 0 && !j.connectsToAny(ctx, others):
+		cause = "this node reaches no other one either"
+	case j.acceptsOthers(ctx, p.Instance()):
+		cause = "it accepts connections of another node"
+	default:
 		return true
 	}
 	metrics.Count("endpoint_death_not_counted")
-	j.Log.Info("death of an endpoint not counted: this node reaches no other one either", zap.String("request", j.r.ID),
-		zap.String("endpoint", p.Instance().ID), zap.Int("tried", len(others)))
+	j.Log.Info("death of an endpoint not counted", zap.String("request", j.r.ID),
+		zap.String("endpoint", p.Instance().ID), zap.String("cause", cause))
+	return false
+}
+
+// witnessTimeout limits the question to another node, which connects to the endpoint.
+const witnessTimeout = deathCheckTimeout + 30*time.Millisecond
+
+// acceptsOthers reports whether the endpoint is known to accept connections of another node.
+func (j *job) acceptsOthers(ctx context.Context, in fleet.Instance) bool {
+	if j.Witness == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	refuses, known := j.Witness(ctx, in)
+	return known && !refuses
+}
+
+func (j *job) connectsToAny(ctx context.Context, endpoints []fleet.Instance) bool {
+	for _, in := range endpoints {
+		if j.connects(ctx, in.Address) {
+			return true
+		}
+	}
 	return false
 }
 
 func (j *job) connects(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, deathCheckTimeout)
 	defer cancel()
-	return j.Client.Connects(ctx, address)
+	return j.Client.Dial(ctx, address) == nil
 }
 
 // strikeIfDead records a strike against the request if the placement's endpoint has died. An
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -182,6 +182,9 @@
 	// Reach learns from each exchange whether this node reaches the endpoints. It is nil if nobody
 	// needs to know.
 	Reach ReachRecorder
+	// Witness reports whether the endpoint also refuses connections of another node. known is false if
+	// no other node could be asked. It is nil if there are no other nodes.
+	Witness func(ctx context.Context, in fleet.Instance) (refuses, known bool)
 	// Forwarder has requests served by other nodes; nil if there are none.
 	Forwarder Forwarder
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -640,7 +640,7 @@
 			Expect(v.Refusal == nil || v.Refusal.Reason != crocusreel.ReasonSuspectRequest).To(BeTrue(), "request %d", n)
 		}
 		Expect(engines).To(HaveEach(WithTransform(func(e *worker.Worker) bool {
-			return r.Client.RefusesConnections(context.Background(), e.Address())
+			return h1.Refused(r.Client.Dial(context.Background(), e.Address()))
 		}, BeFalse())))
 	},
 		Entry("in the middle", worker.Truncate),
