--- a/brittle/model_test.go
+++ b/brittle/model_test.go
@@ -12,8 +12,7 @@
 )
 
 // model is a site of nodes and brittle endpoints in simulated time. An endpoint runs modelSlots
-// requests at a time and lets queued more wait. It falls over, for modelFallTime, if it turns away
-// more than perSecond requests in a second.
+// requests, lets queued more wait, and falls over if it turns away more than perSecond in a second.
 type model struct {
 	random    *rand.Rand
 	now       time.Duration
--- a/internal/sockopt/sockopt_test.go
+++ b/internal/sockopt/sockopt_test.go
@@ -47,10 +47,8 @@
 	return k
 }
 
-// givesUpAt returns when the kernel closes a connection without traffic whose peer, heard last at 0, is
-// silent from the given time for the given length; 0 if it survives. Without traffic the keep-alive
-// timer runs after idle and then each interval: it closes the connection if the user timeout has passed
-// since the peer was heard and a probe is unanswered, and sends a probe otherwise.
+// givesUpAt returns when the keep-alive timer of the kernel closes an idle connection whose peer, heard
+// last at 0, is silent for a time: once userTimeout has passed with a probe unanswered. 0 means never.
 func (k keepAlive) givesUpAt(silentFrom, length time.Duration) time.Duration {
 	heard, unanswered := time.Duration(0), false
 	for at := k.idle; at < time.Minute; {
--- a/tests/node/reach_soak_test.go
+++ b/tests/node/reach_soak_test.go
@@ -357,9 +357,8 @@
 	s.checkServed()
 }
 
-// checkServed checks for each cut that did not affect all nodes that the first attempts at the nodes
-// that were cut off were served at least two thirds as often as those at the others, or that few
-// failed.
+// checkServed checks for each cut that the first attempts at the nodes that were cut off were served
+// at least two thirds as often as those at the others, or that few failed.
 func (s *reachSoak) checkServed() {
 	GinkgoHelper()
 	cuts := make(map[time.Time][]*reachFault)
