--- a/node/serve.go
+++ b/node/serve.go
@@ -123,19 +123,17 @@
 // reach: all but those that have lost a service that another ready node reaches. If that leaves no
 // ready node, it returns all nodes.
 func reachingNodes(nodes []gossip.Peer) []gossip.Peer {
+	if !slices.ContainsFunc(nodes, func(p gossip.Peer) bool { return p.Lost != "" }) {
+		return nodes
+	}
 	reached := make(map[gossip.ServiceKey]bool)
-	anyLost := false
 	for _, p := range nodes {
-		anyLost = anyLost || p.Lost != ""
 		if p.Ready && !p.Leaving {
 			for key := range p.Reached.All {
 				reached[key] = true
 			}
 		}
 	}
-	if !anyLost {
-		return nodes
-	}
 	var reaching []gossip.Peer
 	ready := false
 	for _, p := range nodes {
