--- a/relay/call.go
+++ b/relay/call.go
@@ -129,10 +129,16 @@
 	if ctx.Err() != nil {
 		return j.end(j.deadlineRefusal(), j.result.Detail)
 	}
-	if j.ran && refusal.Outcome == crocusreel.OutcomeNotRun {
-		refusal = lostRefusal("%s", refusal.Message)
+	return j.end(j.accurate(refusal), j.result.Detail)
+}
+
+// accurate returns the refusal, or one of unknown outcome in its place if it says that the request has
+// not run although an endpoint may have executed it before. It returns nil for nil.
+func (j *job) accurate(refusal *crocusreel.Refusal) *crocusreel.Refusal {
+	if refusal != nil && j.ran && refusal.Outcome == crocusreel.OutcomeNotRun {
+		return lostRefusal("%s", refusal.Message)
 	}
-	return j.end(refusal, j.result.Detail)
+	return refusal
 }
 
 func (j *job) failureRefusal(got attemptResult) *crocusreel.Refusal {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -48,7 +48,7 @@
 	// The other node makes a claim of its own, which would wait for this one.
 	j.dropClaim()
 	if refusal := j.Admit(j.r); refusal != nil {
-		return j.end(refusal, "not forwarded"), true
+		return j.end(j.accurate(refusal), "not forwarded"), true
 	}
 	for {
 		got := j.Forwarder.Forward(ctx, j.r, j.sink)
@@ -84,5 +84,6 @@
 	j.result.Via = got.Via
 	j.result.Attempts += earlier.Attempts
 	j.result.Waited += earlier.Waited
+	j.result.Refusal = j.accurate(j.result.Refusal)
 	return j.result
 }
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -127,6 +127,24 @@
 		Expect(f.requests).To(BeEmpty())
 	})
 
+	// Guards against a refusal that says not_run although an endpoint may have run the request before.
+	DescribeTable("does not say that work has not run that was sent before",
+		func(admit func(*relay.Request) *crocusreel.Refusal) {
+			refused := crocusreel.Refuse(crocusreel.ReasonQueueFull, crocusreel.OutcomeNotRun, time.Second, "full")
+			r, _, _ := newRelay(relay.ForwardResult{Accepted: true, Result: relay.Result{Refusal: refused}})
+			r.Admit = admit
+			request := r.request(routing.Idempotent)
+			request.Runs, request.Counted = 1, true
+			result := r.Serve(context.Background(), request, &recordingSink{})
+			Expect(result.Refusal).NotTo(BeNil())
+			Expect(result.Refusal.Outcome).To(Equal(crocusreel.OutcomeUnknown))
+		},
+		Entry("if the other node refuses it", func(*relay.Request) *crocusreel.Refusal { return nil }),
+		Entry("if it must not run any more", func(*relay.Request) *crocusreel.Refusal {
+			return crocusreel.Refuse(crocusreel.ReasonNotReady, crocusreel.OutcomeNotRun, time.Second, "outdated")
+		}),
+	)
+
 	// Guards against a request that is refused because the cut is noticed only while it is tried.
 	It("forwards a request whose endpoints turn out to be out of reach", func() {
 		r, f, app := newRelay(servedElsewhere)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -202,7 +202,7 @@
 func (l *Relay) Serve(ctx context.Context, r *Request, sink Sink) Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	job := &job{Relay: l, r: r, sink: sink}
+	job := &job{Relay: l, r: r, sink: sink, ran: r.Runs > 0}
 	if n := l.Strikes.Count(r.Fingerprint); n >= strikeLimit {
 		return Result{Refusal: job.suspectRefusal(n)}
 	}
