--- a/fleet/mechanism.go
+++ b/fleet/mechanism.go
@@ -36,11 +36,26 @@
 	ColdTurns Mechanism = "cold-turns"
 	// Retries repeats work that is safe to repeat or has certainly not run.
 	Retries Mechanism = "retries"
+	// Resume runs resumable streams again when their engine is lost.
+	Resume Mechanism = "resume"
+	// EngineRates places work by the measured service rates of engines that differ.
+	EngineRates Mechanism = "engine-rates"
+	// WorkspaceShares divides scarce capacity fairly among workspaces.
+	WorkspaceShares Mechanism = "workspace-shares"
+	// Admission refuses work at once that is predicted to wait too long.
+	Admission Mechanism = "admission"
+	// NodeRoom names nodes to callers in proportion to their free capacity.
+	NodeRoom Mechanism = "node-room"
+	// RequestPriority sends engines the priority of each request.
+	RequestPriority Mechanism = "request-priority"
+	// LengthEstimates reserves memory by the lengths of earlier answers.
+	LengthEstimates Mechanism = "length-estimates"
 )
 
 // Mechanisms lists all mechanisms that can be disabled.
 var Mechanisms = []Mechanism{
 	Moves, MoveTurns, Backups, Turns, ShortQueue, LateWorkLast, PrefillBound, Ejection, HealthChecks, OneReader, ColdTurns, Retries,
+	Resume, EngineRates, WorkspaceShares, Admission, NodeRoom, RequestPriority, LengthEstimates,
 }
 
 // DisabledMechanisms is a set of disabled mechanisms. It must not be changed while it is in use.
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -74,6 +74,14 @@
 	MaxOutput int
 	// Rank is the priority of waiting work; lower values are served first.
 	Rank int
+	// Workspace is the name of the workspace that the work belongs to, empty if it has none.
+	Workspace string
+	// Target is the latency target of the route and GapTarget the longest pause between two events
+	// with which an answer is on time; 0 if there is none. Since is the time since the caller's
+	// request was received.
+	Target    time.Duration
+	GapTarget time.Duration
+	Since     time.Duration
 	// StartWithin is the time within which the work must start to be on time, or 0 if it has no
 	// such limit.
 	StartWithin time.Duration
--- a/node/forward.go
+++ b/node/forward.go
@@ -311,6 +311,7 @@
 		Route: &exchangev1.ForwardRoute{
 			Name: r.Route.Name, Kind: int32(r.Route.Kind), TargetLatencyMs: uint32(r.Route.TargetLatency.Milliseconds()),
 			Priority: int32(r.Route.Priority), MaxAttempts: uint32(r.Route.MaxAttempts), Regions: r.Route.Regions,
+			Resumable: r.Route.Resumable, GapTargetMs: uint32(r.Route.GapTarget.Milliseconds()),
 		},
 	}
 	if ws := r.Workspace; ws != nil {
--- a/node/forward_server.go
+++ b/node/forward_server.go
@@ -118,6 +118,7 @@
 	return &routing.Route{
 		Name: m.GetName(), Kind: routing.Kind(m.GetKind()), TargetLatency: time.Duration(m.GetTargetLatencyMs()) * time.Millisecond,
 		Priority: int(m.GetPriority()), MaxAttempts: int(m.GetMaxAttempts()), Regions: m.GetRegions(),
+		Resumable: m.GetResumable(), GapTarget: time.Duration(m.GetGapTargetMs()) * time.Millisecond,
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -247,11 +247,23 @@
 		MaxOutput:   j.r.Size.MaxOutput,
 		Rank:        routing.Rank(j.r.Route, j.r.Workspace),
 		Exclude:     j.tried,
+		Workspace:   j.workspaceName(),
+		Target:      j.r.Route.TargetLatency,
+		GapTarget:   j.r.Route.GapTarget,
+		Since:       time.Since(j.r.Received),
 
 		StartWithin: j.startWithin(),
 	}
 }
 
+// workspaceName returns the name of the request's workspace, or an empty string if it has none.
+func (j *job) workspaceName() string {
+	if j.r.Workspace == nil {
+		return ""
+	}
+	return j.r.Workspace.Name
+}
+
 const (
 	// prefillTokensPerSecond is the prefill rate of a busy engine in prompt tokens per second.
 	prefillTokensPerSecond = 7500.0
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -30,6 +30,12 @@
 	// TargetLatency is the time to the complete answer, or to the first event of a stream, up to
 	// which an answer has its full value to the caller.
 	TargetLatency time.Duration
+	// GapTarget is the longest pause between two events of a stream with which an answer has its full
+	// value to the caller; 0 if the route has no such target.
+	GapTarget time.Duration
+	// Resumable is set if a stream of the route may run again from the event after the last one that
+	// was delivered.
+	Resumable bool
 	// Priority orders requests; 0 is served first.
 	Priority int
 	// MaxAttempts is the maximum number of times that a request may run for one attempt of a
