--- a/fleet/mechanism.go
+++ b/fleet/mechanism.go
@@ -50,12 +50,14 @@
 	RequestPriority Mechanism = "request-priority"
 	// LengthEstimates reserves memory by the lengths of earlier answers.
 	LengthEstimates Mechanism = "length-estimates"
+	// UnreachableReports tells the other nodes which endpoints refuse connections.
+	UnreachableReports Mechanism = "unreachable"
 )
 
 // Mechanisms lists all mechanisms that can be disabled.
 var Mechanisms = []Mechanism{
 	Moves, MoveTurns, Backups, Turns, ShortQueue, LateWorkLast, PrefillBound, Ejection, HealthChecks, OneReader, ColdTurns, Retries,
-	Resume, EngineRates, WorkspaceShares, Admission, NodeRoom, RequestPriority, LengthEstimates,
+	Resume, EngineRates, WorkspaceShares, Admission, NodeRoom, RequestPriority, LengthEstimates, UnreachableReports,
 }
 
 // DisabledMechanisms is a set of disabled mechanisms. It must not be changed while it is in use.
