--- a/fleet/mechanism.go
+++ b/fleet/mechanism.go
@@ -52,12 +52,14 @@
 	LengthEstimates Mechanism = "length-estimates"
 	// UnreachableReports tells the other nodes which endpoints refuse connections.
 	UnreachableReports Mechanism = "unreachable"
+	// Yield lets less urgent work wait for more urgent work while it can still start in time.
+	Yield Mechanism = "yield"
 )
 
 // Mechanisms lists all mechanisms that can be disabled.
 var Mechanisms = []Mechanism{
 	Moves, MoveTurns, Backups, Turns, ShortQueue, LateWorkLast, PrefillBound, Ejection, HealthChecks, OneReader, ColdTurns, Retries,
-	Resume, EngineRates, WorkspaceShares, Admission, NodeRoom, RequestPriority, LengthEstimates, UnreachableReports,
+	Resume, EngineRates, WorkspaceShares, Admission, NodeRoom, RequestPriority, LengthEstimates, UnreachableReports, Yield,
 }
 
 // DisabledMechanisms is a set of disabled mechanisms. It must not be changed while it is in use.
