--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -44,6 +45,16 @@
 	SkipEvent
 	// Crash stops the worker as Stop does; for a stream, after half of its events.
 	Crash
+	// Restart ignores the Last-Event-Id of a new run and sends all events.
+	Restart
+	// SkipFirst omits the first event of a stream's run.
+	SkipFirst
+	// HangMidway sends nothing more after half of the events of a stream, for a minute.
+	HangMidway
+	// Unnumbered sends the events of a stream without IDs.
+	Unnumbered
+	// StopShort completes a stream after a quarter of its events and ignores Last-Event-Id.
+	StopShort
 )
 
 // Run is a request that a worker started to execute.
@@ -227,7 +238,7 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	first, ok := w.firstEvent(r)
+	first, ok := w.firstEvent(r, fault)
 	if !ok || !w.enter(r) {
 		rw.Header().Set("Crocusreel-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
@@ -296,14 +307,19 @@
 	}
 }
 
-// firstEvent returns the number of the first event of a run. ok is false if the request names a
-// copy of the run's memory to resume from that does not exist.
-func (w *Worker) firstEvent(r *http.Request) (first int64, ok bool) {
-	from := r.Header.Get("Kv-From")
+// firstEvent returns the number of the first event of a run. A new run begins after the event that
+// the request names as the last one of the caller. ok is false if the request names a copy of the
+// run's memory to resume from that does not exist, or an invalid event.
+func (w *Worker) firstEvent(r *http.Request, fault Fault) (first int64, ok bool) {
+	from, after := r.Header.Get("Kv-From"), r.Header.Get("Last-Event-Id")
 	if from == "" {
-		return 1, true
+		if after == "" || fault == Restart || fault == StopShort {
+			return 1, true
+		}
+		last, err := strconv.ParseInt(after, 10, 64)
+		return last + 1, err == nil
 	}
-	last, ok := w.options.KVStore.takeCopy(from, r.Header.Get("Last-Event-Id"))
+	last, ok := w.options.KVStore.takeCopy(from, after)
 	return last + 1, ok
 }
 
@@ -315,8 +331,13 @@
 	w.mu.Lock()
 	w.streams[run.ID] = s
 	w.mu.Unlock()
+	closedByCaller := make(chan struct{})
+	go func() {
+		_, _ = conn.Read(make([]byte, 1))
+		close(closedByCaller)
+	}()
 	if fault == Hang {
-		time.Sleep(time.Minute)
+		w.hang(run, closedByCaller)
 		return
 	}
 	framing, chunk, lastChunk := "Transfer-Encoding: chunked\r\n", "%x\r\n%s\r\n", "0\r\n\r\n"
@@ -329,24 +350,29 @@
 	w.mu.Lock()
 	w.conns = append(w.conns, conn)
 	w.mu.Unlock()
-	closedByCaller := make(chan struct{})
-	go func() {
-		_, _ = conn.Read(make([]byte, 1))
-		close(closedByCaller)
-	}()
-	for id := first; id <= int64(w.options.Events); id++ {
+	last := int64(w.options.Events)
+	if fault == StopShort {
+		last /= 4
+	}
+	for id := first; id <= last; id++ {
 		select {
 		case <-s.stop:
 			return
 		case <-closedByCaller:
-			w.mu.Lock()
-			w.closedByCaller = append(w.closedByCaller, run.ID)
-			w.mu.Unlock()
+			w.recordClosed(run)
 			return
 		case <-time.After(w.options.EventInterval):
 		}
 		event := fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", id, id, run.ID)
+		if fault == Unnumbered {
+			_, event, _ = strings.Cut(event, "\n")
+		}
 		switch {
+		case fault == HangMidway && id == int64(w.options.Events)/2:
+			w.hang(run, closedByCaller)
+			return
+		case fault == SkipFirst && id == first:
+			continue
 		case fault == Truncate && id == int64(w.options.Events)/2:
 			_, _ = fmt.Fprintf(conn, "%x\r\n%s", len(event), event[:len(event)/2])
 			return
@@ -370,6 +396,21 @@
 	_, _ = io.WriteString(conn, lastChunk)
 }
 
+// hang waits until the caller closes the connection, at most a minute.
+func (w *Worker) hang(run Run, closedByCaller <-chan struct{}) {
+	select {
+	case <-closedByCaller:
+		w.recordClosed(run)
+	case <-time.After(time.Minute):
+	}
+}
+
+func (w *Worker) recordClosed(run Run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closedByCaller = append(w.closedByCaller, run.ID)
+}
+
 func (w *Worker) report(rw http.ResponseWriter, _ *http.Request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -133,6 +133,7 @@
 		{"name": "calls", "host": "a.example", "prefix": "/calls/", "type": "idempotent", "service": "app", "max_attempts": 2, "timeout_ms": 3000, "target_latency_ms": 200},
 		{"name": "bookings", "host": "a.example", "prefix": "/bookings/", "type": "non_idempotent", "service": "app", "max_attempts": 1, "timeout_ms": 3000},
 		{"name": "drafts", "host": "a.example", "prefix": "/drafts/", "type": "streaming", "service": "pool", "max_attempts": 1, "timeout_ms": 20000, "target_latency_ms": 1000},
+		{"name": "notes", "host": "a.example", "prefix": "/notes/", "type": "streaming", "service": "pool", "max_attempts": 2, "timeout_ms": 20000, "target_latency_ms": 1000, "resumable": true},
 	}
 	for _, route := range routes {
 		if regions := s.allowedRegions[route["name"].(string)]; regions != nil {
