Streams of resumable routes run again and continue after the last event that the caller has

Cause: a caller that came back got all events again, and a stream whose engine was lost without a copy ended although its route says that it may run again. newEvents also dropped the earlier events of a batch in which a later one was missing. Change: Last-Event-Id is parsed (400 that names it) and applied on resumable routes; an engine that is lost, resets, hangs or sends events that do not join is replaced by a new run within the same response, copies first, bounded by max_attempts and the retry budget; seams are checked; the forwarding node reads the events on their way and forwards again after the last one. job.repeatable is the one place that says whether a request may run again (Kind.Repeatable is gone).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -107,6 +107,13 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	var lastEvent int64
+	resumes := false
+	if h.Relay.Resumable(route) {
+		if lastEvent, resumes, err = platform.ParseLastEvent(r.Header); err != nil {
+			return nil, refuseNotRun(crocusreel.ReasonBadRequest, 0, "%v", err)
+		}
+	}
 	service := snapshot.Table.Choose(route, head.AttemptID)
 	if service == nil {
 		return nil, refuseNotRun(crocusreel.ReasonNoEndpoint, notReadyRetryAfter, "route %s has no service", route.Name)
@@ -137,6 +144,8 @@
 		Deadline:      received.Add(requestTimeout(route, head.Timeout)),
 		Size:          head.Size,
 		Fingerprint:   relay.NewFingerprint(workspace, r.RequestURI, body),
+		LastEvent:     lastEvent,
+		Resumes:       resumes,
 	}, nil
 }
 
@@ -304,6 +313,9 @@
 			zap.Int("moves", v.Moves), zap.Int("prompt", req.Size.Prompt), zap.Int("expected", req.Size.Hint),
 			zap.Int("longest", req.Size.MaxOutput))
 	}
+	if v.Runs > 1 || v.ResumedAt != nil {
+		fields = append(fields, zap.Int("runs", v.Runs), zap.Int64p("resumed_at", v.ResumedAt))
+	}
 	if v.Broken || v.Detail != "" {
 		fields = append(fields, zap.Bool("broken", v.Broken), zap.String("detail", v.Detail))
 	}
--- a/node/forward.go
+++ b/node/forward.go
@@ -308,6 +308,7 @@
 		Service: r.Service.Name, ConfigVersion: r.ConfigVersion, ElapsedUs: uint64(max(time.Since(r.Received).Microseconds(), 0)),
 		PromptTokens: uint32(r.Size.Prompt), MaxOutputTokens: uint32(r.Size.MaxOutput), LengthHint: uint32(r.Size.Hint),
 		Fingerprint: uint64(r.Fingerprint), Counted: r.Counted, Runs: uint32(r.Runs),
+		LastEvent: r.LastEvent, Resumes: r.Resumes,
 		Route: &exchangev1.ForwardRoute{
 			Name: r.Route.Name, Kind: int32(r.Route.Kind), TargetLatencyMs: uint32(r.Route.TargetLatency.Milliseconds()),
 			Priority: int32(r.Route.Priority), MaxAttempts: uint32(r.Route.MaxAttempts), Regions: r.Route.Regions,
@@ -324,6 +325,7 @@
 func readEnd(end *exchangev1.ForwardEnd, seen relay.Result) relay.Result {
 	seen.Broken, seen.Endpoint, seen.Detail = end.GetBroken(), end.GetEndpoint(), end.GetDetail()
 	seen.Attempts, seen.Moves, seen.Events = int(end.GetAttempts()), int(end.GetMoves()), int(end.GetEvents())
+	seen.Runs = int(end.GetRuns())
 	seen.Waited = time.Duration(end.GetWaitedUs()) * time.Microsecond
 	if r := end.GetRefusal(); r != nil {
 		seen.Refusal = &crocusreel.Refusal{
--- a/node/forward_server.go
+++ b/node/forward_server.go
@@ -107,6 +107,8 @@
 		Forwarded:     true,
 		Counted:       m.GetCounted(),
 		Runs:          int(m.GetRuns()),
+		LastEvent:     m.GetLastEvent(),
+		Resumes:       m.GetResumes(),
 	}
 	if refusal := n.entry.RefuseLateStream(r.Route, r.Size); refusal != nil {
 		return nil, refusal.Message
@@ -137,6 +139,9 @@
 		zap.Int("status", result.Status), zap.Int("attempts", result.Attempts), zap.Duration("waited", result.Waited),
 		zap.Bool("broken", result.Broken), zap.String("detail", result.Detail), zap.Int64("config_version", r.ConfigVersion),
 	}
+	if result.Runs > 1 || result.ResumedAt != nil {
+		fields = append(fields, zap.Int("runs", result.Runs), zap.Int64p("resumed_at", result.ResumedAt))
+	}
 	if result.Refusal != nil {
 		fields = append(fields, zap.String("reason", string(result.Refusal.Reason)), zap.String("outcome", string(result.Refusal.Outcome)))
 	}
@@ -148,6 +153,7 @@
 	end := &exchangev1.ForwardEnd{
 		Broken: result.Broken, Endpoint: result.Endpoint, Attempts: uint32(result.Attempts), Moves: uint32(result.Moves),
 		Events: uint32(result.Events), WaitedUs: uint64(max(result.Waited.Microseconds(), 0)), Detail: result.Detail,
+		Runs: uint32(result.Runs),
 	}
 	if r := result.Refusal; r != nil {
 		end.Refusal = &exchangev1.ForwardRefusal{
--- a/relay/call.go
+++ b/relay/call.go
@@ -42,6 +42,10 @@
 	notRun bool
 	health fleet.Result
 	cause  string
+	// final reports that no other endpoint can be expected to give a different answer.
+	final bool
+	// approved reports that another run has been taken from the retry budget already.
+	approved bool
 }
 
 // broken reports whether the connection ended before the answer was complete, as it does when the
@@ -66,6 +70,7 @@
 		j.tried = append(j.tried, p.Instance().ID)
 		if got.answer != nil && !j.shouldRetryStatus(got.answer.resp.StatusCode) {
 			j.Strikes.Clear(j.r.Fingerprint)
+			j.r.Runs++
 			return j.deliver(got.answer)
 		}
 		if got.answer != nil {
@@ -94,12 +99,14 @@
 	causeLost        = "connection_lost"
 	causeTruncated   = "answer_truncated"
 	causeUnreachable = "endpoint_unreachable"
+	// causeFailed means that the endpoint answered with an error status.
+	causeFailed = "endpoint_failed"
 )
 
 // shouldRetryStatus reports whether a request whose answer has this status should be sent to
 // another endpoint: the request is repeatable and the status is a server error.
 func (j *job) shouldRetryStatus(status int) bool {
-	return j.r.Route.Kind.Repeatable() && status >= http.StatusInternalServerError
+	return j.repeatable() && status >= http.StatusInternalServerError
 }
 
 // mayContinue reports whether the request may be sent again, by this node or by another one. A
@@ -109,7 +116,7 @@
 }
 
 func (j *job) mayRetry(got attemptResult, runs int) bool {
-	if !got.notRun && (!j.r.Route.Kind.Repeatable() || runs >= j.r.Route.MaxAttempts) {
+	if !got.notRun && (!j.repeatable() || runs >= j.r.Route.MaxAttempts) {
 		return false
 	}
 	if j.result.Attempts >= maxSends || j.Fleet.Disabled[fleet.Retries] || !j.Budgets.Get(j.r.Service.Name).AllowRetry() {
@@ -178,7 +185,7 @@
 	got.answer = &answer{resp: resp, body: body, hasMore: len(body) == maxBufferedAnswerBytes, closeExchange: release}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		got.health = fleet.Failed
-		got.cause = "endpoint_failed"
+		got.cause = causeFailed
 	}
 	if !got.answer.hasMore {
 		resp.Finish()
@@ -193,7 +200,7 @@
 
 func (j *job) attemptTimeout(runs int) time.Duration {
 	remaining := time.Until(j.r.Deadline)
-	if j.r.Route.Kind.Repeatable() && runs+1 < j.r.Route.MaxAttempts {
+	if j.repeatable() && runs+1 < j.r.Route.MaxAttempts {
 		return time.Duration(attemptTimeShare * float64(remaining))
 	}
 	return remaining
--- a/relay/copies.go
+++ b/relay/copies.go
@@ -108,7 +108,7 @@
 		all = append(all, runCopy{
 			engine: s.backup.Instance(),
 			resume: Resume{Source: s.backup.Instance().Address, Handle: s.r.ID, LastEvent: prog.last},
-			take:   func() *fleet.Placement { return s.backup.Promote(prog.count * s.tokensPerEvent()) },
+			take:   func() *fleet.Placement { return s.backup.Promote(s.producedTokens(prog)) },
 		})
 	}
 	return all
--- a/relay/events.go
+++ b/relay/events.go
@@ -69,3 +69,14 @@
 	}
 	return b[:length], b[length:]
 }
+
+// isComment reports whether a block of a stream is only a comment, which endpoints send to keep a
+// connection open and clients ignore.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line[0] != ':' && len(bytes.TrimSpace(line)) > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/routing"
 )
 
 // A node that reaches no endpoint of a service has the requests for it served by another node. The
@@ -51,14 +52,18 @@
 		return j.end(j.accurate(refusal), "not forwarded"), true
 	}
 	for {
-		got := j.Forwarder.Forward(ctx, j.r, j.sink)
+		sink := j.forwardSink()
+		got := j.Forwarder.Forward(ctx, j.r, sink)
 		if !got.Accepted {
 			j.declined = true
 			metrics.Count("forward_declined")
 			return Result{}, false
 		}
 		j.result.Via = got.Via
-		if !got.Lost {
+		cause := causeNodeLost
+		if failure := sink.failure(&got); failure != "" {
+			cause = failure
+		} else if !got.Lost {
 			return j.forwarded(got), true
 		}
 		j.r.Runs++
@@ -68,9 +73,12 @@
 			return j.end(j.deadlineRefusal(), "time over, or caller gone"), true
 		}
 		j.Log.Warn("node lost that served a request", zap.String("request", j.r.ID), zap.String("node", got.Via),
-			zap.Bool("begun", j.sink.Begun()))
-		if j.sink.Begun() || !j.mayRetry(attemptResult{cause: causeNodeLost}, j.r.Runs) {
-			return j.end(lostRefusal("the connection to node %s broke", got.Via), causeNodeLost), true
+			zap.String("cause", cause), zap.Bool("begun", j.sink.Begun()))
+		if j.sink.Begun() && !j.repeatable() || !j.mayRetry(attemptResult{cause: cause}, j.r.Runs) {
+			return j.end(lostRefusal("the connection to node %s broke", got.Via), cause), true
+		}
+		if j.r.Route.Kind == routing.Streaming {
+			j.recordRunAgain(got.Via, cause)
 		}
 		j.r.Counted = true
 	}
@@ -85,5 +93,14 @@
 	j.result.Attempts += earlier.Attempts
 	j.result.Waited += earlier.Waited
 	j.result.Refusal = j.accurate(j.result.Refusal)
+	j.result.ResumedAt = earlier.ResumedAt
+	j.r.Runs = max(j.r.Runs, got.Result.Runs)
+	if j.prog.count > 0 && earlier.FirstEvent > 0 {
+		j.result.FirstEvent = earlier.FirstEvent
+	}
+	if j.result.Refusal != nil {
+		// A caller that has the beginning of the answer cannot be refused.
+		j.result.Broken = j.sink.Begun()
+	}
 	return j.result
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,6 +51,10 @@
 	Counted bool
 	// Runs is the number of endpoints that may have executed the request so far.
 	Runs int
+	// LastEvent is the ID of the last event of the stream that the caller has. It is valid if Resumes
+	// is set.
+	LastEvent int64
+	Resumes   bool
 }
 
 // Size is the size of a generation as stated by its request, in tokens. It is zero for plain work.
@@ -71,6 +75,9 @@
 	Backup string
 	// Resume continues a run from a copy of its KV cache. It is nil for a new run.
 	Resume *Resume
+	// After is the ID of the last event that the caller has, after which a new run is to begin. It is
+	// nil if the caller has none.
+	After *int64
 }
 
 // Resume identifies the copy of the KV cache from which a run is resumed.
@@ -151,7 +158,11 @@
 	// stream was resumed on another engine.
 	Attempts int
 	Moves    int
-	Endpoint string
+	// Runs is the number of endpoints that may have executed the request for this answer. ResumedAt
+	// is the ID of the event after which the newest run began, nil if it began with the first.
+	Runs      int
+	ResumedAt *int64
+	Endpoint  string
 	// Via is the address of the node that served the request, empty if it was this one.
 	Via    string
 	Waited time.Duration
@@ -202,24 +213,32 @@
 func (l *Relay) Serve(ctx context.Context, r *Request, sink Sink) Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	job := &job{Relay: l, r: r, sink: sink, ran: r.Runs > 0}
+	job := &job{Relay: l, r: r, sink: sink, ran: r.Runs > 0, prog: newProgress(r)}
 	if n := l.Strikes.Count(r.Fingerprint); n >= strikeLimit {
 		return Result{Refusal: job.suspectRefusal(n)}
 	}
 	defer job.dropClaim()
-	if job.outOfReach() {
-		if result, served := job.forward(ctx); served {
+	if r.Resumes {
+		metrics.Count("stream_resumed_by_caller")
+	}
+	return job.withProgress(job.serve(ctx))
+}
+
+// serve has the request served by another node or serves it.
+func (j *job) serve(ctx context.Context) Result {
+	if j.outOfReach() {
+		if result, served := j.forward(ctx); served {
 			return result
 		}
 	}
-	if !r.Counted {
-		l.Budgets.Get(r.Service.Name).RecordAttempt()
-		r.Counted = true
+	if !j.r.Counted {
+		j.Budgets.Get(j.r.Service.Name).RecordAttempt()
+		j.r.Counted = true
 	}
-	if r.Route.Kind == routing.Streaming {
-		return job.stream(ctx)
+	if j.r.Route.Kind == routing.Streaming {
+		return j.stream(ctx)
 	}
-	return job.call(ctx)
+	return j.call(ctx)
 }
 
 // job is one request in progress.
@@ -229,6 +248,8 @@
 	sink   Sink
 	result Result
 	tried  []string
+	// prog is what the caller has of a stream.
+	prog *progress
 	// ownClaim is the request's claim to its work, nil if it has none.
 	ownClaim *Claim
 	// ran is set once an endpoint may have executed the request.
@@ -329,7 +350,7 @@
 
 // send sends the request to the endpoint of p and returns its answer once the header has arrived.
 func (j *job) send(ctx context.Context, p *fleet.Placement, resume *Resume, backup *fleet.BackupReservation) (*h1.Response, error) {
-	attempt := Attempt{Instance: p.Instance(), Remaining: time.Until(j.r.Deadline), Resume: resume}
+	attempt := Attempt{Instance: p.Instance(), Remaining: time.Until(j.r.Deadline), Resume: resume, After: j.prog.after()}
 	if backup != nil {
 		attempt.Backup = backup.Instance().Address
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -23,6 +23,10 @@
 	events   *eventReader
 	// backup is the reservation for a copy of the run's KV cache on another endpoint, nil for none.
 	backup *fleet.BackupReservation
+	// watch ends the run if the endpoint hangs.
+	watch *hangWatch
+	// seam is where the events of this segment join those that the caller has.
+	seam *seam
 }
 
 // segmentEnd is how a segment ended.
@@ -37,50 +41,31 @@
 	segmentCallerGone
 	// segmentCorrupt means that an event is missing or out of order.
 	segmentCorrupt
+	// segmentHung means that the endpoint sent nothing for too long, and another run may follow.
+	segmentHung
 )
 
 // stream serves a request whose answer is a series of events.
+// It runs again, on as many endpoints as it needs and may use.
 func (j *job) stream(ctx context.Context) Result {
 	s, result := j.start(ctx)
-	if s == nil {
-		return result
-	}
-	if s.resp.StatusCode != http.StatusOK {
-		j.releaseBackup(s.backup, false)
-		return j.deliverNonStream(s.p, s.resp)
-	}
-	prog := &progress{}
-	for {
-		end, next := s.run(ctx, prog)
+	for s != nil {
+		if s.resp.StatusCode != http.StatusOK {
+			j.releaseBackup(s.backup, false)
+			defer s.watch.end()
+			return j.deliverNonStream(s.p, s.resp)
+		}
+		end, next := s.run(ctx, j.prog)
 		j.releaseBackup(s.backup, end == segmentComplete)
 		if next == nil {
-			return j.streamEnded(ctx, end, prog)
+			if !j.mayRunAgain(ctx, s, end) {
+				return j.streamEnded(ctx, end)
+			}
+			next, result = j.start(ctx)
 		}
 		s = next
 	}
-}
-
-// progress is what the caller has received of a stream.
-type progress struct {
-	// last is the ID of the last event. It is valid once begun is set.
-	last  int64
-	begun bool
-	// count is the number of events.
-	count int
-	// lastAt is when the last event arrived, longestGap the longest pause between two events.
-	lastAt     time.Time
-	longestGap time.Duration
-}
-
-func (p *progress) record(id int64) {
-	now := time.Now()
-	if p.begun {
-		p.longestGap = max(p.longestGap, now.Sub(p.lastAt))
-	}
-	p.lastAt = now
-	p.begun = true
-	p.last = id
-	p.count++
+	return result
 }
 
 // start finds an endpoint that accepts the request. It returns a nil segment if there is none.
@@ -95,36 +80,63 @@
 		if refusal != nil {
 			return nil, j.exhausted(ctx, nil, refusal)
 		}
-		backup := j.reserveBackup(p)
-		silenceTimer := time.AfterFunc(silentThreshold, func() { p.RecordResult(fleet.Silent) })
-		resp, err := j.send(ctx, p, nil, backup)
-		silenceTimer.Stop()
-		got := startErrorResult(err)
-		if err == nil {
-			refused := false
-			if got, refused = j.refusedResult(resp); !refused {
-				return &segment{job: j, p: p, resp: resp, backup: backup}, Result{}
-			}
+		if ctx.Err() != nil {
+			p.Release(fleet.Neutral)
+			return nil, j.exhausted(ctx, nil, nil)
+		}
+		s, got := j.sendNew(ctx, p)
+		if s != nil {
+			return s, Result{}
 		}
-		p.Release(got.health)
-		j.releaseBackup(backup, got.notRun)
-		j.tried = append(j.tried, p.Instance().ID)
 		j.result.Detail = got.cause
 		j.ran = j.ran || !got.notRun
 		if got.broken() {
 			j.strikeIfDead(ctx, p)
 		}
-		if ctx.Err() != nil || !j.mayContinue(got, maxSends) || j.strikeLimitReached() {
+		if ctx.Err() != nil || j.strikeLimitReached() || got.final || !j.mayContinueRun(got) {
 			return nil, j.exhausted(ctx, nil, j.failureRefusal(got))
 		}
 	}
 }
 
-func startErrorResult(err error) attemptResult {
-	if err == nil {
-		return attemptResult{}
+// sendNew starts a new run on the endpoint of p. If that fails, it releases p and returns a nil
+// segment.
+func (j *job) sendNew(ctx context.Context, p *fleet.Placement) (*segment, attemptResult) {
+	backup := j.reserveBackup(p)
+	silenceTimer := time.AfterFunc(silentThreshold, func() { p.RecordResult(fleet.Silent) })
+	defer silenceTimer.Stop()
+	j.tried = append(j.tried, p.Instance().ID)
+	j.result.ResumedAt = j.prog.after()
+	watch := j.watchHang(ctx, j.r.Runs+1)
+	watch.arm()
+	resp, err := j.send(watch.ctx, p, nil, backup)
+	watch.disarm()
+	got := j.startResult(resp, err, watch)
+	if !got.notRun {
+		j.r.Runs++
+	}
+	if got.cause == "" {
+		return &segment{job: j, p: p, resp: resp, backup: backup, watch: watch, seam: j.newSeam()}, got
+	}
+	watch.end()
+	p.Release(got.health)
+	j.releaseBackup(backup, got.notRun)
+	return nil, got
+}
+
+// startResult returns the result of sending a new run. Its cause is empty if there is an answer to be
+// delivered.
+func (j *job) startResult(resp *h1.Response, err error, watch *hangWatch) attemptResult {
+	switch {
+	case err != nil && watch.hung():
+		return attemptResult{health: fleet.Silent, cause: causeHung}
+	case err != nil:
+		return sendErrorResult(err)
 	}
-	return sendErrorResult(err)
+	if got, refused := j.refusedResult(resp); refused {
+		return got
+	}
+	return j.unusableStatus(resp)
 }
 
 // silentThreshold is the time without the header of an answer after which an engine counts as
@@ -149,6 +161,7 @@
 	s.migrator = newMigrator(s)
 	s.migrator.start(ctx)
 	defer s.migrator.stop()
+	defer s.watch.end()
 	end, next := s.forward(ctx, prog)
 	s.Vacated.markEnded(s.runKey())
 	if next == nil || s.migrator.currentCopy() != nil {
@@ -168,6 +181,9 @@
 		}
 	}
 	end, cause := s.forwardEvents(prog)
+	if end == segmentComplete && s.seam.endsTooEarly(prog) {
+		end = segmentCorrupt
+	}
 	switch end {
 	case segmentComplete:
 		if s.resp.Framed() || !s.endpointGone(ctx, s.p) {
@@ -180,6 +196,9 @@
 	case segmentCallerGone, segmentCorrupt:
 		s.finish(fleet.Neutral)
 		return end, nil
+	case segmentHung:
+		// Closing the connection ends the run on the engine.
+		s.resp.Close()
 	case segmentCut:
 	}
 	if ctx.Err() != nil {
@@ -188,18 +207,21 @@
 	}
 	wait := s.strikeAfterCut(ctx, s.p)
 	if next := s.resumeFromCopies(ctx, prog); next != nil {
-		s.finish(s.healthAfterCut())
+		s.finish(s.healthAfterCut(end))
 		return end, next
 	}
 	wait()
 	s.result.Detail = "stream cut: " + cause.Error()
-	s.finish(s.healthAfterCut())
+	s.finish(s.healthAfterCut(end))
 	return end, nil
 }
 
 // healthAfterCut returns the health result for an endpoint whose stream was cut: a failure, unless
 // the endpoint was leaving or has restarted.
-func (s *segment) healthAfterCut() fleet.Result {
+func (s *segment) healthAfterCut(end segmentEnd) fleet.Result {
+	if end == segmentHung {
+		return fleet.Silent
+	}
 	if s.p.EndpointContext().Err() != nil || leaving(s.p) {
 		return fleet.Neutral
 	}
@@ -220,21 +242,26 @@
 func (s *segment) forwardEvents(prog *progress) (segmentEnd, error) {
 	s.events = newEventReader(s.resp.Body)
 	for {
+		s.watch.arm()
 		batch, err := s.events.next()
+		s.watch.disarm()
 		if len(batch) > 0 {
 			fresh, ok := s.newEvents(batch, prog)
-			if !ok {
-				return segmentCorrupt, io.ErrUnexpectedEOF
-			}
 			if len(fresh) > 0 {
 				if err := s.sink.Write(fresh); err != nil {
 					return segmentCallerGone, err
 				}
 			}
+			if !ok {
+				return segmentCorrupt, io.ErrUnexpectedEOF
+			}
 		}
 		if err == io.EOF {
 			return segmentComplete, io.EOF
 		}
+		if err != nil && s.watch.hung() {
+			return segmentHung, errHung
+		}
 		if err != nil {
 			return segmentCut, err
 		}
@@ -242,23 +269,21 @@
 }
 
 // newEvents checks the order of the events and returns those that the caller has not received yet.
-// It returns false if an event is missing. After a move, an engine may send the last events again,
-// and a faulty one may omit an event; the caller must then not get a stream that looks complete.
+// It returns false if an event is missing; the events before it are returned all the same. After a
+// move or in a new run, an engine may send events again, and a faulty one may omit an event; the
+// caller must then not get a stream that looks complete.
 func (s *segment) newEvents(batch []byte, prog *progress) ([]byte, bool) {
 	fresh := batch[:0]
 	for rest := batch; len(rest) > 0; {
 		var event []byte
 		event, rest = splitEvent(rest)
 		id, numbered := s.Protocol.ParseEvent(event)
-		if numbered && prog.begun {
-			if id <= prog.last {
-				metrics.Count("event_repeated")
-				continue
-			}
-			if id != prog.last+1 {
-				metrics.Count("event_missing")
-				return nil, false
-			}
+		switch s.seam.check(prog, event, id, numbered) {
+		case eventRepeated:
+			continue
+		case eventMisplaced:
+			return fresh, false
+		case eventNext:
 		}
 		if numbered {
 			s.recordEvent(id, prog)
@@ -269,12 +294,12 @@
 }
 
 func (s *segment) recordEvent(id int64, prog *progress) {
-	if !prog.begun {
+	if prog.count == 0 {
 		s.result.FirstEvent = time.Since(s.r.Received)
 	}
 	prog.record(id)
 	if prog.count%eventsPerUpdate == 1 {
-		s.p.SetProduced(prog.count * s.tokensPerEvent())
+		s.p.SetProduced(s.producedTokens(prog))
 	}
 	s.migrator.markBegun()
 }
@@ -290,7 +315,8 @@
 // the engine does not accept it.
 func (s *segment) resume(ctx context.Context, placement *fleet.Placement, resume *Resume, prog *progress) *segment {
 	backup := s.reserveBackup(placement, s.p.Instance().ID)
-	resp, err := s.send(ctx, placement, resume, backup)
+	watch := s.watchHang(ctx, s.r.Runs)
+	resp, err := s.send(watch.ctx, placement, resume, backup)
 	if err == nil {
 		_, refused := s.refusedResult(resp)
 		if !refused && resp.StatusCode == http.StatusOK {
@@ -298,10 +324,12 @@
 			metrics.Count("stream_moved")
 			s.Log.Info("stream goes on", zap.String("request", s.r.ID), zap.String("endpoint", placement.Instance().ID),
 				zap.Int64("last_event", prog.last), zap.Duration("pause", time.Since(prog.lastAt)))
-			return &segment{job: s.job, p: placement, resp: resp, backup: backup}
+			s.tried = append(s.tried, placement.Instance().ID)
+			return &segment{job: s.job, p: placement, resp: resp, backup: backup, watch: watch, seam: s.newSeam()}
 		}
 		resp.Close()
 	}
+	watch.end()
 	s.releaseBackup(backup, false)
 	s.Log.Warn("stream not resumed", zap.String("request", s.r.ID), zap.String("endpoint", placement.Instance().ID),
 		zap.NamedError("cause", err))
@@ -309,9 +337,7 @@
 }
 
 // streamEnded returns the outcome of a stream.
-func (j *job) streamEnded(ctx context.Context, end segmentEnd, prog *progress) Result {
-	j.result.Events = prog.count
-	j.result.LongestGap = prog.longestGap
+func (j *job) streamEnded(ctx context.Context, end segmentEnd) Result {
 	if end == segmentComplete {
 		return j.result
 	}
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -12,13 +12,11 @@
 	NonIdempotent Kind = iota
 	// Idempotent requests may run again after a failure.
 	Idempotent
-	// Streaming requests are answered with events and run at most once.
+	// Streaming requests are answered with events. They run at most once, unless their route is
+	// resumable.
 	Streaming
 )
 
-// Repeatable reports whether a request that may have run may be sent again.
-func (k Kind) Repeatable() bool { return k == Idempotent }
-
 // Route maps a host and a path prefix to services.
 type Route struct {
 	Name   string
@@ -48,6 +46,11 @@
 	Regions []string
 }
 
+// Repeatable reports whether a request of the route that may have run may be sent again.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
 // Backend is a service that receives a share of a route's requests, in proportion to its weight.
 type Backend struct {
 	Service string
