--- a/relay/forwarded_stream.go
+++ b/relay/forwarded_stream.go
@@ -46,6 +46,7 @@
 		return nil
 	}
 	s.reads = s.reads && status == http.StatusOK
+	s.job.result.Status = status
 	return s.Sink.Begin(status, header)
 }
 
