--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "slices"
+
 // ProbeTargets returns up to n endpoints of a service, chosen at random, to which the caller sends a
 // probe now: it is already counted against their request limits. Cold endpoints are chosen only if
 // there are no others.
@@ -41,6 +43,19 @@
 	return others
 }
 
+// HasOther reports whether the service has an endpoint that is not known to be leaving and is not in
+// except, a list of IDs.
+func (f *Fleet) HasOther(service string, except []string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.services[service] {
+		if !e.isLeaving && !slices.Contains(except, e.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // Count returns the number of endpoints of a service that are not known to be leaving.
 func (f *Fleet) Count(service string) int {
 	f.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -218,7 +218,7 @@
 		return Result{Refusal: job.suspectRefusal(n)}
 	}
 	defer job.dropClaim()
-	if r.Resumes {
+	if r.Resumes && !r.Forwarded {
 		metrics.Count("stream_resumed_by_caller")
 	}
 	return job.withProgress(job.serve(ctx))
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -48,7 +49,7 @@
 	if ctx.Err() != nil || !j.repeatable() || j.strikeLimitReached() {
 		return false
 	}
-	if !got.approved && !j.mayRetry(got, j.r.Runs) {
+	if !got.approved && !j.mayRunElsewhere(got) {
 		return false
 	}
 	j.recordRunAgain(s.p.Instance().ID, got.cause)
@@ -57,15 +58,22 @@
 
 // mayContinueRun reports whether a stream whose run ended without an answer may be sent again.
 func (j *job) mayContinueRun(got attemptResult) bool {
-	if !got.approved && got.cause != causeHung && !j.mayContinue(got, j.r.Runs) {
+	switch {
+	case got.notRun:
+		return j.mayContinue(got, j.r.Runs)
+	case !got.approved && !j.mayRunElsewhere(got):
 		return false
 	}
-	if !got.notRun {
-		j.recordRunAgain(j.result.Endpoint, got.cause)
-	}
+	j.recordRunAgain(j.result.Endpoint, got.cause)
 	return true
 }
 
+// mayRunElsewhere reports whether there is an endpoint that was not tried and the request may run
+// again. Without such an endpoint the caller would wait for a placement that cannot come.
+func (j *job) mayRunElsewhere(got attemptResult) bool {
+	return (j.outOfReach() || j.Fleet.HasOther(j.r.Service.Name, j.tried)) && j.mayRetry(got, j.r.Runs)
+}
+
 // recordRunAgain logs and counts a new run, after the one that was lost.
 func (j *job) recordRunAgain(lost, cause string) {
 	metrics.Count("stream_run_again")
@@ -102,7 +110,7 @@
 		got.health = fleet.Failed
 	}
 	if !j.sink.Begun() {
-		if !j.shouldRetryStatus(resp.StatusCode) || !j.mayRetry(got, j.r.Runs+1) {
+		if !j.shouldRetryStatus(resp.StatusCode) || !j.Fleet.HasOther(j.r.Service.Name, j.tried) || !j.mayRetry(got, j.r.Runs+1) {
 			return attemptResult{}
 		}
 		got.approved = true
@@ -168,9 +176,9 @@
 	if !j.repeatable() || run >= j.r.Route.MaxAttempts || sends >= maxSends || j.Fleet.Disabled[fleet.Retries] {
 		return w
 	}
-	tried := len(j.tried)
+	tried := slices.Clone(j.tried)
 	w.timer = time.AfterFunc(w.threshold, func() {
-		if j.Fleet.Count(j.r.Service.Name) <= tried || !j.Budgets.Get(j.r.Service.Name).AllowRetry() {
+		if !j.Fleet.HasOther(j.r.Service.Name, tried) || !j.Budgets.Get(j.r.Service.Name).AllowRetry() {
 			metrics.Count("retry_denied")
 			return
 		}
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -98,9 +98,9 @@
 			Expect(v.Broken).To(BeFalse())
 			Expect(a.text()).To(Equal(events(req.ID, 1, 20)))
 			Expect(v.Events).To(Equal(20))
-			// A run that sends events again is not a failed one.
 			runs := len(faults) + 1
-			if faults[len(faults)-1] == worker.Restart {
+			if last := faults[len(faults)-1]; last == worker.Restart || last == worker.Shed {
+				// A run that sends events again does not fail, and a refused one does not exist.
 				runs--
 			}
 			Expect(v.Runs).To(Equal(runs))
@@ -117,6 +117,7 @@
 		Entry("after a hang before the first event", "", worker.Hang),
 		Entry("after a hang in the middle", "9", worker.HangMidway),
 		Entry("that sends events again", "9", worker.Truncate, worker.Restart),
+		Entry("after a refusal", "9", worker.Truncate, worker.Shed),
 		Entry("after a gap at the seam", "9", worker.Truncate, worker.SkipFirst),
 		Entry("after an event without an ID at the seam", "9", worker.Truncate, worker.Unnumbered),
 		Entry("after a run that ended before the last event", "9", worker.Truncate, worker.StopShort),
@@ -190,6 +191,22 @@
 		Expect(e.Runs()).To(HaveLen(1))
 	})
 
+	// Guards against a caller that waits for a broken stream, or for a refusal, although no engine is left.
+	DescribeTable("ends at once if there is no other engine", func(fault worker.Fault) {
+		r := newTestRelay()
+		r.enginesWith(1, always(fault))
+		began := time.Now()
+		v, a := r.serve(r.resumable(2))
+		Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+		Expect(v.Broken).To(Equal(a.Begun()))
+		if !a.Begun() {
+			Expect(v.Refusal.Outcome).To(Equal(crocusreel.OutcomeUnknown))
+		}
+	},
+		Entry("in the middle", worker.Truncate),
+		Entry("before the first event", worker.LoseAnswer),
+	)
+
 	// Guards against work at an engine for a caller that left while its stream was between two runs.
 	It("is not run again for a caller that has left at the seam", func() {
 		r := newTestRelay()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -129,7 +129,7 @@
 func (j *job) startResult(resp *h1.Response, err error, watch *hangWatch) attemptResult {
 	switch {
 	case err != nil && watch.hung():
-		return attemptResult{health: fleet.Silent, cause: causeHung}
+		return attemptResult{health: fleet.Silent, cause: causeHung, approved: true}
 	case err != nil:
 		return sendErrorResult(err)
 	}
--- a/tests/node/resume_test.go
+++ b/tests/node/resume_test.go
@@ -48,6 +48,8 @@
 		Expect(r.status).To(Equal(http.StatusOK))
 		Expect(r.complete).To(BeTrue())
 		Expect(r.body).To(Equal(eventsOf(r.id, 10, 20)))
+		Eventually(func() string { return readFile(s.dir, s.nodes[0].ip+".log") }, time.Second).Should(
+			MatchRegexp(`event="request ended".*request=` + r.id + ` resumed_at=9 route=notes runs=1`))
 	})
 
 	// Guards against a header that is taken for another event than the caller meant.
