Relay: an attempt that did not arrive needs no retry budget

Cause: a refused connection never reaches an endpoint, but the next attempt was charged to the retry budget. When a third of the engines die in a burst, the budget is soon used up and requests are refused although other engines have capacity.

Change: as long as no attempt of a request has arrived anywhere, up to 8 further attempts are free, within half of the latency target (an eighth of the deadline without a target). From the fourth one on they wait, 20 ms doubling, so that other nodes' reports can arrive. Disabled by the mechanism "unreachable".

Measured: with 3 of 4 endpoints refusing and no budget, all calls and streams are served; with the mechanism disabled they end after one attempt. relay tests pass.

--- a/relay/call.go
+++ b/relay/call.go
@@ -17,7 +17,7 @@
 
 const (
 	// maxSends is the maximum number of times that one request is sent, including attempts that an
-	// endpoint refuses.
+	// endpoint refuses, but not those that freeSend allows.
 	maxSends = 4
 	// maxBufferedAnswerBytes is the size up to which the answer to a plain call is buffered before
 	// any of it is delivered. An answer that breaks off within the buffer can still be replaced by
@@ -112,7 +112,10 @@
 	if !got.notRun && (!j.r.Route.Kind.Repeatable() || runs >= j.r.Route.MaxAttempts) {
 		return false
 	}
-	if j.result.Attempts >= maxSends || j.Fleet.Disabled[fleet.Retries] || !j.Budgets.Get(j.r.Service.Name).AllowRetry() {
+	if j.freeSend(got) {
+		return true
+	}
+	if j.paidAttempts() >= maxSends || j.Fleet.Disabled[fleet.Retries] || !j.Budgets.Get(j.r.Service.Name).AllowRetry() {
 		metrics.Count("retry_denied")
 		return false
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -202,7 +202,7 @@
 func (l *Relay) Serve(ctx context.Context, r *Request, sink Sink) Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	job := &job{Relay: l, r: r, sink: sink, ran: r.Runs > 0}
+	job := &job{Relay: l, r: r, sink: sink, ran: r.Runs > 0, arrivals: newArrivals(r)}
 	if n := l.Strikes.Count(r.Fingerprint); n >= strikeLimit {
 		return Result{Refusal: job.suspectRefusal(n)}
 	}
@@ -235,6 +235,7 @@
 	ran bool
 	// declined is set once the request was to be forwarded and no other node accepted it.
 	declined bool
+	arrivals arrivals
 }
 
 func (j *job) work() fleet.Work {
@@ -294,6 +295,7 @@
 
 // place waits for a placement and checks that the request may still run.
 func (j *job) place(ctx context.Context) (*fleet.Placement, *crocusreel.Refusal) {
+	j.pauseBeforeFreeSend(ctx)
 	if refusal := j.awaitClaim(ctx); refusal != nil {
 		return nil, refusal
 	}
@@ -337,6 +339,7 @@
 	j.result.Endpoint = attempt.Instance.ID
 	stopSilence := j.watchSilence(attempt.Instance)
 	defer stopSilence()
+	began := time.Now()
 	resp, err := j.Client.Do(ctx, attempt.Instance.Address, &h1.Request{
 		Method:          j.r.Method,
 		Target:          j.r.Target,
@@ -350,6 +353,7 @@
 		j.recordNotice(attempt.Instance, resp)
 	}
 	j.recordReach(attempt.Instance, resp, err)
+	j.recordArrival(time.Since(began), err)
 	return resp, err
 }
 
