Fleet: nodes report endpoints that refuse connections to each other

Cause: an engine that has died looks empty to all nodes until its store entry expires, up to 3.6 s, and each node left it out for 0.5 s on its own evidence only, so that all nodes sent to it again and again.

Change: NodeState field 29 names up to 24 endpoints that refused a connection of the sending node, which has then connected to another endpoint of the service. A report suspends the endpoint for 0.5 s from the time of the refusal, doubling up to 4 s while it refuses again; an answer to the receiving node outweighs it. The check for dead endpoints after a broken connection reports, too.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -109,6 +109,7 @@
 	remote      map[string]Load
 	remoteTotal Load
 	health      health
+	refusal     refusal
 	// overload is used while the service is brittle.
 	overload endpointOverload
 	// leavingByHealth is set while the instance counts as leaving by its health check alone.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,8 +26,10 @@
 	// unconfirmed holds the endpoints whose store entry is missing, and those that count as leaving
 	// by their health check alone.
 	unconfirmed map[*Endpoint]struct{}
-	queues      map[queueID]*queue
-	remote      map[string]remoteState
+	// refusing holds the endpoints that refused a connection of this node and are suspended.
+	refusing map[EndpointKey]*Endpoint
+	queues   map[queueID]*queue
+	remote   map[string]remoteState
 	// notices holds the notices that endpoints have sent, by incarnation.
 	notices map[EndpointKey]*noticeRecord
 	// left holds the time at which each endpoint that is no longer in service was dropped.
@@ -62,6 +64,9 @@
 	// OnBrittle is called when the endpoints of a service become brittle or no longer are. It must
 	// not block.
 	OnBrittle func(BrittleChange)
+	// OnUnreachable is called when the report of another node suspends an endpoint. It must not
+	// block.
+	OnUnreachable func(Suspension)
 	// ScheduleTick schedules a call of Tick after the given time. It must not block.
 	ScheduleTick func(after time.Duration)
 }
@@ -70,22 +75,26 @@
 // a monotonic clock.
 func New(dataCentre string, now func() time.Duration) *Fleet {
 	return &Fleet{
-		dataCentre:   dataCentre,
-		now:          now,
-		byID:         make(map[string]*Endpoint),
-		byKey:        make(map[EndpointKey]*Endpoint),
-		used:         make(map[*Endpoint]struct{}),
-		unconfirmed:  make(map[*Endpoint]struct{}),
-		services:     make(map[string][]*Endpoint),
-		queues:       make(map[queueID]*queue),
-		remote:       make(map[string]remoteState),
-		notices:      make(map[EndpointKey]*noticeRecord),
-		left:         make(map[EndpointKey]time.Duration),
-		overload:     make(map[string]*serviceOverload),
-		Broadcast:    func(string) {},
-		OnExclusion:  func(Exclusion) {},
-		OnNotice:     func(NoticeChange) {},
-		OnBrittle:    func(BrittleChange) {},
+		dataCentre:  dataCentre,
+		now:         now,
+		byID:        make(map[string]*Endpoint),
+		byKey:       make(map[EndpointKey]*Endpoint),
+		used:        make(map[*Endpoint]struct{}),
+		unconfirmed: make(map[*Endpoint]struct{}),
+		refusing:    make(map[EndpointKey]*Endpoint),
+		services:    make(map[string][]*Endpoint),
+		queues:      make(map[queueID]*queue),
+		remote:      make(map[string]remoteState),
+		notices:     make(map[EndpointKey]*noticeRecord),
+		left:        make(map[EndpointKey]time.Duration),
+		overload:    make(map[string]*serviceOverload),
+		Broadcast:   func(string) {},
+		OnExclusion: func(Exclusion) {},
+		OnNotice:    func(NoticeChange) {},
+		OnBrittle:   func(BrittleChange) {},
+
+		OnUnreachable: func(Suspension) {},
+
 		ScheduleTick: func(time.Duration) {},
 		ClusterSize:  func() ClusterSize { return ClusterSize{Nodes: 1, HalfLive: true} },
 		Roster:       func() *Roster { return nil },
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -160,7 +160,7 @@
 }
 
 func (f *Fleet) ejectedLocked(e *Endpoint, now time.Duration) bool {
-	return now < e.health.ejectedUntil && !f.Disabled[Ejection]
+	return now < e.health.ejectedUntil && !f.Disabled[Ejection] || f.refusesConnectionsLocked(e, now)
 }
 
 // fitsLocked reports whether the endpoint has capacity for the work in addition to the given load.
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -130,6 +130,7 @@
 	if p.released {
 		return
 	}
+	p.endpoint.refusal.produced(f.now(), p.prefilling)
 	own := &p.endpoint.own
 	own.Tokens -= p.expectedTokens()
 	own.PendingPrefill -= p.pendingPrefill()
@@ -176,10 +177,12 @@
 	switch r {
 	case Good:
 		h.succeeded(now)
+		e.refusal.answered(now)
 	case Failed:
 		h.failed(now, 1)
 	case Busy:
 		h.failed(now, busyWeight)
+		e.refusal.answered(now)
 		f.rejectedLocked(e, now)
 	case Silent:
 		h.failed(now, silentWeight)
--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -50,11 +50,14 @@
 // another node have met is not known here, so they count as arrived.
 func newArrivals(r *Request) arrivals { return arrivals{arrived: r.Runs > 0 || r.Counted} }
 
-// recordArrival records whether an attempt that took this long arrived at an endpoint.
-func (j *job) recordArrival(took time.Duration, err error) {
+// recordArrival records whether an attempt that took this long arrived at its endpoint.
+func (j *job) recordArrival(p *fleet.Placement, took time.Duration, err error) {
 	var failed *h1.Error
 	if errors.As(err, &failed) && !failed.Sent {
 		j.arrivals.lost += took
+		if h1.Refused(err) {
+			j.recordRefused(p)
+		}
 		return
 	}
 	j.arrivals.arrived = true
@@ -89,12 +92,18 @@
 // pauseBeforeFreeSend waits before an attempt that does not follow the previous one at once. The
 // wait ends early with ctx.
 func (j *job) pauseBeforeFreeSend(ctx context.Context) {
-	a := &j.arrivals
+	if pause := j.arrivals.pause(j.freeTime()); pause > 0 {
+		retry.Sleep(ctx, pause)
+	}
+}
+
+// pause returns the wait before the next attempt and counts it as lost time.
+func (a *arrivals) pause(limit time.Duration) time.Duration {
 	further := a.free - immediateFreeSends
 	if a.arrived || further <= 0 {
-		return
+		return 0
 	}
-	pause := min(freeSendPause<<(further-1), max(j.freeTime()-a.lost, 0))
-	retry.Sleep(ctx, pause)
+	pause := min(freeSendPause<<(further-1), max(limit-a.lost, 0))
 	a.lost += pause
+	return pause
 }
--- a/relay/dead_endpoint.go
+++ b/relay/dead_endpoint.go
@@ -48,6 +48,7 @@
 	if !j.endpointGone(ctx, p) {
 		return false
 	}
+	j.recordRefused(p)
 	cause := ""
 	switch others := j.Fleet.OtherEndpoints(p.Instance(), maxComparedEndpoints); {
 	case len(others) > 0 && !j.connectsToAny(ctx, others):
@@ -77,19 +78,19 @@
 	return known && !refuses
 }
 
-func (j *job) connectsToAny(ctx context.Context, endpoints []fleet.Instance) bool {
+func (l *Relay) connectsToAny(ctx context.Context, endpoints []fleet.Instance) bool {
 	for _, in := range endpoints {
-		if j.connects(ctx, in.Address) {
+		if l.connects(ctx, in.Address) {
 			return true
 		}
 	}
 	return false
 }
 
-func (j *job) connects(ctx context.Context, address string) bool {
+func (l *Relay) connects(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, deathCheckTimeout)
 	defer cancel()
-	return j.Client.Dial(ctx, address) == nil
+	return l.Client.Dial(ctx, address) == nil
 }
 
 // strikeIfDead records a strike against the request if the placement's endpoint has died. An
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -353,7 +353,7 @@
 		j.recordNotice(attempt.Instance, resp)
 	}
 	j.recordReach(attempt.Instance, resp, err)
-	j.recordArrival(time.Since(began), err)
+	j.recordArrival(p, time.Since(began), err)
 	return resp, err
 }
 
