--- a/relay/arrival_test.go
+++ b/relay/arrival_test.go
@@ -107,4 +107,40 @@
 		Expect(v.Refusal.Reason).To(Equal(crocusreel.ReasonEndpointRefused))
 		Expect(v.Attempts).To(Equal(1))
 	})
+
+	// Guards against a dead endpoint that the other nodes do not learn of.
+	It("has the endpoint reported to the other nodes", func() {
+		r := newTestRelay()
+		r.refusing("app", "a")
+		r.service("i1", worker.None)
+		Eventually(func() []fleet.UnreachableReport {
+			r.serve(r.request(routing.NonIdempotent))
+			return r.Fleet.OwnUnreachable()
+		}).Should(ConsistOf(HaveField("Key", fleet.Incarnation{ID: "a"}.Key())))
+	})
+
+	// Guards against a node that is cut off from a service and makes the others suspend its endpoints.
+	It("has no endpoint reported while no other endpoint of the service accepts connections", func() {
+		r := newTestRelay()
+		r.refusing("app", "a", "b", "c")
+		r.engine("e1", 3, nil)
+		for range 3 {
+			req := r.request(routing.NonIdempotent)
+			req.Deadline = time.Now().Add(100 * time.Millisecond)
+			r.serve(req)
+			Expect(r.Fleet.OwnUnreachable()).To(BeEmpty())
+		}
+		Consistently(r.Fleet.OwnUnreachable, "200ms").Should(BeEmpty())
+	})
+
+	// Guards against a dead engine that is reported only once new work meets it.
+	It("has an endpoint reported that broke a connection and refuses another one", func() {
+		r := newTestRelay()
+		r.service("i1", worker.None)
+		dying := r.service("a", worker.Crash)
+		for len(dying.Runs()) == 0 {
+			r.serve(r.request(routing.NonIdempotent))
+		}
+		Eventually(r.Fleet.OwnUnreachable).Should(ConsistOf(HaveField("Key", fleet.Incarnation{ID: "a"}.Key())))
+	})
 })
--- a/relay/unreachable_sim_test.go
+++ b/relay/unreachable_sim_test.go
@@ -63,8 +63,10 @@
 	name      string
 	lastSent  time.Duration
 	scheduled bool
-	// cutOff is set while all endpoints refuse this node.
-	cutOff bool
+	// cutOff is set while all endpoints refuse this node, cutFrom names a data centre whose endpoints
+	// refuse it.
+	cutOff  bool
+	cutFrom string
 }
 
 // refusalSim is one run of the simulation, and its outcome.
@@ -142,7 +144,9 @@
 	})
 }
 
-func (s *refusalSim) refuses(n *simNode, in fleet.Instance) bool { return n.cutOff || s.dead[in.ID] }
+func (s *refusalSim) refuses(n *simNode, in fleet.Instance) bool {
+	return n.cutOff || n.cutFrom == in.DataCentre || s.dead[in.ID]
+}
 
 // refused does what a relay does when an endpoint has refused a connection.
 func (s *refusalSim) refused(n *simNode, in fleet.Instance) {
@@ -285,16 +289,19 @@
 		Entry("75 nodes, half of the datagrams lost", 75, 0.5),
 	)
 
-	// Guards against a node that is cut off from all endpoints and makes the others suspend them.
-	It("are not reported by a node that is cut off from all endpoints", func() {
+	// Guards against a node that is cut off from endpoints and makes the others suspend them.
+	DescribeTable("are not reported by a node that is cut off", func(cut func(*simNode)) {
 		s := newRefusalSim(7, false, 3)
 		s.arrivals(s.now + 3*time.Second)
 		s.run(time.Second)
-		s.nodes[0].cutOff = true
+		cut(s.nodes[0])
 		s.run(5 * time.Second)
 		GinkgoWriter.Printf("cut off: %v\n", s)
 		Expect(s.refusedConnections).To(BeNumerically(">", 0))
 		Expect(s.reports).To(BeZero())
 		Expect(s.suspensions).To(BeZero())
-	})
+	},
+		Entry("from all endpoints", func(n *simNode) { n.cutOff = true }),
+		Entry("from those of a data centre", func(n *simNode) { n.cutFrom = "dc2" }),
+	)
 })
