--- a/relay/relay.go
+++ b/relay/relay.go
@@ -213,7 +213,7 @@
 func (l *Relay) Serve(ctx context.Context, r *Request, sink Sink) Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	job := &job{Relay: l, r: r, sink: sink, ran: r.Runs > 0, prog: newProgress(r)}
+	job := &job{Relay: l, r: r, sink: sink, ran: r.Runs > 0, prog: newProgress(r), arrivals: newArrivals(r)}
 	if n := l.Strikes.Count(r.Fingerprint); n >= strikeLimit {
 		return Result{Refusal: job.suspectRefusal(n)}
 	}
@@ -256,6 +256,7 @@
 	ran bool
 	// declined is set once the request was to be forwarded and no other node accepted it.
 	declined bool
+	arrivals arrivals
 }
 
 func (j *job) work() fleet.Work {
@@ -315,6 +316,7 @@
 
 // place waits for a placement and checks that the request may still run.
 func (j *job) place(ctx context.Context) (*fleet.Placement, *crocusreel.Refusal) {
+	j.pauseBeforeFreeSend(ctx)
 	if refusal := j.awaitClaim(ctx); refusal != nil {
 		return nil, refusal
 	}
@@ -358,6 +360,7 @@
 	j.result.Endpoint = attempt.Instance.ID
 	stopSilence := j.watchSilence(attempt.Instance)
 	defer stopSilence()
+	began := time.Now()
 	resp, err := j.Client.Do(ctx, attempt.Instance.Address, &h1.Request{
 		Method:          j.r.Method,
 		Target:          j.r.Target,
@@ -371,6 +374,7 @@
 		j.recordNotice(attempt.Instance, resp)
 	}
 	j.recordReach(attempt.Instance, resp, err)
+	j.recordArrival(p, time.Since(began), err)
 	return resp, err
 }
 
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -172,7 +172,7 @@
 func (j *job) watchHang(ctx context.Context, run int) *hangWatch {
 	w := &hangWatch{threshold: hangThreshold(j.r.Route)}
 	w.ctx, w.cancel = context.WithCancel(ctx)
-	sends := j.result.Attempts + 1
+	sends := j.paidAttempts() + 1
 	if !j.repeatable() || run >= j.r.Route.MaxAttempts || sends >= maxSends || j.Fleet.Disabled[fleet.Retries] {
 		return w
 	}
