Placement by the measured rates of engines that differ in speed

Placement assumed one prefill rate and one step for all engines, so long streams on slow engines paused beyond their target when prefill and stutter coincided.

Nodes learn step and prefill rate of each incarnation from SetProduced, which takes the lock anyway, share them in NodeState.rates, and score engines by the predicted first event and the predicted pause while the engines of a service differ. Equal engines are scored as before.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -8,6 +8,8 @@
 	"errors"
 	"hash/fnv"
 	"time"
+
+	"github.com/crocusreel/crocusreel/enginerate"
 )
 
 // Incarnation identifies one start of an endpoint. An endpoint that crashed can start again under
@@ -111,6 +113,11 @@
 	health      health
 	// overload is used while the service is brittle.
 	overload endpointOverload
+	// rates holds the evidence on the speed of an engine, and rate the prediction from it.
+	rates enginerate.Estimator
+	rate  enginerate.Rate
+	// rateKnown is set if there is evidence on this engine.
+	rateKnown bool
 	// leavingByHealth is set while the instance counts as leaving by its health check alone.
 	leavingByHealth bool
 	// leavingSince is the time at which the instance was found to be leaving.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,6 +37,10 @@
 	evacuated map[string]time.Duration
 	// overload holds what is known of the load and the brittleness of each service.
 	overload map[string]*serviceOverload
+	// rates holds the rates of the engines of each service, and rated the engines of which this node
+	// has evidence of its own.
+	rates map[string]*serviceRates
+	rated map[*Endpoint]struct{}
 	// nextTickAt is the time of the next call of Tick that was requested through ScheduleTick.
 	nextTickAt time.Duration
 	random     *rand.Rand
@@ -62,6 +66,9 @@
 	// OnBrittle is called when the endpoints of a service become brittle or no longer are. It must
 	// not block.
 	OnBrittle func(BrittleChange)
+	// OnRates is called when the engines of a service begin or cease to differ in speed. It must not
+	// block.
+	OnRates func(RatesChange)
 	// ScheduleTick schedules a call of Tick after the given time. It must not block.
 	ScheduleTick func(after time.Duration)
 }
@@ -82,10 +89,13 @@
 		notices:      make(map[EndpointKey]*noticeRecord),
 		left:         make(map[EndpointKey]time.Duration),
 		overload:     make(map[string]*serviceOverload),
+		rates:        make(map[string]*serviceRates),
+		rated:        make(map[*Endpoint]struct{}),
 		Broadcast:    func(string) {},
 		OnExclusion:  func(Exclusion) {},
 		OnNotice:     func(NoticeChange) {},
 		OnBrittle:    func(BrittleChange) {},
+		OnRates:      func(RatesChange) {},
 		ScheduleTick: func(time.Duration) {},
 		ClusterSize:  func() ClusterSize { return ClusterSize{Nodes: 1, HalfLive: true} },
 		Roster:       func() *Roster { return nil },
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -195,7 +195,7 @@
 	}
 	if spec := w.Service.Engine; spec != nil {
 		share := float64(load.Tokens) / float64(max(spec.CacheTokens, 1))
-		return cost + share + prefillCostPerSecond*float64(load.PendingPrefill)/prefillTokensPerSecond
+		return cost + share + f.scorerLocked(w, now).cost(e, w, load)
 	}
 	return cost + float64(load.Count)/float64(max(e.Slots, 1))
 }
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -20,6 +20,11 @@
 	incomingTokens int
 	// placedAt is the time of the placement.
 	placedAt time.Duration
+	// producedAt is the time of the last update of produced, or 0 if there was none on this endpoint.
+	producedAt time.Duration
+	// pendingAtStart and decodingAtStart are the prompt tokens, including the run's own, and the
+	// number of decoding runs that the prefill met.
+	pendingAtStart, decodingAtStart int
 	// Waited is the time that the work spent in the queue.
 	Waited time.Duration
 }
@@ -57,6 +62,8 @@
 
 func (f *Fleet) placeLocked(e *Endpoint, d Demand) *Placement {
 	p := &Placement{fleet: f, endpoint: e, demand: d, prefilling: d.Prompt > 0, placedAt: f.now()}
+	load := e.total()
+	p.startObservationLocked(&load)
 	f.used[e] = struct{}{}
 	now := f.now()
 	e.lastRequestAt = now
@@ -130,6 +137,7 @@
 	if p.released {
 		return
 	}
+	p.observeLocked(tokens)
 	own := &p.endpoint.own
 	own.Tokens -= p.expectedTokens()
 	own.PendingPrefill -= p.pendingPrefill()
--- a/node/peers.go
+++ b/node/peers.go
@@ -66,6 +66,7 @@
 	for _, r := range n.fleet.OwnRejections() {
 		s.Rejections = append(s.Rejections, &exchangev1.EndpointRejections{Key: uint32(r.Key), Count: r.Count})
 	}
+	s.Rates = n.ownRates()
 	for _, k := range n.relay.Strikes.OwnRecent(relay.StrikeBroadcastPeriod) {
 		s.Strikes = append(s.Strikes, &exchangev1.Strike{Work: uint64(k.Work), Endpoint: k.Endpoint})
 	}
@@ -129,6 +130,7 @@
 	n.applyPeerLeaving(s)
 	n.applyPeerLimits(s)
 	n.applyPeerBrittle(s)
+	n.applyPeerRates(s)
 	if len(s.GetVacated()) > 0 {
 		runs := make([]relay.RunKey, 0, len(s.GetVacated()))
 		for _, run := range s.GetVacated() {
