Engine rates: stutter alone does not make equal engines differ

In the model of 48 equal engines that stutter and are replaced, the service was taken for one of different speeds three times in 60 s. Engines now count as different by their steady step, which follows the lowest steps of some seconds.

--- a/enginerate/enginerate.go
+++ b/enginerate/enginerate.go
@@ -98,6 +98,7 @@
 	// own is the last estimate from this node's observations, ownAt the time of the last one.
 	own    Report
 	ownAt  time.Duration
+	steady steadyStep
 	remote map[string]remoteReport
 }
 
--- a/enginerate/merge.go
+++ b/enginerate/merge.go
@@ -41,6 +41,45 @@
 // Estimate is what all nodes together know of an engine.
 type Estimate struct {
 	step, prefill evidence
+	// steadyStep is the step without stutter, or 0 until it is known. Engines count as different by
+	// it alone.
+	steadyStep float64
+}
+
+// steadyStep follows the lowest steps of an engine, so that stutter does not make it look slow.
+type steadyStep struct {
+	value float64
+	// firstAt is the time of the first evidence, lastAt that of the latest one, and mergedAt the time
+	// at which it was merged.
+	firstAt, lastAt, mergedAt time.Duration
+}
+
+const (
+	// steadyAfter is the time of observation after which a step counts as steady: two intervals of
+	// stutter.
+	steadyAfter = 1200 * time.Millisecond
+	// steadyRise is the time constant with which the steady step follows longer steps. An engine that
+	// becomes four times slower counts as different within a second.
+	steadyRise = 5 * time.Second
+)
+
+// update applies merged evidence and returns the steady step, or 0 if it is not known.
+func (s *steadyStep) update(step evidence, now time.Duration) float64 {
+	switch {
+	case step.weight < minGapSamples || step.at <= s.lastAt:
+	case s.value == 0 || step.value < s.value:
+		if s.value == 0 {
+			s.firstAt = step.at
+		}
+		s.value, s.lastAt, s.mergedAt = step.value, step.at, now
+	default:
+		rise := min(float64(now-s.mergedAt)/float64(steadyRise), 1)
+		s.value, s.lastAt, s.mergedAt = s.value+rise*(step.value-s.value), step.at, now
+	}
+	if s.lastAt-s.firstAt < steadyAfter {
+		return 0
+	}
+	return s.value
 }
 
 // Known reports whether there is evidence on the engine's decoding steps.
@@ -64,7 +103,9 @@
 	}
 	step := func(r Report) float64 { return float64(r.Step) }
 	prefill := func(r Report) float64 { return r.PrefillPerSecond }
-	return Estimate{step: merge(reports, step, maxStepWeight), prefill: merge(reports, prefill, maxPrefillWeight)}
+	merged := Estimate{step: merge(reports, step, maxStepWeight), prefill: merge(reports, prefill, maxPrefillWeight)}
+	merged.steadyStep = e.steady.update(merged.step, now)
+	return merged
 }
 
 // merge returns the weighted median of a value over the latest reports.
--- a/enginerate/table.go
+++ b/enginerate/table.go
@@ -64,23 +64,27 @@
 // reports whether Different has changed. Rates that are impossible in comparison to the median are
 // cleared; their number is returned.
 func (t *Table) Update(now time.Duration, all []Estimate) (changed bool, impossible int) {
-	steps, prefills := make([]float64, 0, len(all)), make([]float64, 0, len(all))
+	var steps, steady, prefills []float64
 	for _, e := range all {
 		if e.Known() {
 			steps = append(steps, e.step.value)
 		}
+		if e.steadyStep > 0 {
+			steady = append(steady, e.steadyStep)
+		}
 		if e.prefill.weight > 0 {
 			prefills = append(prefills, e.prefill.value)
 		}
 	}
 	slices.Sort(steps)
+	slices.Sort(steady)
 	slices.Sort(prefills)
 	t.Step, t.PrefillPerSecond = time.Duration(middle(steps)), middle(prefills)
 	for i := range all {
 		impossible += all[i].clearImpossible(float64(t.Step), t.PrefillPerSecond)
 	}
-	t.Engines, t.Ratio = len(steps), ratioOfThirds(steps)
-	if len(steps) < minEngines || float64(len(steps)) < minKnownShare*float64(len(all)) {
+	t.Engines, t.Ratio = len(steady), ratioOfThirds(steady)
+	if len(steady) < minEngines || float64(len(steady)) < minKnownShare*float64(len(all)) {
 		t.Ratio = 1
 	}
 	return t.decide(now), impossible
