--- a/fleet/backup_reservation.go
+++ b/fleet/backup_reservation.go
@@ -45,6 +45,7 @@
 		return nil
 	}
 	now := f.now()
+	score := f.scorerLocked(&w, now)
 	need := p.expectedTokens()
 	var best *Endpoint
 	bestCost := 0.0
@@ -58,7 +59,7 @@
 		if float64(used+need) > backupMemoryShare*float64(spec.CacheTokens) {
 			continue
 		}
-		cost := float64(used)/float64(spec.CacheTokens) + f.random.Float64()*backupCostJitter
+		cost := float64(used)/float64(spec.CacheTokens) + f.random.Float64()*backupCostJitter + score.pauseCost(e, &w, load)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -110,6 +110,7 @@
 	var best *Endpoint
 	bestCost := 0.0
 	now := f.now()
+	score := f.scorerLocked(w, now)
 	for _, includeEjected := range []bool{false, true} {
 		for _, e := range endpoints {
 			if !f.mayServeLocked(e, w) || f.deferForPauseLocked(e, now) {
@@ -122,7 +123,7 @@
 			if !f.fitsLocked(e, w, &load) || !f.coldLimitAllowsLocked(e, w.Service, &load, now) || !f.limitAllowsLocked(e, now) || !f.brittleAllowsLocked(e, now) {
 				continue
 			}
-			if cost := f.costLocked(e, w, &load, now); best == nil || cost < bestCost {
+			if cost := f.costLocked(e, w, &load, score, now); best == nil || cost < bestCost {
 				best, bestCost = e, cost
 			}
 		}
@@ -182,7 +183,7 @@
 }
 
 // costLocked returns the cost of placing one more run on the endpoint.
-func (f *Fleet) costLocked(e *Endpoint, w *Work, load *Load, now time.Duration) float64 {
+func (f *Fleet) costLocked(e *Endpoint, w *Work, load *Load, score scorer, now time.Duration) float64 {
 	cost := f.distanceCostLocked(e, w)
 	if !f.Disabled[Ejection] {
 		cost += failureCost * e.health.failureShare(now)
@@ -195,7 +196,7 @@
 	}
 	if spec := w.Service.Engine; spec != nil {
 		share := float64(load.Tokens) / float64(max(spec.CacheTokens, 1))
-		return cost + share + f.scorerLocked(w, now).cost(e, w, load)
+		return cost + share + score.prefillCost(e, w, *load) + score.pauseCost(e, w, *load)
 	}
 	return cost + float64(load.Count)/float64(max(e.Slots, 1))
 }
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -62,8 +62,7 @@
 
 func (f *Fleet) placeLocked(e *Endpoint, d Demand) *Placement {
 	p := &Placement{fleet: f, endpoint: e, demand: d, prefilling: d.Prompt > 0, placedAt: f.now()}
-	load := e.total()
-	p.startObservationLocked(&load)
+	p.startObservationLocked(e.total())
 	f.used[e] = struct{}{}
 	now := f.now()
 	e.lastRequestAt = now
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -110,14 +110,14 @@
 
 // startObservationLocked records the load that the prefill of a new run meets. A prompt ahead of it is
 // half done on average.
-func (p *Placement) startObservationLocked(load *Load) {
+func (p *Placement) startObservationLocked(load Load) {
 	p.pendingAtStart = load.PendingPrefill/2 + p.demand.Prompt
 	p.decodingAtStart = decodingRuns(load, p.demand.Prompt)
 }
 
 // decodingRuns returns the approximate number of runs whose prefill is complete, if all prompts are of
 // the given length.
-func decodingRuns(load *Load, prompt int) int {
+func decodingRuns(load Load, prompt int) int {
 	prefilling := (load.PendingPrefill + prompt - 1) / max(prompt, 1)
 	return max(load.Count-prefilling, 0)
 }
--- a/fleet/score.go
+++ b/fleet/score.go
@@ -6,9 +6,13 @@
 	"github.com/crocusreel/crocusreel/enginerate"
 )
 
-// scorer returns the part of an engine's cost that depends on its speed.
+// scorer returns the parts of an engine's cost that depend on its speed. Loads are passed by value, so
+// that a choice among thousands of engines allocates nothing.
 type scorer interface {
-	cost(e *Endpoint, w *Work, load *Load) float64
+	// prefillCost is the cost of the time to the first event of the work on the engine.
+	prefillCost(e *Endpoint, w *Work, load Load) float64
+	// pauseCost is the cost of the pauses of the streams on the engine, including the work.
+	pauseCost(e *Endpoint, w *Work, load Load) float64
 }
 
 const (
@@ -23,7 +27,7 @@
 
 // scorerLocked returns the scorer for work of an engine service.
 func (f *Fleet) scorerLocked(w *Work, now time.Duration) scorer {
-	if f.Disabled[EngineRates] {
+	if f.Disabled[EngineRates] || w.Service.Engine == nil {
 		return equalEngines{}
 	}
 	s := f.ratesLocked(w.Service.Name)
@@ -38,13 +42,14 @@
 // equalEngines scores engines of equal speed by their pending prefill.
 type equalEngines struct{}
 
-func (equalEngines) cost(_ *Endpoint, _ *Work, load *Load) float64 {
+func (equalEngines) prefillCost(_ *Endpoint, _ *Work, load Load) float64 {
 	return prefillCostPerSecond * float64(load.PendingPrefill) / prefillTokensPerSecond
 }
 
-// cost scores an engine by the predicted time to the first event and by the predicted longest pause of
-// its streams.
-func (s *serviceRates) cost(e *Endpoint, w *Work, load *Load) float64 {
+func (equalEngines) pauseCost(*Endpoint, *Work, Load) float64 { return 0 }
+
+// prefillCost scores an engine by the predicted time to the first event.
+func (s *serviceRates) prefillCost(e *Endpoint, w *Work, load Load) float64 {
 	if e.rate.Step == 0 {
 		e.rate = s.table.Median()
 	}
@@ -53,12 +58,22 @@
 	if w.moveSource == nil {
 		cost += missedTargetCost * excess(w.Since+first, w.Target)
 	}
-	return cost + missedTargetCost*s.missedPause(e, w, load)
+	return cost
+}
+
+// pauseCost scores an engine by the predicted longest pause of its streams. An engine without evidence
+// is as likely to miss the target as any other.
+func (s *serviceRates) pauseCost(e *Endpoint, w *Work, load Load) float64 {
+	target := s.pauseTarget(w, load)
+	if target > 0 && !e.rateKnown {
+		return missedTargetCost * s.missing
+	}
+	return missedTargetCost * excess(s.pause(e.rate, s.stride, load.Count+1), target)
 }
 
 // firstEvent returns the predicted time to the first event of the work. A run that moves needs no
 // prefill of its own.
-func (s *serviceRates) firstEvent(e *Endpoint, w *Work, load *Load) time.Duration {
+func (s *serviceRates) firstEvent(e *Endpoint, w *Work, load Load) time.Duration {
 	tokens := load.PendingPrefill
 	if w.moveSource == nil {
 		tokens += w.Demand.Prompt
@@ -66,16 +81,6 @@
 	return e.rate.FirstEvent(tokens, decodingRuns(load, w.Demand.Prompt))
 }
 
-// missedPause returns how far the streams on the engine, including the work, are predicted to miss the
-// pause target, from 0 to 1. An engine without evidence is as likely to miss it as any other.
-func (s *serviceRates) missedPause(e *Endpoint, w *Work, load *Load) float64 {
-	target := s.pauseTarget(w, load)
-	if target > 0 && !e.rateKnown {
-		return s.missing
-	}
-	return excess(s.pause(e.rate, s.stride, load.Count+1), target)
-}
-
 // pause returns the predicted longest pause between two events of the given number of tokens, during a
 // prefill and stutter.
 func (s *serviceRates) pause(rate enginerate.Rate, stride, runs int) time.Duration {
@@ -84,7 +89,7 @@
 
 // pauseTarget returns the smallest GapTarget of the streams on the engine, including the work, or 0 if
 // there is none. A short answer has no pauses, but its prefill delays the streams that are there.
-func (s *serviceRates) pauseTarget(w *Work, load *Load) time.Duration {
+func (s *serviceRates) pauseTarget(w *Work, load Load) time.Duration {
 	if hasStreams(load) {
 		return s.gapTarget
 	}
@@ -96,7 +101,7 @@
 
 // hasStreams reports whether the engine runs long streams: short answers are almost always in their
 // prefill and expect little output.
-func hasStreams(load *Load) bool {
+func hasStreams(load Load) bool {
 	return load.Tokens-load.PendingPrefill > maxShortOutputTokens*load.Count
 }
 
