--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -8,8 +8,6 @@
 	"errors"
 	"hash/fnv"
 	"time"
-
-	"github.com/crocusreel/crocusreel/enginerate"
 )
 
 // Incarnation identifies one start of an endpoint. An endpoint that crashed can start again under
@@ -113,15 +111,12 @@
 	health      health
 	// overload is used while the service is brittle.
 	overload endpointOverload
-	// rates holds the evidence on the speed of an engine, and rate the prediction from it.
-	rates enginerate.Estimator
-	rate  enginerate.Rate
-	// rateKnown is set if there is evidence on this engine.
-	rateKnown bool
 	// leavingByHealth is set while the instance counts as leaving by its health check alone.
 	leavingByHealth bool
 	// leavingSince is the time at which the instance was found to be leaving.
 	leavingSince time.Duration
+	// speed is what is known of the speed of an engine.
+	speed *engineSpeed
 }
 
 func newEndpoint(in Instance) *Endpoint {
@@ -131,6 +126,7 @@
 		leaving:  make(chan struct{}),
 		unusable: make(chan struct{}),
 		remote:   make(map[string]Load),
+		speed:    &engineSpeed{},
 	}
 	e.ctx, e.cancel = context.WithCancelCause(context.Background())
 	return e
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -1,9 +1,6 @@
 package fleet
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "math/rand/v2"
 
 // LongQueue returns the key of the queue of a service's long answers.
 func LongQueue(service string) QueueKey { return queueID{service: service}.key() }
@@ -32,11 +29,3 @@
 	defer f.mu.Unlock()
 	f.random = rand.New(rand.NewPCG(seed, seed))
 }
-
-// Prediction returns the predicted step of the placement's engine, the disturbance of its service and
-// the age of its incarnation.
-func (p *Placement) Prediction() (step time.Duration, disturbance float64) {
-	p.fleet.mu.Lock()
-	defer p.fleet.mu.Unlock()
-	return p.endpoint.rate.Step, p.fleet.ratesLocked(p.endpoint.Service).stutter
-}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -196,7 +196,7 @@
 	}
 	if spec := w.Service.Engine; spec != nil {
 		share := float64(load.Tokens) / float64(max(spec.CacheTokens, 1))
-		return cost + share + score.prefillCost(e, w, *load) + score.pauseCost(e, w, *load)
+		return cost + share + score.runCost(e, w, *load)
 	}
 	return cost + float64(load.Count)/float64(max(e.Slots, 1))
 }
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -25,6 +25,8 @@
 	// pendingAtStart and decodingAtStart are the prompt tokens, including the run's own, and the
 	// number of decoding runs that the prefill met.
 	pendingAtStart, decodingAtStart int
+	// Predicted is what the choice of the endpoint was based on, zero while engines count as equal.
+	Predicted Prediction
 	// Waited is the time that the work spent in the queue.
 	Waited time.Duration
 }
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -53,6 +53,15 @@
 	missing float64
 }
 
+// engineSpeed is what this node knows of the speed of an engine. It is kept apart from Endpoint, whose
+// size determines the time of a choice among thousands of engines.
+type engineSpeed struct {
+	enginerate.Estimator
+	// rate is the predicted rate, and known is set if it is based on evidence on this engine.
+	rate  enginerate.Rate
+	known bool
+}
+
 // EndpointRate is the rate of an engine as measured by one node.
 type EndpointRate struct {
 	Key EndpointKey
@@ -93,11 +102,11 @@
 	plausible := true
 	switch produced := tokens - p.produced; {
 	case p.prefilling:
-		plausible = e.rates.ObserveFirstEvent(now, now-p.placedAt, p.pendingAtStart, p.decodingAtStart)
+		plausible = e.speed.ObserveFirstEvent(now, now-p.placedAt, p.pendingAtStart, p.decodingAtStart)
 	case p.producedAt != 0 && produced > 0:
 		perToken := (now - p.producedAt) / time.Duration(produced)
-		plausible = e.rates.ObserveGap(now, perToken, e.total().Count)
-		if e.rateKnown {
+		plausible = e.speed.ObserveGap(now, perToken, e.total().Count)
+		if e.speed.known {
 			f.ratesLocked(e.Service).recordStutter(perToken, undisturbedGap(e))
 		}
 	}
@@ -113,6 +122,25 @@
 func (p *Placement) startObservationLocked(load Load) {
 	p.pendingAtStart = load.PendingPrefill/2 + p.demand.Prompt
 	p.decodingAtStart = decodingRuns(load, p.demand.Prompt)
+	if s := p.fleet.rates[p.endpoint.Service]; s != nil && s.table.Different {
+		speed := p.endpoint.speed
+		p.Predicted = Prediction{
+			Step:       speed.rate.Step,
+			Known:      speed.known,
+			FirstEvent: speed.rate.FirstEvent(load.PendingPrefill+p.demand.Prompt, p.decodingAtStart),
+			Pause:      s.pause(speed.rate, s.stride, load.Count+1),
+		}
+	}
+}
+
+// Prediction is what the choice of an engine by its rate was based on.
+type Prediction struct {
+	// Step is the duration of a decoding step without other load. Known is set if it is based on
+	// evidence on this engine.
+	Step  time.Duration
+	Known bool
+	// FirstEvent is the time to the first event, and Pause the longest pause of the engine's streams.
+	FirstEvent, Pause time.Duration
 }
 
 // decodingRuns returns the approximate number of runs whose prefill is complete, if all prompts are of
@@ -125,7 +153,7 @@
 // undisturbedGap returns the predicted time per token on the engine without stutter.
 func undisturbedGap(e *Endpoint) time.Duration {
 	load := e.total()
-	gap := e.rate.Gap(1, load.Count)
+	gap := e.speed.rate.Gap(1, load.Count)
 	if load.PendingPrefill > 0 {
 		return time.Duration(enginerate.PrefillFactor * float64(gap))
 	}
@@ -159,7 +187,7 @@
 	endpoints := f.services[service]
 	estimates := make([]enginerate.Estimate, 0, len(endpoints))
 	for _, e := range endpoints {
-		estimates = append(estimates, e.rates.Merge(now))
+		estimates = append(estimates, e.speed.Merge(now))
 	}
 	changed, impossible := s.table.Update(now, estimates)
 	for range impossible {
@@ -167,11 +195,11 @@
 	}
 	known, missing := 0, 0
 	for i, e := range endpoints {
-		e.rate, e.rateKnown = s.table.Rate(now, estimates[i]), estimates[i].Any()
-		if !e.rateKnown {
+		e.speed.rate, e.speed.known = s.table.Rate(now, estimates[i]), estimates[i].Any()
+		if !e.speed.known {
 			continue
 		}
-		if known++; s.gapTarget > 0 && s.pause(e.rate, s.stride, e.total().Count+1) > s.gapTarget {
+		if known++; s.gapTarget > 0 && s.pause(e.speed.rate, s.stride, e.total().Count+1) > s.gapTarget {
 			missing++
 		}
 	}
@@ -194,7 +222,7 @@
 	var rates []EndpointRate
 	now := f.now()
 	for e := range f.rated {
-		report, ok := e.rates.Own(now)
+		report, ok := e.speed.Own(now)
 		switch {
 		case !ok || f.byKey[e.key] != e:
 			delete(f.rated, e)
@@ -215,7 +243,7 @@
 		return
 	}
 	for _, r := range rates {
-		if e := f.byKey[r.Key]; e != nil && !e.rates.SetRemote(node, r.Report, f.now()) {
+		if e := f.byKey[r.Key]; e != nil && !e.speed.SetRemote(node, r.Report, f.now()) {
 			metrics.Count("engine_rate_impossible")
 		}
 	}
--- a/fleet/rates_test.go
+++ b/fleet/rates_test.go
@@ -1,11 +1,13 @@
 package fleet_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/crocusreel/crocusreel/enginerate"
 	"github.com/crocusreel/crocusreel/fleet"
 )
 
@@ -69,3 +71,128 @@
 		Expect(after.lateLong + after.lateShort).To(BeNumerically("<=", before.lateLong+before.lateShort))
 	})
 })
+
+var _ = Describe("measured rates", func() {
+	var w *fixture
+	// stream runs one stream on the engine with one update every four events of 16 tokens.
+	stream := func(gap time.Duration, updates int) *fleet.Placement {
+		p := w.mustPlace(generation(3000, 800))
+		w.now += 400 * time.Millisecond
+		for i := range updates {
+			p.SetProduced(16*i + 4)
+			w.now += gap
+		}
+		return p
+	}
+	BeforeEach(func() { w = newFixture() })
+
+	// Guards against a node whose evidence does not reach the others.
+	It("are reported with step, prefill rate, weight and age", func() {
+		w.addEngine("e1", "dc1")
+		stream(120*time.Millisecond, 8)
+		rates := w.OwnRates()
+		Expect(rates).To(HaveLen(1))
+		Expect(rates[0].Key).To(Equal(fleet.Incarnation{ID: "e1"}.Key()))
+		Expect(rates[0].Step).To(BeNumerically("~", 7400*time.Microsecond, 50*time.Microsecond))
+		Expect(rates[0].PrefillPerSecond).To(BeNumerically("~", 7500, 1))
+		Expect(rates[0].Weight).To(Equal(8))
+		Expect(rates[0].Age).To(Equal(120 * time.Millisecond))
+	})
+
+	// Guards against a datagram that exceeds its size.
+	It("are reported for at most 16 engines", func() {
+		for i := range 20 {
+			w.addEngine(fmt.Sprint(i), "dc1")
+		}
+		var runs []*fleet.Placement
+		for range 20 {
+			runs = append(runs, w.mustPlace(generation(3000, 800)))
+		}
+		w.now += 400 * time.Millisecond
+		for _, p := range runs {
+			p.SetProduced(4)
+		}
+		Expect(w.OwnRates()).To(HaveLen(16))
+	})
+
+	// Guards against evidence on an earlier incarnation that counts for the engine that replaced it.
+	It("are discarded with the incarnation", func() {
+		w.addEngine("e1", "dc1")
+		stream(120*time.Millisecond, 8)
+		w.Update(fleet.Instance{ID: "e1", StartedAtMS: 5, Service: "pool", DataCentre: "dc1", Slots: 24})
+		Expect(w.OwnRates()).To(BeEmpty())
+	})
+
+	// Guards against a report of another node that fails on an engine that this node does not know.
+	It("ignore reports on unknown incarnations", func() {
+		w.SetRemoteRates("node2", []fleet.EndpointRate{{Key: 4711, Report: enginerate.Report{Step: time.Millisecond, Weight: 9}}})
+		Expect(w.OwnRates()).To(BeEmpty())
+	})
+
+	// Guards against a pause by a move that counts as a slow engine.
+	It("do not include the pause of a move", func() {
+		w.addEngine("e1", "dc1")
+		p := stream(120*time.Millisecond, 8)
+		w.addEngine("e2", "dc1")
+		target := w.ReserveMoveTarget(p, generation(3000, 800))
+		target.EndCopy()
+		w.now += 5 * time.Second
+		target.SetProduced(16 * 9)
+		for _, r := range w.OwnRates() {
+			Expect(r.Key).NotTo(Equal(fleet.Incarnation{ID: "e2"}.Key()))
+		}
+	})
+
+	// Guards against a disabled mechanism that still learns and reports.
+	It("are not collected while the mechanism is disabled", func() {
+		w.Disabled = fleet.DisabledMechanisms{fleet.EngineRates: true}
+		w.addEngine("e1", "dc1")
+		stream(120*time.Millisecond, 8)
+		Expect(w.OwnRates()).To(BeEmpty())
+	})
+})
+
+var _ = Describe("choice among engines that differ", func() {
+	// differing returns a fleet of engines with the given steps, as another node has measured them.
+	differing := func(steps map[string]time.Duration) *fixture {
+		w := newFixture()
+		var rates []fleet.EndpointRate
+		for id, step := range steps {
+			w.addEngine(id, "dc1")
+			rates = append(rates, fleet.EndpointRate{
+				Key: fleet.Incarnation{ID: id}.Key(), Report: enginerate.Report{Step: step, PrefillPerSecond: 1e5 / step.Seconds() / 1000, Weight: 16},
+			})
+		}
+		for range 20 {
+			w.SetRemoteRates("node2", rates)
+			w.mustPlace(generation(3000, 800)).Release(fleet.Neutral)
+			w.now += 300 * time.Millisecond
+		}
+		w.SetRemoteRates("node2", rates)
+		return w
+	}
+	long := generation(3000, 800)
+	long.Target, long.GapTarget = 1800*time.Millisecond, 45*time.Millisecond
+	short := generation(2200, 8)
+	short.Target = 1500 * time.Millisecond
+	steps := map[string]time.Duration{"slow": 12 * time.Millisecond, "middle": 7 * time.Millisecond, "fast": 4 * time.Millisecond}
+
+	// Guards against long streams on a slow engine while a fast one has capacity, and against refusing
+	// them when no other has.
+	It("uses an engine that misses the pause target only if no other has capacity", func() {
+		w := differing(steps)
+		for range 18 {
+			Expect(w.placeRunning(long).Instance().ID).NotTo(Equal("slow"))
+		}
+		Expect(w.placeRunning(long).Instance().ID).To(Equal("slow"))
+	})
+
+	// Guards against slow engines that stay unused while short answers slow down the streams on others.
+	It("uses a slow engine without streams for short answers", func() {
+		w := differing(steps)
+		for range 8 {
+			w.placeRunning(long)
+		}
+		Expect(w.mustPlace(short).Instance().ID).To(Equal("slow"))
+	})
+})
--- a/fleet/score.go
+++ b/fleet/score.go
@@ -9,8 +9,8 @@
 // scorer returns the parts of an engine's cost that depend on its speed. Loads are passed by value, so
 // that a choice among thousands of engines allocates nothing.
 type scorer interface {
-	// prefillCost is the cost of the time to the first event of the work on the engine.
-	prefillCost(e *Endpoint, w *Work, load Load) float64
+	// runCost is the cost of the time to the first event and of pauses.
+	runCost(e *Endpoint, w *Work, load Load) float64
 	// pauseCost is the cost of the pauses of the streams on the engine, including the work.
 	pauseCost(e *Endpoint, w *Work, load Load) float64
 }
@@ -42,33 +42,33 @@
 // equalEngines scores engines of equal speed by their pending prefill.
 type equalEngines struct{}
 
-func (equalEngines) prefillCost(_ *Endpoint, _ *Work, load Load) float64 {
+func (equalEngines) runCost(_ *Endpoint, _ *Work, load Load) float64 {
 	return prefillCostPerSecond * float64(load.PendingPrefill) / prefillTokensPerSecond
 }
 
 func (equalEngines) pauseCost(*Endpoint, *Work, Load) float64 { return 0 }
 
-// prefillCost scores an engine by the predicted time to the first event.
-func (s *serviceRates) prefillCost(e *Endpoint, w *Work, load Load) float64 {
-	if e.rate.Step == 0 {
-		e.rate = s.table.Median()
+// runCost scores an engine by the predicted time to the first event and the predicted longest pause.
+func (s *serviceRates) runCost(e *Endpoint, w *Work, load Load) float64 {
+	if e.speed.rate.Step == 0 {
+		e.speed.rate = s.table.Median()
 	}
 	first := s.firstEvent(e, w, load)
 	cost := prefillCostPerSecond * first.Seconds()
 	if w.moveSource == nil {
 		cost += missedTargetCost * excess(w.Since+first, w.Target)
 	}
-	return cost
+	return cost + s.pauseCost(e, w, load)
 }
 
 // pauseCost scores an engine by the predicted longest pause of its streams. An engine without evidence
 // is as likely to miss the target as any other.
 func (s *serviceRates) pauseCost(e *Endpoint, w *Work, load Load) float64 {
 	target := s.pauseTarget(w, load)
-	if target > 0 && !e.rateKnown {
+	if target > 0 && !e.speed.known {
 		return missedTargetCost * s.missing
 	}
-	return missedTargetCost * excess(s.pause(e.rate, s.stride, load.Count+1), target)
+	return missedTargetCost * excess(s.pause(e.speed.rate, s.stride, load.Count+1), target)
 }
 
 // firstEvent returns the predicted time to the first event of the work. A run that moves needs no
@@ -78,7 +78,7 @@
 	if w.moveSource == nil {
 		tokens += w.Demand.Prompt
 	}
-	return e.rate.FirstEvent(tokens, decodingRuns(load, w.Demand.Prompt))
+	return e.speed.rate.FirstEvent(tokens, decodingRuns(load, w.Demand.Prompt))
 }
 
 // pause returns the predicted longest pause between two events of the given number of tokens, during a
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -189,3 +189,9 @@
 	}
 	return v.candidates(func(gossip.Peer) bool { return false })
 }
+
+// RateMessages and ReportedRates convert rates of engines to messages and back.
+var (
+	RateMessages  = rateMessages
+	ReportedRates = reportedRates
+)
--- a/node/rates.go
+++ b/node/rates.go
@@ -12,8 +12,9 @@
 )
 
 // ownRates returns the rates of engines that this node announces.
-func (n *Node) ownRates() []*exchangev1.EndpointRate {
-	own := n.fleet.OwnRates()
+func (n *Node) ownRates() []*exchangev1.EndpointRate { return rateMessages(n.fleet.OwnRates()) }
+
+func rateMessages(own []fleet.EndpointRate) []*exchangev1.EndpointRate {
 	rates := make([]*exchangev1.EndpointRate, 0, len(own))
 	for _, r := range own {
 		rates = append(rates, &exchangev1.EndpointRate{
@@ -29,9 +30,12 @@
 
 // applyPeerRates applies the rates of engines that another node has measured.
 func (n *Node) applyPeerRates(s *exchangev1.NodeState) {
-	if len(s.GetRates()) == 0 {
-		return
+	if len(s.GetRates()) > 0 {
+		n.fleet.SetRemoteRates(s.GetAddress(), reportedRates(s))
 	}
+}
+
+func reportedRates(s *exchangev1.NodeState) []fleet.EndpointRate {
 	rates := make([]fleet.EndpointRate, 0, len(s.GetRates()))
 	for _, r := range s.GetRates() {
 		rates = append(rates, fleet.EndpointRate{Key: fleet.EndpointKey(r.GetKey()), Report: enginerate.Report{
@@ -41,7 +45,7 @@
 			Age:              time.Duration(r.GetAgeMs()) * time.Millisecond,
 		}})
 	}
-	n.fleet.SetRemoteRates(s.GetAddress(), rates)
+	return rates
 }
 
 // logRatesChange logs that the engines of a service differ in speed, or no longer do.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -302,6 +302,11 @@
 		return nil, refusal
 	}
 	j.result.Waited += p.Waited
+	if predicted := p.Predicted; predicted.Step > 0 {
+		j.Log.Debug("engine chosen by its rate", zap.String("request", j.r.ID), zap.String("endpoint", p.Instance().ID),
+			zap.Bool("known", predicted.Known), zap.Duration("step", predicted.Step),
+			zap.Duration("first_event", predicted.FirstEvent), zap.Duration("pause", predicted.Pause))
+	}
 	if refusal := j.Admit(j.r); refusal != nil {
 		p.Release(fleet.Neutral)
 		return nil, refusal
