--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -116,6 +116,8 @@
 	leavingByHealth bool
 	// leavingSince is the time at which the instance was found to be leaving.
 	leavingSince time.Duration
+	// speed is what is known of the speed of an engine.
+	speed *engineSpeed
 }
 
 func newEndpoint(in Instance) *Endpoint {
@@ -125,6 +127,7 @@
 		leaving:  make(chan struct{}),
 		unusable: make(chan struct{}),
 		remote:   make(map[string]Load),
+		speed:    &engineSpeed{},
 	}
 	e.ctx, e.cancel = context.WithCancelCause(context.Background())
 	return e
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "math/rand/v2"
+
 // LongQueue returns the key of the queue of a service's long answers.
 func LongQueue(service string) QueueKey { return queueID{service: service}.key() }
 
@@ -20,3 +22,10 @@
 	}
 	return maintained, recomputed
 }
+
+// Seed makes the random part of the fleet's choices reproducible.
+func (f *Fleet) Seed(seed uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.random = rand.New(rand.NewPCG(seed, seed))
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -39,6 +39,10 @@
 	evacuated map[string]time.Duration
 	// overload holds what is known of the load and the brittleness of each service.
 	overload map[string]*serviceOverload
+	// rates holds the rates of the engines of each service, and rated the engines of which this node
+	// has evidence of its own.
+	rates map[string]*serviceRates
+	rated map[*Endpoint]struct{}
 	// nextTickAt is the time of the next call of Tick that was requested through ScheduleTick.
 	nextTickAt time.Duration
 	random     *rand.Rand
@@ -67,6 +71,8 @@
 	// OnUnreachable is called when the report of another node suspends an endpoint. It must not
 	// block.
 	OnUnreachable func(Suspension)
+	// OnRates is called when the engines of a service begin or cease to differ in speed. It must not
+	OnRates func(RatesChange)
 	// ScheduleTick schedules a call of Tick after the given time. It must not block.
 	ScheduleTick func(after time.Duration)
 }
@@ -95,6 +101,9 @@
 
 		OnUnreachable: func(Suspension) {},
 
+		rates:        make(map[string]*serviceRates),
+		rated:        make(map[*Endpoint]struct{}),
+		OnRates:      func(RatesChange) {},
 		ScheduleTick: func(time.Duration) {},
 		ClusterSize:  func() ClusterSize { return ClusterSize{Nodes: 1, HalfLive: true} },
 		Roster:       func() *Roster { return nil },
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -20,6 +20,13 @@
 	incomingTokens int
 	// placedAt is the time of the placement.
 	placedAt time.Duration
+	// producedAt is the time of the last update of produced, or 0 if there was none on this endpoint.
+	producedAt time.Duration
+	// pendingAtStart and decodingAtStart are the prompt tokens, including the run's own, and the
+	// number of decoding runs that the prefill met.
+	pendingAtStart, decodingAtStart int
+	// Predicted is what the choice of the endpoint was based on, zero while engines count as equal.
+	Predicted Prediction
 	// Waited is the time that the work spent in the queue.
 	Waited time.Duration
 }
@@ -57,6 +64,7 @@
 
 func (f *Fleet) placeLocked(e *Endpoint, d Demand) *Placement {
 	p := &Placement{fleet: f, endpoint: e, demand: d, prefilling: d.Prompt > 0, placedAt: f.now()}
+	p.startObservationLocked(e.total())
 	f.used[e] = struct{}{}
 	now := f.now()
 	e.lastRequestAt = now
@@ -131,6 +139,7 @@
 		return
 	}
 	p.endpoint.refusal.produced(f.now(), p.prefilling)
+	p.observeLocked(tokens)
 	own := &p.endpoint.own
 	own.Tokens -= p.expectedTokens()
 	own.PendingPrefill -= p.pendingPrefill()
