Fleet tests: requests that outlive their spec do not change the model

The waiting requests of the cluster model end after a minute of real time. With the specs of engine rates the package runs longer than that under the race detector on a busy machine, and these requests then changed the event list concurrently. The model now ignores them once the spec is over.

--- a/fleet/turn_test.go
+++ b/fleet/turn_test.go
@@ -33,7 +33,9 @@
 // cluster simulates many nodes with a common clock and a network delay.
 type cluster struct {
 	// clock is also read by the goroutines of waiting requests.
-	clock  atomic.Int64
+	clock atomic.Int64
+	// over is set at the end of the spec. Requests that still wait then end later, concurrently.
+	over   atomic.Bool
 	nodes  []*clusterNode
 	events []clusterEvent
 }
@@ -52,6 +54,7 @@
 
 func newCluster(size int) *cluster {
 	c := &cluster{}
+	DeferCleanup(func() { c.over.Store(true) })
 	c.clock.Store(int64(time.Hour))
 	for i := range size {
 		n := &clusterNode{name: fmt.Sprintf("node%d", i), lastSent: -time.Hour}
@@ -76,13 +79,16 @@
 func (c *cluster) now() time.Duration { return time.Duration(c.clock.Load()) }
 
 func (c *cluster) after(d time.Duration, do func()) {
+	if c.over.Load() {
+		return
+	}
 	c.events = append(c.events, clusterEvent{at: c.now() + d, do: do})
 }
 
 // broadcast schedules a datagram with the state of a node to all others, at most one per
 // minDatagramGap.
 func (c *cluster) broadcast(n *clusterNode) {
-	if n.sendScheduled {
+	if c.over.Load() || n.sendScheduled {
 		return
 	}
 	n.sendScheduled = true
