Admission: refuse work at once that would be refused at the end of its wait

Cause: in a burst, work waits up to three targets, is refused, returns after a time that follows only from the length of this node's queue, and is refused again. Change: package admission predicts the wait from the backlog and the rate of ended runs of all nodes; the fleet refuses by it and tells callers the time of their turn.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/crocusreel/crocusreel/admission"
 )
 
 // Fleet tracks all known endpoints, their load and their health, and places work on them. Its
@@ -37,6 +39,8 @@
 	evacuated map[string]time.Duration
 	// overload holds what is known of the load and the brittleness of each service.
 	overload map[string]*serviceOverload
+	// admission holds the model of each engine service's backlog.
+	admission map[QueueKey]*admission.Model
 	// nextTickAt is the time of the next call of Tick that was requested through ScheduleTick.
 	nextTickAt time.Duration
 	random     *rand.Rand
@@ -62,6 +66,9 @@
 	// OnBrittle is called when the endpoints of a service become brittle or no longer are. It must
 	// not block.
 	OnBrittle func(BrittleChange)
+	// OnAdmissionRefusal is called for each refusal whose time is based on a prediction. It must not
+	// block.
+	OnAdmissionRefusal func(AdmissionRefusal)
 	// ScheduleTick schedules a call of Tick after the given time. It must not block.
 	ScheduleTick func(after time.Duration)
 }
@@ -70,27 +77,29 @@
 // a monotonic clock.
 func New(dataCentre string, now func() time.Duration) *Fleet {
 	return &Fleet{
-		dataCentre:   dataCentre,
-		now:          now,
-		byID:         make(map[string]*Endpoint),
-		byKey:        make(map[EndpointKey]*Endpoint),
-		used:         make(map[*Endpoint]struct{}),
-		unconfirmed:  make(map[*Endpoint]struct{}),
-		services:     make(map[string][]*Endpoint),
-		queues:       make(map[queueID]*queue),
-		remote:       make(map[string]remoteState),
-		notices:      make(map[EndpointKey]*noticeRecord),
-		left:         make(map[EndpointKey]time.Duration),
-		overload:     make(map[string]*serviceOverload),
-		Broadcast:    func(string) {},
-		OnExclusion:  func(Exclusion) {},
-		OnNotice:     func(NoticeChange) {},
-		OnBrittle:    func(BrittleChange) {},
-		ScheduleTick: func(time.Duration) {},
-		ClusterSize:  func() ClusterSize { return ClusterSize{Nodes: 1, HalfLive: true} },
-		Roster:       func() *Roster { return nil },
-		WallClock:    time.Now,
-		random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		dataCentre:         dataCentre,
+		now:                now,
+		byID:               make(map[string]*Endpoint),
+		byKey:              make(map[EndpointKey]*Endpoint),
+		used:               make(map[*Endpoint]struct{}),
+		unconfirmed:        make(map[*Endpoint]struct{}),
+		services:           make(map[string][]*Endpoint),
+		queues:             make(map[queueID]*queue),
+		remote:             make(map[string]remoteState),
+		notices:            make(map[EndpointKey]*noticeRecord),
+		left:               make(map[EndpointKey]time.Duration),
+		overload:           make(map[string]*serviceOverload),
+		admission:          make(map[QueueKey]*admission.Model),
+		Broadcast:          func(string) {},
+		OnExclusion:        func(Exclusion) {},
+		OnNotice:           func(NoticeChange) {},
+		OnBrittle:          func(BrittleChange) {},
+		OnAdmissionRefusal: func(AdmissionRefusal) {},
+		ScheduleTick:       func(time.Duration) {},
+		ClusterSize:        func() ClusterSize { return ClusterSize{Nodes: 1, HalfLive: true} },
+		Roster:             func() *Roster { return nil },
+		WallClock:          time.Now,
+		random:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -274,6 +283,7 @@
 	defer f.mu.Unlock()
 	before := f.remote[node]
 	delete(f.remote, node)
+	f.forgetBacklogsLocked(node)
 	f.applyRemoteLocked(node, before)
 }
 
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -82,6 +82,10 @@
 	Target    time.Duration
 	GapTarget time.Duration
 	Since     time.Duration
+	// Remaining is the time until the request's deadline, 0 if it is not known. RequestID is the
+	// caller's ID of the request, for the log.
+	Remaining time.Duration
+	RequestID string
 	// StartWithin is the time within which the work must start to be on time, or 0 if it has no
 	// such limit.
 	StartWithin time.Duration
@@ -92,6 +96,8 @@
 	Regions     []string
 	// late is set once StartWithin has elapsed.
 	late bool
+	// enqueuedAt is the time from which the work waits.
+	enqueuedAt time.Duration
 	// moveSource is the source endpoint of a move, or nil for new work. moveTokens is the memory to
 	// be copied, in tokens.
 	moveSource *Endpoint
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -11,6 +11,8 @@
 	fleet    *Fleet
 	endpoint *Endpoint
 	demand   Demand
+	// rank is the rank of the work.
+	rank     int
 	produced int
 	// prefilling is set until the prefill of the prompt is complete, that is, until the first
 	// event.
@@ -147,6 +149,7 @@
 		return
 	}
 	p.released = true
+	f.recordEndLocked(p, r)
 	e := p.endpoint
 	e.own.Count--
 	e.own.Tokens -= p.expectedTokens()
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -86,6 +86,7 @@
 	if q := f.queues[f.queueIDFor(&w)]; inTurn && (q == nil || !q.hasAhead(w.Rank, f.now())) {
 		if e := f.pickLocked(&w); e != nil {
 			p := f.placeLocked(e, w.Demand)
+			p.rank = w.Rank
 			f.mu.Unlock()
 			return p, nil
 		}
@@ -98,6 +99,10 @@
 		defer f.mu.Unlock()
 		return nil, refusal
 	}
+	if refusal := f.refuseHopelessLocked(&w, maxWait); refusal != nil {
+		defer f.mu.Unlock()
+		return nil, refusal
+	}
 	waiting, refusal := f.enqueueLocked(&w, maxWait)
 	// The waiters ahead may be too large for the free capacity.
 	f.dispatchQueueLocked(f.queueIDFor(&w))
@@ -155,6 +160,7 @@
 		w.StartWithin = 0
 	}
 	now := f.now()
+	w.enqueuedAt = now
 	entry := &waiter{work: w, enqueuedAt: now, deadline: now + maxWait, done: make(chan waitResult, 1)}
 	at := sort.Search(len(q.waiting), func(i int) bool { return q.waiting[i].work.Rank > w.Rank })
 	q.waiting = append(q.waiting, nil)
@@ -242,7 +248,9 @@
 		return
 	}
 	q.remove(w)
-	w.done <- waitResult{placement: f.placeLocked(e, w.work.Demand)}
+	p := f.placeLocked(e, w.work.Demand)
+	p.rank = w.work.Rank
+	w.done <- waitResult{placement: p}
 }
 
 // Bounds of the retry-after time in refusals.
@@ -271,7 +279,7 @@
 			"no endpoint of service %q is in service", w.Service.Name)
 	}
 	waiting := f.waitingLocked(w.Service.Name)
-	retry := min(minRetryAfter+time.Duration(waiting)*waitPerRequest, maxRetryAfter)
+	retry := f.retryAfterLocked(w, min(minRetryAfter+time.Duration(waiting)*waitPerRequest, maxRetryAfter))
 	return crocusreel.Refuse(crocusreel.ReasonQueueFull, crocusreel.OutcomeNotRun, retry,
 		"%d endpoints of service %q have no room, %d requests wait here", inService, w.Service.Name, waiting)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -84,9 +84,11 @@
 	bodyMemory     *entry.BodyMemory
 	// forwards are the requests that other nodes serve for this one, forwarded counts those that
 	// this one serves for others.
-	forwards      *forwards
-	forwarded     forwardedCount
-	endpointTable endpointTable
+	forwards *forwards
+	// invalidBacklogs holds the addresses of nodes whose last reported backlog was not valid.
+	invalidBacklogs sync.Map
+	forwarded       forwardedCount
+	endpointTable   endpointTable
 	// registrationLost requests to check this node's row in the store after a restoration.
 	registrationLost chan struct{}
 	endpointUpdates  endpointUpdates
@@ -153,6 +155,7 @@
 	n.fleet.OnExclusion = n.logExclusion
 	n.fleet.OnNotice = n.logNoticeChange
 	n.fleet.OnBrittle = n.logBrittleChange
+	n.fleet.OnAdmissionRefusal = n.logAdmissionRefusal
 	n.engines.OnNotice = n.fleet.RecordNoticeByAddress
 	n.fleet.ScheduleTick = func(after time.Duration) { time.AfterFunc(after, n.fleet.Tick) }
 	n.relay = &relay.Relay{
--- a/node/peers.go
+++ b/node/peers.go
@@ -47,6 +47,7 @@
 			WaitedMs: uint32(max(w.Waited.Milliseconds(), 0)),
 		})
 	}
+	s.Backlogs = n.ownBacklogs()
 	for _, key := range n.fleet.UnhealthyKeys() {
 		s.LeavingEndpoints = append(s.LeavingEndpoints, uint32(key))
 	}
@@ -121,6 +122,7 @@
 			Waited: time.Duration(w.GetWaitedMs()) * time.Millisecond,
 		})
 	}
+	n.applyPeerBacklogs(s)
 	n.fleet.SetRemote(s.GetAddress(), loads, waiting)
 	if s.GetStore() == exchangev1.StoreLink_STORE_LINK_LOST {
 		n.uptime.RecordFailure()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -251,6 +251,8 @@
 		Target:      j.r.Route.TargetLatency,
 		GapTarget:   j.r.Route.GapTarget,
 		Since:       time.Since(j.r.Received),
+		Remaining:   time.Until(j.r.Deadline),
+		RequestID:   j.r.ID,
 
 		StartWithin: j.startWithin(),
 	}
