Admission: late work of a long deadline waits on while its turn is predicted

Cause: late work refused after three targets returns as new work and delays work that can still be on time. Change: at the end of its wait, work waits on, up to 0.4 of its remaining time at arrival, while runs end and its turn is predicted within that time.

--- a/fleet/admission_load_test.go
+++ b/fleet/admission_load_test.go
@@ -33,11 +33,21 @@
 	requests, inTime, late, atOnce, afterWait, again, lost int
 }
 
+func (t *tally) add(o *tally) {
+	t.requests += o.requests
+	t.inTime += o.inTime
+	t.late += o.late
+	t.atOnce += o.atOnce
+	t.afterWait += o.afterWait
+	t.again += o.again
+	t.lost += o.lost
+}
+
 func (t *tally) value() float64 { return float64(t.inTime) + 0.2*float64(t.late) }
 
 func (t *tally) String() string {
-	return fmt.Sprintf("%d requests: %d in time, %d late, %d refused at once, %d refused after an eighth of the target, %d refused again, value %.0f",
-		t.requests, t.inTime, t.late, t.atOnce, t.afterWait, t.again, t.value())
+	return fmt.Sprintf("%d requests: %d in time, %d late, %d refused at once, %d refused after an eighth of the target, %d refused again, %d lost, value %.0f",
+		t.requests, t.inTime, t.late, t.atOnce, t.afterWait, t.again, t.lost, t.value())
 }
 
 // loadTest is a deployment of real fleets under load, in the simulated time of a synctest bubble.
@@ -45,6 +55,7 @@
 	nodes   int
 	engines int
 	without bool
+	seed    uint64
 	// impatient callers ignore the time that they are told and return after 100 ms.
 	impatient bool
 	// loss is the share of datagrams that are lost.
@@ -61,6 +72,8 @@
 
 const (
 	loadTestLength = 30 * time.Second
+	// loadTestSeeds is the number of runs whose figures are added up.
+	loadTestSeeds = 6
 	// longRate and shortRate are the requests per second and engine in normal operation. Departures,
 	// stutter and slow engines leave about 0.7 of the capacity.
 	longRate  = 23.2 / 48 / 0.7
@@ -83,7 +96,7 @@
 	t.Helper()
 	var r *loadRun
 	synctest.Test(t, func(t *testing.T) {
-		r = &loadRun{loadTest: l, start: time.Now(), random: rand.New(rand.NewPCG(1, 2)), gone: make(map[string]bool)}
+		r = &loadRun{loadTest: l, start: time.Now(), random: rand.New(rand.NewPCG(l.seed, 2)), gone: make(map[string]bool)}
 		ctx, cancel := context.WithCancel(context.Background())
 		for i := range l.nodes {
 			f := fleet.New("dc1", func() time.Duration { return time.Hour + time.Since(r.start) })
@@ -276,11 +289,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l.nodes, l.engines = 7, 12
-			with := l.run(t)
-			l.without = true
-			without := l.run(t)
-			t.Logf("with    %v", with)
-			t.Logf("without %v", without)
+			var with, without tally
+			for l.seed = range uint64(loadTestSeeds) {
+				l.without = false
+				with.add(l.run(t))
+				l.without = true
+				without.add(l.run(t))
+			}
+			t.Logf("with    %v", &with)
+			t.Logf("without %v", &without)
 		})
 	}
 }
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -16,6 +16,9 @@
 	// callerPatienceShare is the share of its remaining time for which a caller waits before it
 	// returns.
 	callerPatienceShare = 1.0 / 3
+	// maxExtendedShare is the share of its remaining time at arrival that work waits at most: the rest
+	// is needed for the answer.
+	maxExtendedShare = 0.4
 	// maxBacklogs is the maximum number of backlogs in a datagram; each takes up to 35 bytes.
 	maxBacklogs = 8
 	// maxAdmissionModels bounds the services of which backlogs are kept.
@@ -214,3 +217,23 @@
 		m.Forget(node)
 	}
 }
+
+// extendWait returns by how much longer work waits whose wait is over: while runs end, late work of a
+// long deadline is placed sooner from the queue than after a refusal, behind which its caller returns
+// as new work. It returns 0 if the wait ends now.
+func (f *Fleet) extendWait(w *waiter) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	left := time.Duration(maxExtendedShare*float64(w.work.Remaining)) - (now - w.enqueuedAt)
+	if left < minRetryAfter {
+		return 0
+	}
+	_, _, p, ok := f.predictLocked(w.work, left)
+	if !ok || p.LateWait > left {
+		return 0
+	}
+	more := min(left, w.work.Target)
+	w.deadline = now + more
+	return more
+}
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -126,6 +126,9 @@
 		}
 		return end.placement, end.refusal
 	case <-timer.C:
+		if more := f.extendWait(w); more > 0 {
+			return f.await(ctx, w, more)
+		}
 	case <-ctx.Done():
 	}
 	f.mu.Lock()
