Admission: work waits up to 1.5 of its former wait by prediction, and up to half of its time

Cause: work that is refused early or after three targets returns once and is mostly lost; late service is worth more. Change: work is let wait up to a predicted 4.5 targets (half of the remaining time at most), and waits on while runs end. The load test asserts value, second refusals and refusals after a wait.

--- a/admission/model.go
+++ b/admission/model.go
@@ -49,7 +49,8 @@
 	Workspace string
 	// StartWithin is the time within which the work must be placed to be on time, 0 for no limit.
 	StartWithin time.Duration
-	// MaxWait is the longest wait, at whose end the work is refused.
+	// MaxWait is the longest predicted wait with which the work is let wait. Waits longer than those
+	// that make it late are worth it as long as it is served at all.
 	MaxWait time.Duration
 	// MaxRetry is the longest time after which the caller returns if told to, 0 if not known.
 	MaxRetry time.Duration
--- a/fleet/admission_load_test.go
+++ b/fleet/admission_load_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	. "github.com/onsi/gomega"
+
 	"github.com/crocusreel/crocusreel/fleet"
 )
 
@@ -277,6 +279,7 @@
 
 func steady(time.Duration) (long, short float64) { return 1, 1 }
 
+// Guards against a refusal at once, or a longer wait, that makes callers worse off than the wait of three targets.
 func TestAdmissionUnderLoad(t *testing.T) {
 	for name, l := range map[string]loadTest{
 		"burst":             {factor: burst},
@@ -298,6 +301,10 @@
 			}
 			t.Logf("with    %v", &with)
 			t.Logf("without %v", &without)
+			g := NewWithT(t)
+			g.Expect(with.value()).To(BeNumerically(">=", without.value()))
+			g.Expect(with.again).To(BeNumerically("<=", without.again))
+			g.Expect(with.afterWait).To(BeNumerically("<=", without.afterWait/2))
 		})
 	}
 }
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -17,8 +17,12 @@
 	// returns.
 	callerPatienceShare = 1.0 / 3
 	// maxExtendedShare is the share of its remaining time at arrival that work waits at most: the rest
-	// is needed for the answer.
-	maxExtendedShare = 0.4
+	// is needed for the answer, or for another attempt after a refusal.
+	maxExtendedShare = 0.5
+	// extendedWaits is the predicted wait up to which work is let wait, as a multiple of the wait after
+	// which it would be refused without a prediction: multiples of 0.25, 0.5 and 0.75 refused callers
+	// that were served late otherwise.
+	extendedWaits = 1.5
 	// maxBacklogs is the maximum number of backlogs in a datagram; each takes up to 35 bytes.
 	maxBacklogs = 8
 	// maxAdmissionModels bounds the services of which backlogs are kept.
@@ -117,13 +121,20 @@
 		return nil, admission.Work{}, admission.Prediction{}, false
 	}
 	work := admission.Work{
-		Rank: w.Rank, Tokens: w.Demand.Tokens(), Workspace: w.Workspace, StartWithin: w.StartWithin, MaxWait: maxWait,
+		Rank: w.Rank, Tokens: w.Demand.Tokens(), Workspace: w.Workspace, StartWithin: w.StartWithin, MaxWait: longestWait(w, maxWait),
 		MaxRetry: time.Duration(callerPatienceShare * float64(w.Remaining)),
 	}
 	p := m.Predict(f.now(), work, f.waitingBacklogLocked(w.Service.Name), f.freeTokensLocked(w))
 	return m, work, p, p.Evidence && p.Requests > 0
 }
 
+// longestWait returns the longest predicted wait for which the work waits, given the wait after which
+// it would be refused without a prediction.
+func longestWait(w *Work, maxWait time.Duration) time.Duration {
+	extended := min(extendedWaits*float64(maxWait), maxExtendedShare*float64(w.Remaining))
+	return max(maxWait, time.Duration(extended))
+}
+
 // refuseHopelessLocked returns a refusal if the work would, by prediction, be refused at the end of
 // its wait. Otherwise it returns nil.
 func (f *Fleet) refuseHopelessLocked(w *Work, maxWait time.Duration) *crocusreel.Refusal {
@@ -218,19 +229,20 @@
 	}
 }
 
-// extendWait returns by how much longer work waits whose wait is over: while runs end, late work of a
-// long deadline is placed sooner from the queue than after a refusal, behind which its caller returns
-// as new work. It returns 0 if the wait ends now.
+// extendWait returns by how much longer work waits whose wait is over: while runs of the
+// service end, late work with a long deadline is placed sooner from the queue than after a refusal,
+// and its caller would return as new work that delays work which can still be on time. It returns 0 if
+// the wait ends now.
 func (f *Fleet) extendWait(w *waiter) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
 	left := time.Duration(maxExtendedShare*float64(w.work.Remaining)) - (now - w.enqueuedAt)
-	if left < minRetryAfter {
+	if w.work.Target <= 0 || left < minRetryAfter {
 		return 0
 	}
-	_, _, p, ok := f.predictLocked(w.work, left)
-	if !ok || p.LateWait > left {
+	_, _, _, ok := f.predictLocked(w.work, left)
+	if !ok {
 		return 0
 	}
 	more := min(left, w.work.Target)
