--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -249,3 +249,10 @@
 	w.deadline = now + more
 	return more
 }
+
+// observeWait records how long placed work of an engine service has waited.
+func (f *Fleet) observeWait(w *Work, waited time.Duration) {
+	if w.Service.Engine != nil {
+		metrics.Observe("admission_waited", waited)
+	}
+}
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -123,6 +123,7 @@
 	case end := <-w.done:
 		if end.placement != nil {
 			end.placement.Waited = f.now() - w.enqueuedAt
+			f.observeWait(w.work, end.placement.Waited)
 		}
 		return end.placement, end.refusal
 	case <-timer.C:
