--- a/fleet/admission_load_test.go
+++ b/fleet/admission_load_test.go
@@ -90,15 +90,13 @@
 	random             *rand.Rand
 	tally              tally
 	callers, reporters sync.WaitGroup
-	mu                 sync.Mutex
-	gone               map[string]bool
 }
 
 func (l loadTest) run(t *testing.T) *tally {
 	t.Helper()
 	var r *loadRun
 	synctest.Test(t, func(t *testing.T) {
-		r = &loadRun{loadTest: l, start: time.Now(), random: rand.New(rand.NewPCG(l.seed, 2)), gone: make(map[string]bool)}
+		r = &loadRun{loadTest: l, start: time.Now(), random: rand.New(rand.NewPCG(l.seed, 2))}
 		ctx, cancel := context.WithCancel(context.Background())
 		for i := range l.nodes {
 			f := fleet.New("dc1", func() time.Duration { return time.Hour + time.Since(r.start) })
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/crocusreel/crocusreel"
@@ -23,7 +25,7 @@
 	// which it would be refused without a prediction: multiples of 0.25, 0.5 and 0.75 refused callers
 	// that were served late otherwise.
 	extendedWaits = 1.5
-	// maxBacklogs is the maximum number of backlogs in a datagram; each takes up to 35 bytes.
+	// maxBacklogs is the maximum number of backlogs in a datagram, the largest; each takes up to 35 bytes.
 	maxBacklogs = 8
 	// maxAdmissionModels bounds the services of which backlogs are kept.
 	maxAdmissionModels = 64
@@ -193,14 +195,22 @@
 			continue
 		}
 		for _, b := range m.Own(f.now(), f.waitingBacklogLocked(service)) {
-			if len(backlogs) < maxBacklogs {
-				backlogs = append(backlogs, ServiceBacklog{Service: key, Backlog: b})
-			}
+			backlogs = append(backlogs, ServiceBacklog{Service: key, Backlog: b})
 		}
 	}
+	if len(backlogs) > maxBacklogs {
+		slices.SortFunc(backlogs, func(a, b ServiceBacklog) int { return cmp.Compare(b.size(), a.size()) })
+		backlogs = backlogs[:maxBacklogs]
+	}
 	return backlogs
 }
 
+// size is the importance of a backlog: the tokens that wait or are promised, and those that become
+// free in a second.
+func (b ServiceBacklog) size() float64 {
+	return float64(b.Tokens+b.PromisedTokens) + b.CompletedPerSecond
+}
+
 // SetRemoteBacklogs replaces the backlogs that another node has reported. A node that reports none is
 // not known. It returns an error for impossible values, which change nothing.
 func (f *Fleet) SetRemoteBacklogs(node string, backlogs []ServiceBacklog) error {
--- a/node/backlogs.go
+++ b/node/backlogs.go
@@ -11,10 +11,10 @@
 	"github.com/crocusreel/crocusreel/internal/metrics"
 )
 
-// ownBacklogs returns the waiting work of this node as announced to the others.
-func (n *Node) ownBacklogs() []*exchangev1.ServiceBacklog {
-	var backlogs []*exchangev1.ServiceBacklog
-	for _, b := range n.fleet.OwnBacklogs() {
+// encodeBacklogs converts the waiting work of this node to its form in messages.
+func encodeBacklogs(own []fleet.ServiceBacklog) []*exchangev1.ServiceBacklog {
+	backlogs := make([]*exchangev1.ServiceBacklog, 0, len(own))
+	for _, b := range own {
 		backlogs = append(backlogs, &exchangev1.ServiceBacklog{
 			Service: uint32(b.Service), Rank: uint32(max(b.Rank, 0)), Requests: uint32(b.Requests), Tokens: uint32(b.Tokens),
 			PromisedTokens: uint32(b.PromisedTokens), CompletedPerSecond: uint32(math.Round(b.CompletedPerSecond)),
@@ -23,17 +23,22 @@
 	return backlogs
 }
 
-// applyPeerBacklogs applies the waiting work of another node. Impossible values change nothing; they
-// are counted, and logged for the first datagram of a node that has them.
-func (n *Node) applyPeerBacklogs(s *exchangev1.NodeState) {
-	backlogs := make([]fleet.ServiceBacklog, 0, len(s.GetBacklogs()))
-	for _, b := range s.GetBacklogs() {
+// decodeBacklogs is the inverse of encodeBacklogs.
+func decodeBacklogs(reported []*exchangev1.ServiceBacklog) []fleet.ServiceBacklog {
+	backlogs := make([]fleet.ServiceBacklog, 0, len(reported))
+	for _, b := range reported {
 		backlogs = append(backlogs, fleet.ServiceBacklog{Service: fleet.QueueKey(b.GetService()), Backlog: admission.Backlog{
 			Rank: int(b.GetRank()), Requests: int(b.GetRequests()), Tokens: int(b.GetTokens()),
 			PromisedTokens: int(b.GetPromisedTokens()), CompletedPerSecond: float64(b.GetCompletedPerSecond()),
 		}})
 	}
-	err := n.fleet.SetRemoteBacklogs(s.GetAddress(), backlogs)
+	return backlogs
+}
+
+// applyPeerBacklogs applies the waiting work of another node. Impossible values change nothing; they
+// are counted, and logged for the first datagram of a node that has them.
+func (n *Node) applyPeerBacklogs(s *exchangev1.NodeState) {
+	err := n.fleet.SetRemoteBacklogs(s.GetAddress(), decodeBacklogs(s.GetBacklogs()))
 	if err == nil {
 		n.invalidBacklogs.Delete(s.GetAddress())
 		return
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -189,3 +189,9 @@
 	}
 	return v.candidates(func(gossip.Peer) bool { return false })
 }
+
+// EncodeBacklogs and DecodeBacklogs convert the waiting work of a node to and from messages.
+var (
+	EncodeBacklogs = encodeBacklogs
+	DecodeBacklogs = decodeBacklogs
+)
--- a/node/peers.go
+++ b/node/peers.go
@@ -47,7 +47,7 @@
 			WaitedMs: uint32(max(w.Waited.Milliseconds(), 0)),
 		})
 	}
-	s.Backlogs = n.ownBacklogs()
+	s.Backlogs = encodeBacklogs(n.fleet.OwnBacklogs())
 	for _, key := range n.fleet.UnhealthyKeys() {
 		s.LeavingEndpoints = append(s.LeavingEndpoints, uint32(key))
 	}
