--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -25,6 +25,9 @@
 	// which it would be refused without a prediction: multiples of 0.25, 0.5 and 0.75 refused callers
 	// that were served late otherwise.
 	extendedWaits = 1.5
+	// maxPatienceShare is the share of the caller's patience that work waits at most. The rest is needed
+	// until its first event.
+	maxPatienceShare = 0.75
 	// maxBacklogs is the maximum number of backlogs in a datagram, the largest; each takes up to 35 bytes.
 	maxBacklogs = 8
 	// maxAdmissionModels bounds the services of which backlogs are kept.
@@ -133,8 +136,16 @@
 // longestWait returns the longest predicted wait for which the work waits, given the wait after which
 // it would be refused without a prediction.
 func longestWait(w *Work, maxWait time.Duration) time.Duration {
-	extended := min(extendedWaits*float64(maxWait), maxExtendedShare*float64(w.Remaining))
-	return max(maxWait, time.Duration(extended))
+	return max(maxWait, min(time.Duration(extendedWaits*float64(maxWait)), longestExtendedWait(w)))
+}
+
+// longestExtendedWait returns the longest time from its arrival at the queue for which the work waits.
+func longestExtendedWait(w *Work) time.Duration {
+	longest := time.Duration(maxExtendedShare * float64(w.Remaining))
+	if w.Patience > 0 {
+		longest = min(longest, time.Duration(maxPatienceShare*float64(w.Patience)))
+	}
+	return longest
 }
 
 // refuseHopelessLocked returns a refusal if the work would, by prediction, be refused at the end of
@@ -247,7 +258,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	left := time.Duration(maxExtendedShare*float64(w.work.Remaining)) - (now - w.enqueuedAt)
+	left := longestExtendedWait(w.work) - (now - w.enqueuedAt)
 	if w.work.Target <= 0 || left < minRetryAfter {
 		return 0
 	}
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -109,12 +109,15 @@
 	remote      map[string]Load
 	remoteTotal Load
 	health      health
+	refusal     refusal
 	// overload is used while the service is brittle.
 	overload endpointOverload
 	// leavingByHealth is set while the instance counts as leaving by its health check alone.
 	leavingByHealth bool
 	// leavingSince is the time at which the instance was found to be leaving.
 	leavingSince time.Duration
+	// speed is what is known of the speed of an engine.
+	speed *engineSpeed
 }
 
 func newEndpoint(in Instance) *Endpoint {
@@ -124,6 +127,7 @@
 		leaving:  make(chan struct{}),
 		unusable: make(chan struct{}),
 		remote:   make(map[string]Load),
+		speed:    &engineSpeed{},
 	}
 	e.ctx, e.cancel = context.WithCancelCause(context.Background())
 	return e
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,8 +28,10 @@
 	// unconfirmed holds the endpoints whose store entry is missing, and those that count as leaving
 	// by their health check alone.
 	unconfirmed map[*Endpoint]struct{}
-	queues      map[queueID]*queue
-	remote      map[string]remoteState
+	// refusing holds the endpoints that refused a connection of this node and are suspended.
+	refusing map[EndpointKey]*Endpoint
+	queues   map[queueID]*queue
+	remote   map[string]remoteState
 	// notices holds the notices that endpoints have sent, by incarnation.
 	notices map[EndpointKey]*noticeRecord
 	// left holds the time at which each endpoint that is no longer in service was dropped.
@@ -41,6 +43,10 @@
 	overload map[string]*serviceOverload
 	// admission holds the model of each engine service's backlog.
 	admission map[QueueKey]*admission.Model
+	// rates holds the rates of the engines of each service, and rated the engines of which this node
+	// has evidence of its own.
+	rates map[string]*serviceRates
+	rated map[*Endpoint]struct{}
 	// nextTickAt is the time of the next call of Tick that was requested through ScheduleTick.
 	nextTickAt time.Duration
 	random     *rand.Rand
@@ -69,6 +75,12 @@
 	// OnAdmissionRefusal is called for each refusal whose time is based on a prediction. It must not
 	// block.
 	OnAdmissionRefusal func(AdmissionRefusal)
+	// OnUnreachable is called when the report of another node suspends an endpoint. It must not
+	// block.
+	OnUnreachable func(Suspension)
+	// OnRates is called when the engines of a service begin or cease to differ in speed. It must not
+	// block.
+	OnRates func(RatesChange)
 	// ScheduleTick schedules a call of Tick after the given time. It must not block.
 	ScheduleTick func(after time.Duration)
 }
@@ -100,6 +112,13 @@
 		Roster:             func() *Roster { return nil },
 		WallClock:          time.Now,
 		random:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		refusing:           make(map[EndpointKey]*Endpoint),
+
+		OnUnreachable: func(Suspension) {},
+
+		rates:   make(map[string]*serviceRates),
+		rated:   make(map[*Endpoint]struct{}),
+		OnRates: func(RatesChange) {},
 	}
 }
 
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -82,6 +82,9 @@
 	Target    time.Duration
 	GapTarget time.Duration
 	Since     time.Duration
+	// Patience is the time for which the caller still waits for the first event before it leaves, 0 if
+	// it is not known.
+	Patience time.Duration
 	// Remaining is the time until the request's deadline, 0 if it is not known. RequestID is the
 	// caller's ID of the request, for the log.
 	Remaining time.Duration
@@ -116,6 +119,7 @@
 	var best *Endpoint
 	bestCost := 0.0
 	now := f.now()
+	score := f.scorerLocked(w, now)
 	for _, includeEjected := range []bool{false, true} {
 		for _, e := range endpoints {
 			if !f.mayServeLocked(e, w) || f.deferForPauseLocked(e, now) {
@@ -128,7 +132,7 @@
 			if !f.fitsLocked(e, w, &load) || !f.coldLimitAllowsLocked(e, w.Service, &load, now) || !f.limitAllowsLocked(e, now) || !f.brittleAllowsLocked(e, now) {
 				continue
 			}
-			if cost := f.costLocked(e, w, &load, now); best == nil || cost < bestCost {
+			if cost := f.costLocked(e, w, &load, score, now); best == nil || cost < bestCost {
 				best, bestCost = e, cost
 			}
 		}
@@ -166,7 +170,7 @@
 }
 
 func (f *Fleet) ejectedLocked(e *Endpoint, now time.Duration) bool {
-	return now < e.health.ejectedUntil && !f.Disabled[Ejection]
+	return now < e.health.ejectedUntil && !f.Disabled[Ejection] || f.refusesConnectionsLocked(e, now)
 }
 
 // fitsLocked reports whether the endpoint has capacity for the work in addition to the given load.
@@ -188,7 +192,7 @@
 }
 
 // costLocked returns the cost of placing one more run on the endpoint.
-func (f *Fleet) costLocked(e *Endpoint, w *Work, load *Load, now time.Duration) float64 {
+func (f *Fleet) costLocked(e *Endpoint, w *Work, load *Load, score scorer, now time.Duration) float64 {
 	cost := f.distanceCostLocked(e, w)
 	if !f.Disabled[Ejection] {
 		cost += failureCost * e.health.failureShare(now)
@@ -201,7 +205,7 @@
 	}
 	if spec := w.Service.Engine; spec != nil {
 		share := float64(load.Tokens) / float64(max(spec.CacheTokens, 1))
-		return cost + share + prefillCostPerSecond*float64(load.PendingPrefill)/prefillTokensPerSecond
+		return cost + share + score.runCost(e, w, *load)
 	}
 	return cost + float64(load.Count)/float64(max(e.Slots, 1))
 }
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -22,6 +22,13 @@
 	incomingTokens int
 	// placedAt is the time of the placement.
 	placedAt time.Duration
+	// producedAt is the time of the last update of produced, or 0 if there was none on this endpoint.
+	producedAt time.Duration
+	// pendingAtStart and decodingAtStart are the prompt tokens, including the run's own, and the
+	// number of decoding runs that the prefill met.
+	pendingAtStart, decodingAtStart int
+	// Predicted is what the choice of the endpoint was based on, zero while engines count as equal.
+	Predicted Prediction
 	// Waited is the time that the work spent in the queue.
 	Waited time.Duration
 }
@@ -59,6 +66,7 @@
 
 func (f *Fleet) placeLocked(e *Endpoint, d Demand) *Placement {
 	p := &Placement{fleet: f, endpoint: e, demand: d, prefilling: d.Prompt > 0, placedAt: f.now()}
+	p.startObservationLocked(e.total())
 	f.used[e] = struct{}{}
 	now := f.now()
 	e.lastRequestAt = now
@@ -132,6 +140,8 @@
 	if p.released {
 		return
 	}
+	p.endpoint.refusal.produced(f.now(), p.prefilling)
+	p.observeLocked(tokens)
 	own := &p.endpoint.own
 	own.Tokens -= p.expectedTokens()
 	own.PendingPrefill -= p.pendingPrefill()
@@ -179,10 +189,12 @@
 	switch r {
 	case Good:
 		h.succeeded(now)
+		e.refusal.answered(now)
 	case Failed:
 		h.failed(now, 1)
 	case Busy:
 		h.failed(now, busyWeight)
+		e.refusal.answered(now)
 		f.rejectedLocked(e, now)
 	case Silent:
 		h.failed(now, silentWeight)
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -195,3 +195,9 @@
 	EncodeBacklogs = encodeBacklogs
 	DecodeBacklogs = decodeBacklogs
 )
+
+var (
+	// RateMessages and ReportedRates convert rates of engines to messages and back.
+	RateMessages  = rateMessages
+	ReportedRates = reportedRates
+)
