--- a/node/export_test.go
+++ b/node/export_test.go
@@ -190,8 +190,14 @@
 	return v.candidates(func(gossip.Peer) bool { return false })
 }
 
-// RateMessages and ReportedRates convert rates of engines to messages and back.
+// EncodeBacklogs and DecodeBacklogs convert the waiting work of a node to and from messages.
 var (
+	EncodeBacklogs = encodeBacklogs
+	DecodeBacklogs = decodeBacklogs
+)
+
+var (
+	// RateMessages and ReportedRates convert rates of engines to messages and back.
 	RateMessages  = rateMessages
 	ReportedRates = reportedRates
 )
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -275,11 +275,23 @@
 		Target:      j.r.Route.TargetLatency,
 		GapTarget:   j.r.Route.GapTarget,
 		Since:       time.Since(j.r.Received),
+		Patience:    j.patience(),
+		Remaining:   time.Until(j.r.Deadline),
+		RequestID:   j.r.ID,
 
 		StartWithin: j.startWithin(),
 	}
 }
 
+// patience returns the time for which the caller still waits for the first event, 0 if it waits until
+// its deadline.
+func (j *job) patience() time.Duration {
+	if j.r.Route.Kind != routing.Streaming {
+		return 0
+	}
+	return max(callerPatience(j.r.Route)-time.Since(j.r.Received), time.Nanosecond)
+}
+
 // workspaceName returns the name of the request's workspace, or an empty string if it has none.
 func (j *job) workspaceName() string {
 	if j.r.Workspace == nil {
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -147,10 +147,14 @@
 	hangShare = 0.5
 )
 
+// callerPatience returns the time without an event after which callers of the route leave.
+func callerPatience(r *routing.Route) time.Duration {
+	return max(minCallerPatience, patienceTargets*r.TargetLatency, patienceGapTargets*r.GapTarget)
+}
+
 // hangThreshold returns the time without an event after which an endpoint counts as hung.
 func hangThreshold(r *routing.Route) time.Duration {
-	patience := max(minCallerPatience, patienceTargets*r.TargetLatency, patienceGapTargets*r.GapTarget)
-	return time.Duration(hangShare * float64(patience))
+	return time.Duration(hangShare * float64(callerPatience(r)))
 }
 
 var errHung = eris.New("the endpoint sends nothing")
