--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -149,10 +149,11 @@
 }
 
 // refuseHopelessLocked returns a refusal if the work would, by prediction, be refused at the end of
-// its wait. Otherwise it returns nil.
+// its wait. Otherwise it returns nil. Work that has started elsewhere is not refused: the answer to it
+// could only break off.
 func (f *Fleet) refuseHopelessLocked(w *Work, maxWait time.Duration) *crocusreel.Refusal {
 	m, work, p, ok := f.predictLocked(w, maxWait)
-	if !ok || !p.Refuse(work) || f.pickLocked(w) != nil {
+	if !ok || w.Started || !p.Refuse(work) || f.pickLocked(w) != nil {
 		return nil
 	}
 	metrics.Count("admission_refused")
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -82,6 +82,9 @@
 	Target    time.Duration
 	GapTarget time.Duration
 	Since     time.Duration
+	// Started is set if an endpoint may have run the work already. Its caller has waited for that run,
+	// and may have the beginning of the answer.
+	Started bool
 	// Patience is the time for which the caller still waits for the first event before it leaves, 0 if
 	// it is not known.
 	Patience time.Duration
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -275,6 +275,7 @@
 		Target:      j.r.Route.TargetLatency,
 		GapTarget:   j.r.Route.GapTarget,
 		Since:       time.Since(j.r.Received),
+		Started:     j.ran,
 		Patience:    j.patience(),
 		Remaining:   time.Until(j.r.Deadline),
 		RequestID:   j.r.ID,
