Fleet: serve waiting work by the shares of workspaces while capacity is scarce

Cause: the queues order by rank and age, so a workspace that sends ten times its load makes all others wait and be refused. Change: package fairshare keeps a decaying ledger of received tokens (own and remote) and the order that follows; queues, turns between nodes and refusals of a full queue use it while work of two workspaces waits and one has received over twice its equal share. Nodes exchange workspace_use.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -295,6 +295,9 @@
 		zap.Duration("waited", v.Waited),
 		zap.Duration("took", time.Since(req.Received)),
 	)
+	if req.Workspace != nil {
+		fields = append(fields, zap.String("workspace", req.Workspace.Name))
+	}
 	if v.Via != "" {
 		fields = append(fields, zap.String("via", v.Via))
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/crocusreel/crocusreel/fairshare"
 )
 
 // Fleet tracks all known endpoints, their load and their health, and places work on them. Its
@@ -37,6 +39,9 @@
 	evacuated map[string]time.Duration
 	// overload holds what is known of the load and the brittleness of each service.
 	overload map[string]*serviceOverload
+	// ledger holds the service that workspaces have received, and shares the state by service.
+	ledger *fairshare.Ledger
+	shares map[string]*serviceShares
 	// nextTickAt is the time of the next call of Tick that was requested through ScheduleTick.
 	nextTickAt time.Duration
 	random     *rand.Rand
@@ -62,6 +67,9 @@
 	// OnBrittle is called when the endpoints of a service become brittle or no longer are. It must
 	// not block.
 	OnBrittle func(BrittleChange)
+	// OnShares is called when the waiting work of a service begins or ceases to be served by the
+	// shares of workspaces. It must not block.
+	OnShares func(SharesChange)
 	// ScheduleTick schedules a call of Tick after the given time. It must not block.
 	ScheduleTick func(after time.Duration)
 }
@@ -82,10 +90,13 @@
 		notices:      make(map[EndpointKey]*noticeRecord),
 		left:         make(map[EndpointKey]time.Duration),
 		overload:     make(map[string]*serviceOverload),
+		ledger:       fairshare.NewLedger(),
+		shares:       make(map[string]*serviceShares),
 		Broadcast:    func(string) {},
 		OnExclusion:  func(Exclusion) {},
 		OnNotice:     func(NoticeChange) {},
 		OnBrittle:    func(BrittleChange) {},
+		OnShares:     func(SharesChange) {},
 		ScheduleTick: func(time.Duration) {},
 		ClusterSize:  func() ClusterSize { return ClusterSize{Nodes: 1, HalfLive: true} },
 		Roster:       func() *Roster { return nil },
@@ -301,5 +312,6 @@
 	defer f.mu.Unlock()
 	f.pruneNoticesLocked()
 	f.endBrittleLocked()
+	f.tickSharesLocked()
 	f.dispatchAllLocked()
 }
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/fairshare"
 )
 
 // waiter is a piece of work that waits for a placement.
@@ -15,8 +16,11 @@
 	// deadline is the time at which the wait ends without a placement.
 	deadline time.Duration
 	// done receives the outcome of the wait. It has a buffer of one.
-	done chan waitResult
-	turn turn
+	done   chan waitResult
+	turn   turn
+	shares *serviceShares
+	// workspace is the key of the work's workspace.
+	workspace fairshare.Key
 }
 
 // waitResult is the outcome of a wait: a placement, or a refusal if no endpoint can run the work in
@@ -37,9 +41,11 @@
 	return w.work.StartWithin > 0 && now-w.enqueuedAt > w.work.StartWithin
 }
 
-// rank returns the current rank of the work, including the penalty for late work.
+// rank returns the current rank of the work, including the penalty for late work. While shares
+// apply, late work has no penalty: a workspace that floods always has work that is in time, and would
+// keep the late work of all others waiting.
 func (w *waiter) rank(now time.Duration) int {
-	if w.late(now) {
+	if !w.shares.active() && w.late(now) {
 		return w.work.Rank + lateRankPenalty
 	}
 	return w.work.Rank
@@ -48,10 +54,15 @@
 // queue holds the waiting work of one queueID, ordered by rank and then by arrival.
 type queue struct {
 	waiting []*waiter
+	// shares is nil if the queue is not subject to shares.
+	shares *serviceShares
 }
 
 // head returns up to n waiters in the order in which they are served.
 func (q *queue) head(now time.Duration, n int) []*waiter {
+	if q.shares.active() {
+		return q.headByShare(now, n)
+	}
 	var inTime, late []*waiter
 	for _, w := range q.waiting {
 		if w.late(now) {
@@ -86,6 +97,7 @@
 	if q := f.queues[f.queueIDFor(&w)]; inTurn && (q == nil || !q.hasAhead(w.Rank, f.now())) {
 		if e := f.pickLocked(&w); e != nil {
 			p := f.placeLocked(e, w.Demand)
+			f.chargeLocked(&w)
 			f.mu.Unlock()
 			return p, nil
 		}
@@ -138,6 +150,7 @@
 		go end.placement.Release(Neutral)
 	default:
 	}
+	f.countRefusedLocked(w.work)
 	return nil, f.refuseLocked(w.work)
 }
 
@@ -145,21 +158,23 @@
 	id := f.queueIDFor(w)
 	q := f.queues[id]
 	if q == nil {
-		q = &queue{}
+		q = &queue{shares: f.sharesLocked(w)}
 		f.queues[id] = q
 	}
-	if len(q.waiting) >= maxQueueLength {
+	if len(q.waiting) >= maxQueueLength && !f.makeRoomLocked(q, w) {
+		f.countRefusedLocked(w)
 		return nil, f.refuseLocked(w)
 	}
 	if f.Disabled[LateWorkLast] {
 		w.StartWithin = 0
 	}
 	now := f.now()
-	entry := &waiter{work: w, enqueuedAt: now, deadline: now + maxWait, done: make(chan waitResult, 1)}
+	entry := &waiter{work: w, enqueuedAt: now, deadline: now + maxWait, done: make(chan waitResult, 1), shares: q.shares, workspace: fairshare.KeyOf(w.Workspace)}
 	at := sort.Search(len(q.waiting), func(i int) bool { return q.waiting[i].work.Rank > w.Rank })
 	q.waiting = append(q.waiting, nil)
 	copy(q.waiting[at+1:], q.waiting[at:])
 	q.waiting[at] = entry
+	f.enqueuedLocked(w, q.shares)
 	return entry, nil
 }
 
@@ -242,6 +257,7 @@
 		return
 	}
 	q.remove(w)
+	f.chargeLocked(w.work)
 	w.done <- waitResult{placement: f.placeLocked(e, w.work.Demand)}
 }
 
--- a/fleet/remote.go
+++ b/fleet/remote.go
@@ -79,7 +79,7 @@
 		return false
 	}
 	newHead, hasHead := after.waiting[key]
-	if !hasHead || newHead.Rank != oldHead.Rank {
+	if !hasHead || newHead.Rank != oldHead.Rank || newHead.Workspace != oldHead.Workspace {
 		return true
 	}
 	age := after.enqueuedAt(newHead) - before.enqueuedAt(oldHead)
--- a/fleet/turn.go
+++ b/fleet/turn.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"time"
+
+	"github.com/crocusreel/crocusreel/fairshare"
 )
 
 // Nodes learn of free capacity at the same moment: an engine registers, or a node reports that a
@@ -62,6 +64,10 @@
 	// Rank and Waited describe the first request of the queue.
 	Rank   int
 	Waited time.Duration
+	// Workspace is the workspace of the first request, 0 if it has none or the node does not state
+	// it, and Tokens the memory that the request needs.
+	Workspace fairshare.Key
+	Tokens    int
 }
 
 // QueueKey identifies a queue in messages between nodes.
@@ -86,6 +92,7 @@
 		for _, head := range q.head(now, 1) {
 			waiting = append(waiting, WaitingWork{
 				Queue: id.key(), Rank: head.rank(now), Waited: now - head.enqueuedAt,
+				Workspace: head.Workspace(), Tokens: head.work.tokens(),
 			})
 		}
 	}
@@ -103,7 +110,7 @@
 	ahead := 0
 	for name, node := range f.remote {
 		head, waits := node.waiting[key]
-		if waits && (head.Rank < rank || (head.Rank == rank && f.remoteGoesFirst(name, node.enqueuedAt(head), since))) {
+		if waits && (head.Rank < rank || (head.Rank == rank && f.remoteGoesFirstLocked(w, name, head, since))) {
 			ahead++
 		}
 	}
--- a/gossip/rounds.go
+++ b/gossip/rounds.go
@@ -244,6 +244,12 @@
 	state.Sequence = g.sequence
 	g.mu.Unlock()
 	data, err := proto.Marshal(state)
+	if err == nil && len(data) > maxDatagramBytes && len(state.GetWorkspaceUse()) > 0 {
+		// Without these entries, other nodes keep the previous ones, decaying.
+		state.WorkspaceUse = nil
+		metrics.Count("gossip_workspace_use_cut")
+		data, err = proto.Marshal(state)
+	}
 	for err == nil && len(data) > maxDatagramBytes && len(state.GetLoads()) > 0 {
 		// A node with work on very many endpoints sends the loads of the first ones only. Other
 		// nodes then slightly underestimate the load of the remaining endpoints.
--- a/node/node.go
+++ b/node/node.go
@@ -153,6 +153,7 @@
 	n.fleet.OnExclusion = n.logExclusion
 	n.fleet.OnNotice = n.logNoticeChange
 	n.fleet.OnBrittle = n.logBrittleChange
+	n.fleet.OnShares = n.logSharesChange
 	n.engines.OnNotice = n.fleet.RecordNoticeByAddress
 	n.fleet.ScheduleTick = func(after time.Duration) { time.AfterFunc(after, n.fleet.Tick) }
 	n.relay = &relay.Relay{
--- a/node/peers.go
+++ b/node/peers.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/crocusreel/crocusreel/exchange/exchangev1"
+	"github.com/crocusreel/crocusreel/fairshare"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/gossip"
 	"github.com/crocusreel/crocusreel/peer"
@@ -45,8 +46,12 @@
 			Line:     uint32(w.Queue),
 			Rank:     uint32(max(w.Rank, 0)),
 			WaitedMs: uint32(max(w.Waited.Milliseconds(), 0)),
+
+			Workspace: uint32(w.Workspace),
+			Tokens:    uint32(max(w.Tokens, 0)),
 		})
 	}
+	s.WorkspaceUse = n.workspaceUse()
 	for _, key := range n.fleet.UnhealthyKeys() {
 		s.LeavingEndpoints = append(s.LeavingEndpoints, uint32(key))
 	}
@@ -119,8 +124,12 @@
 			Queue:  fleet.QueueKey(w.GetLine()),
 			Rank:   int(w.GetRank()),
 			Waited: time.Duration(w.GetWaitedMs()) * time.Millisecond,
+
+			Workspace: fairshare.Key(w.GetWorkspace()),
+			Tokens:    int(w.GetTokens()),
 		})
 	}
+	n.applyPeerUse(s)
 	n.fleet.SetRemote(s.GetAddress(), loads, waiting)
 	if s.GetStore() == exchangev1.StoreLink_STORE_LINK_LOST {
 		n.uptime.RecordFailure()
