Fair shares: last until the scarcity ends; late work stays last; load tests

Cause: shares that ended when the flood's share fell alternated with the order by age, and shares before lateness gave all capacity to late work if all flood. Change: shares end once work of fewer than two workspaces has waited for 2 s; late work stays behind work that is in time, as without shares.

--- a/fairshare/activation.go
+++ b/fairshare/activation.go
@@ -4,15 +4,15 @@
 
 const (
 	// overuseFactor is the multiple of its equal share that a workspace must have received for
-	// shares to become active, and endFactor the multiple below which they may become inactive.
+	// shares to become active.
 	overuseFactor = 2.0
-	endFactor     = 1.5
-	// maxOveruseShare and maxEndShare bound these limits as fractions of all service: with two
-	// workspaces, none can receive more than twice its equal share.
+	// maxOveruseShare bounds that limit as a fraction of all service: with two workspaces, none can
+	// receive more than twice its equal share.
 	maxOveruseShare = 0.75
-	maxEndShare     = 0.65
-	// endDelay is the time for which the condition must not have held before shares become
-	// inactive. It exceeds the 1.4 s between two regular reports of a node.
+	// endDelay is the time for which work of fewer than two workspaces must have waited before
+	// shares become inactive. It exceeds the 1.4 s between two regular reports of a node. What
+	// workspaces receive does not end shares: shares themselves bring it to the equal share while a
+	// flood lasts, and without them the flood's old work would go first again.
 	endDelay = 2 * time.Second
 )
 
@@ -30,11 +30,8 @@
 func (a *Activation) Update(now time.Duration, received map[Key]float64, waiting map[Key]bool) (changed bool) {
 	a.Largest, a.Share = largest(received)
 	workspaces := float64(countWorkspaces(received, waiting))
-	limit := min(overuseFactor/workspaces, maxOveruseShare)
-	if a.Active {
-		limit = min(endFactor/workspaces, maxEndShare)
-	}
-	holds := len(waiting) >= 2 && a.Share > limit
+	scarce := len(waiting) >= 2
+	holds := scarce && (a.Active || a.Share > min(overuseFactor/workspaces, maxOveruseShare))
 	switch {
 	case holds:
 		a.lastHeld = now
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -16,9 +16,8 @@
 	// deadline is the time at which the wait ends without a placement.
 	deadline time.Duration
 	// done receives the outcome of the wait. It has a buffer of one.
-	done   chan waitResult
-	turn   turn
-	shares *serviceShares
+	done chan waitResult
+	turn turn
 	// workspace is the key of the work's workspace.
 	workspace fairshare.Key
 }
@@ -41,11 +40,9 @@
 	return w.work.StartWithin > 0 && now-w.enqueuedAt > w.work.StartWithin
 }
 
-// rank returns the current rank of the work, including the penalty for late work. While shares
-// apply, late work has no penalty: a workspace that floods always has work that is in time, and would
-// keep the late work of all others waiting.
+// rank returns the current rank of the work, including the penalty for late work.
 func (w *waiter) rank(now time.Duration) int {
-	if !w.shares.active() && w.late(now) {
+	if w.late(now) {
 		return w.work.Rank + lateRankPenalty
 	}
 	return w.work.Rank
@@ -169,7 +166,7 @@
 		w.StartWithin = 0
 	}
 	now := f.now()
-	entry := &waiter{work: w, enqueuedAt: now, deadline: now + maxWait, done: make(chan waitResult, 1), shares: q.shares, workspace: fairshare.KeyOf(w.Workspace)}
+	entry := &waiter{work: w, enqueuedAt: now, deadline: now + maxWait, done: make(chan waitResult, 1), workspace: fairshare.KeyOf(w.Workspace)}
 	at := sort.Search(len(q.waiting), func(i int) bool { return q.waiting[i].work.Rank > w.Rank })
 	q.waiting = append(q.waiting, nil)
 	copy(q.waiting[at+1:], q.waiting[at:])
--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -109,16 +109,19 @@
 // Tokens implements fairshare.Item.
 func (w *waiter) Tokens() float64 { return float64(w.work.tokens()) }
 
-// headByShare returns up to n waiters by rank and then by the service that their workspaces have
-// received. Within a workspace, work that can still start in time goes first, then older work.
+// headByShare returns up to n waiters by rank, with the penalty for late work, then by the service
+// that their workspaces have received, then by age. Late work goes last in spite of shares: if all
+// workspaces flood, the oldest work of the one that has received least is mostly late, and capacity
+// spent on it makes all answers late.
 func (q *queue) headByShare(now time.Duration, n int) []*waiter {
 	var head []*waiter
-	for rest := q.waiting; len(rest) > 0 && len(head) < n; {
-		end := slices.IndexFunc(rest, func(w *waiter) bool { return w.work.Rank != rest[0].work.Rank })
+	for rest := inTimeFirst(q.waiting, now); len(rest) > 0 && len(head) < n; {
+		rank := rest[0].rank(now)
+		end := slices.IndexFunc(rest, func(w *waiter) bool { return w.rank(now) != rank })
 		if end < 0 {
 			end = len(rest)
 		}
-		head = append(head, fairshare.Order(inTimeFirst(rest[:end], now), n-len(head), q.shares.receivedBy(now))...)
+		head = append(head, fairshare.Order(rest[:end], n-len(head), q.shares.receivedBy(now))...)
 		rest = rest[end:]
 	}
 	return head
--- a/fleet/turn_test.go
+++ b/fleet/turn_test.go
@@ -88,10 +88,11 @@
 	n.sendScheduled = true
 	c.after(max(0, n.lastSent+minDatagramGap-c.now()), func() {
 		n.sendScheduled, n.lastSent = false, c.now()
-		loads, waiting := n.OwnLoads(), n.OwnWaiting()
+		loads, waiting, uses := n.OwnLoads(), n.OwnWaiting(), n.OwnUse()
 		c.after(networkDelay, func() {
 			for _, other := range c.nodes {
 				if other != n {
+					other.SetRemoteUse(n.name, uses)
 					other.SetRemote(n.name, loads, waiting)
 				}
 			}
