--- a/answers/answers_test.go
+++ b/answers/answers_test.go
@@ -1,6 +1,7 @@
 package answers_test
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -81,3 +82,28 @@
 	g.Expect(r.Requests).To(gomega.BeZero())
 	g.Expect(r.Plot(filepath.Join(t.TempDir(), "x.png"))).To(gomega.Succeed())
 }
+
+// Guards against a report that hides that the losses are those of one workspace or one data centre, or that lists all of them.
+func TestCausesByWorkspaceAndDataCentre(t *testing.T) {
+	g := gomega.NewWithT(t)
+	log := `time=2026-05-02T15:17:20Z level=info event="node started" data_centre=dc7 vm=a
+time=2026-05-02T15:17:31Z level=info event="request ended" status=200 workspace=ws0
+time=2026-05-02T15:17:31Z level=info event="request ended" reason=queue_full status=503 workspace=ws0
+`
+	for i := range 8 {
+		for range i + 1 {
+			log += fmt.Sprintf("time=2026-05-02T15:17:32Z level=info event=\"request ended\" status=500 workspace=big%d\n", i)
+		}
+	}
+	r, err := answers.Read([]io.Reader{strings.NewReader(log), strings.NewReader(nodeB)}, limits, time.Second)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.Workspaces["ws0"]).To(gomega.Equal(map[answers.Cause]int{answers.Whole: 1, answers.Refused: 1}))
+	g.Expect(r.DataCentres).To(gomega.HaveLen(1))
+	g.Expect(r.DataCentres["dc7"][answers.EndpointFailed]).To(gomega.Equal(36))
+	var text strings.Builder
+	r.Write(&text)
+	g.Expect(text.String()).To(gomega.ContainSubstring("big7\t8\t8: endpoint failed 8\n"))
+	g.Expect(text.String()).To(gomega.ContainSubstring("big3\t4\t4: endpoint failed 4\n"))
+	g.Expect(text.String()).NotTo(gomega.ContainSubstring("big2"))
+	g.Expect(text.String()).To(gomega.ContainSubstring("dc7\t38\t37: endpoint failed 36, refused 1\n"))
+}
--- a/answers/line.go
+++ b/answers/line.go
@@ -10,6 +10,8 @@
 type line struct {
 	at     time.Time
 	fields map[string]string
+	// dataCentre is that of the node that wrote the line, empty if it is not known.
+	dataCentre string
 }
 
 func (l line) event() string { return l.fields["event"] }
--- a/answers/report.go
+++ b/answers/report.go
@@ -58,6 +58,9 @@
 	// Reasons counts refusals by reason.
 	Reasons map[string]int
 	Windows []Window
+	// Workspaces counts the requests by workspace, and DataCentres by the data centre of the node that
+	// received them. Requests whose log lines name none are not counted there.
+	Workspaces, DataCentres map[string]map[Cause]int
 	// Resumed is the number of times that a stream was resumed on another engine.
 	Resumed int
 	// Pace is the mean time between two events over long streams, each with equal weight.
@@ -100,20 +103,30 @@
 }
 
 // Read reads the logs of all nodes, in any order, and counts the requests by the time at which they
-// ended, in windows of the given length. A line longer than 1 MiB is an error.
+// ended, in windows of the given length. Each log must be that of one node for its requests to be
+// counted by data centre, which the node names in its line "node started". A line longer than 1 MiB is an error.
 func Read(logs []io.Reader, thresholds Thresholds, windowLength time.Duration) (*Report, error) {
 	r := &aggregator{
 		thresholds: thresholds, windowLength: windowLength,
-		report:  &Report{Causes: make(map[Cause]int), Reasons: make(map[string]int)},
+		report:  &Report{Causes: make(map[Cause]int), Reasons: make(map[string]int), Workspaces: make(map[string]map[Cause]int), DataCentres: make(map[string]map[Cause]int)},
 		leaving: make(map[string]bool), copied: make(map[string]bool), brokeOff: make(map[string]bool),
 		windows: make(map[int64]*Window),
 	}
 	var ended []line
 	for _, log := range logs {
 		scanner := bufio.NewScanner(log)
+		dataCentre := ""
 		scanner.Buffer(nil, maxLineBytes)
 		for scanner.Scan() {
-			if l, ok := parseLine(scanner.Text()); ok && r.record(l) {
+			l, ok := parseLine(scanner.Text())
+			if !ok {
+				continue
+			}
+			if l.event() == "node started" {
+				dataCentre = l.fields["data_centre"]
+			}
+			if r.record(l) {
+				l.dataCentre = dataCentre
 				ended = append(ended, l)
 			}
 		}
@@ -170,9 +183,21 @@
 		r.windows[index] = w
 	}
 	w.Causes[cause]++
+	countBy(r.report.Workspaces, l.fields["workspace"], cause)
+	countBy(r.report.DataCentres, l.dataCentre, cause)
 	r.recordTimes(l)
 }
 
+func countBy(counts map[string]map[Cause]int, name string, cause Cause) {
+	if name == "" {
+		return
+	}
+	if counts[name] == nil {
+		counts[name] = make(map[Cause]int)
+	}
+	counts[name][cause]++
+}
+
 func (r *aggregator) cause(l line) Cause {
 	switch {
 	case l.fields["reason"] != "" || l.event() == "request refused":
--- a/answers/text.go
+++ b/answers/text.go
@@ -40,6 +40,8 @@
 			fmt.Fprintf(w, "%s\t%s\t\n", window.From.Format("15:04:05"), text)
 		}
 	}
+	writeWorst(w, "workspace", r.Workspaces)
+	writeWorst(w, "data centre", r.DataCentres)
 	for _, at := range r.Starts {
 		fmt.Fprintf(w, "node started\t%s\t\n", at.Format("15:04:05.000"))
 	}
@@ -49,11 +51,40 @@
 	return Quantile(sorted, fraction).Round(time.Millisecond)
 }
 
-func (w Window) text() string {
+// maxWorst bounds the rows of a table by name.
+const maxWorst = 5
+
+// writeWorst writes the names with the most requests that were not complete and on time.
+func writeWorst(w io.Writer, title string, counts map[string]map[Cause]int) {
+	if len(counts) == 0 {
+		return
+	}
+	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(notWhole(counts[b]), notWhole(counts[a])), cmp.Compare(a, b))
+	})
+	fmt.Fprintf(w, "\n%s\trequests\tnot complete and on time\n", title)
+	for _, name := range names[:min(len(names), maxWorst)] {
+		causes := counts[name]
+		fmt.Fprintf(w, "%s\t%d\t%d: %s\n", name, notWhole(causes)+causes[Whole], notWhole(causes), causesText(causes))
+	}
+}
+
+func notWhole(causes map[Cause]int) (count int) {
+	for cause, n := range causes {
+		if cause != Whole {
+			count += n
+		}
+	}
+	return count
+}
+
+func (w Window) text() string { return causesText(w.Causes) }
+
+func causesText(causes map[Cause]int) string {
 	var parts []string
-	for _, cause := range causesByCount(w.Causes) {
+	for _, cause := range causesByCount(causes) {
 		if cause != Whole {
-			parts = append(parts, fmt.Sprintf("%s %d", cause, w.Causes[cause]))
+			parts = append(parts, fmt.Sprintf("%s %d", cause, causes[cause]))
 		}
 	}
 	return strings.Join(parts, ", ")
--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/crocusreel/crocusreel/fairshare"
+	"github.com/crocusreel/crocusreel/internal/metrics"
 )
 
 const (
@@ -183,6 +184,7 @@
 	}
 	q.remove(victim)
 	f.countRefusedLocked(victim.work)
+	metrics.Count("workspace_shares_refused")
 	victim.done <- waitResult{refusal: f.refuseLocked(victim.work)}
 	return true
 }
