--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/entry"
@@ -31,6 +32,7 @@
 	gate   *entry.Gate
 	app    *worker.Worker
 	url    string
+	logs   *observer.ObservedLogs
 	// usage and hint are the header values in which callers state token counts and the expected
 	// length.
 	usage, hint string
@@ -51,11 +53,13 @@
 	DeferCleanup(engine.Stop)
 	endpoints.Update(fleet.Instance{ID: "i1", Service: "app", Address: app.Address(), DataCentre: "dc1", Slots: 6})
 	endpoints.Update(fleet.Instance{ID: "e1", Service: "pool", Address: engine.Address(), DataCentre: "dc1", Slots: 24})
+	core, logs := observer.New(zap.InfoLevel)
+	s.logs = logs
 	h := &entry.Handler{
 		Config:     s.config,
 		Gate:       s.gate,
 		BodyMemory: entry.NewBodyMemory(1500),
-		Log:        zap.NewNop(),
+		Log:        zap.New(core),
 		Freshness: entry.FreshnessLimits{
 			MaxKeyAge:    4600 * time.Millisecond,
 			MaxDenialAge: 1800 * time.Millisecond,
@@ -141,6 +145,15 @@
 		Expect(run.Header).NotTo(HaveKey("Authorization"))
 	})
 
+	// Guards against losses of one workspace that no log line attributes to it.
+	It("logs the workspace of a request", func() {
+		s := newFixture()
+		s.configure()
+		Expect(s.send("/calls/1", "key", "body").status).To(Equal(http.StatusOK))
+		Eventually(func() int { return s.logs.FilterMessage("request ended").Len() }).Should(Equal(1))
+		Expect(s.logs.FilterMessage("request ended").All()[0].ContextMap()).To(HaveKeyWithValue("workspace", "ws"))
+	})
+
 	DescribeTable("refuses invalid requests with the matching status and does not run them",
 		func(id, path, key, body string, status int) {
 			s := newFixture()
