--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocusreel/crocusreel/admission"
+	"github.com/crocusreel/crocusreel/fairshare"
 )
 
 // Fleet tracks all known endpoints, their load and their health, and places work on them. Its
@@ -47,6 +48,9 @@
 	// has evidence of its own.
 	rates map[string]*serviceRates
 	rated map[*Endpoint]struct{}
+	// ledger holds the service that workspaces have received, and shares the state by service.
+	ledger *fairshare.Ledger
+	shares map[string]*serviceShares
 	// nextTickAt is the time of the next call of Tick that was requested through ScheduleTick.
 	nextTickAt time.Duration
 	random     *rand.Rand
@@ -81,6 +85,9 @@
 	// OnRates is called when the engines of a service begin or cease to differ in speed. It must not
 	// block.
 	OnRates func(RatesChange)
+	// OnShares is called when the waiting work of a service begins or ceases to be served by the
+	// shares of workspaces. It must not block.
+	OnShares func(SharesChange)
 	// ScheduleTick schedules a call of Tick after the given time. It must not block.
 	ScheduleTick func(after time.Duration)
 }
@@ -116,9 +123,12 @@
 
 		OnUnreachable: func(Suspension) {},
 
-		rates:   make(map[string]*serviceRates),
-		rated:   make(map[*Endpoint]struct{}),
-		OnRates: func(RatesChange) {},
+		rates:    make(map[string]*serviceRates),
+		rated:    make(map[*Endpoint]struct{}),
+		OnRates:  func(RatesChange) {},
+		ledger:   fairshare.NewLedger(),
+		shares:   make(map[string]*serviceShares),
+		OnShares: func(SharesChange) {},
 	}
 }
 
@@ -330,5 +340,6 @@
 	defer f.mu.Unlock()
 	f.pruneNoticesLocked()
 	f.endBrittleLocked()
+	f.tickSharesLocked()
 	f.dispatchAllLocked()
 }
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/fairshare"
 )
 
 // waiter is a piece of work that waits for a placement.
@@ -17,6 +18,8 @@
 	// done receives the outcome of the wait. It has a buffer of one.
 	done chan waitResult
 	turn turn
+	// workspace is the key of the work's workspace.
+	workspace fairshare.Key
 }
 
 // waitResult is the outcome of a wait: a placement, or a refusal if no endpoint can run the work in
@@ -48,10 +51,15 @@
 // queue holds the waiting work of one queueID, ordered by rank and then by arrival.
 type queue struct {
 	waiting []*waiter
+	// shares is nil if the queue is not subject to shares.
+	shares *serviceShares
 }
 
 // head returns up to n waiters in the order in which they are served.
 func (q *queue) head(now time.Duration, n int) []*waiter {
+	if q.shares.active() {
+		return q.headByShare(now, n)
+	}
 	var inTime, late []*waiter
 	for _, w := range q.waiting {
 		if w.late(now) {
@@ -87,6 +95,7 @@
 		if e := f.pickLocked(&w); e != nil {
 			p := f.placeLocked(e, w.Demand)
 			p.rank = w.Rank
+			f.chargeLocked(&w)
 			f.mu.Unlock()
 			return p, nil
 		}
@@ -147,6 +156,7 @@
 		go end.placement.Release(Neutral)
 	default:
 	}
+	f.countRefusedLocked(w.work)
 	return nil, f.refuseLocked(w.work)
 }
 
@@ -154,10 +164,11 @@
 	id := f.queueIDFor(w)
 	q := f.queues[id]
 	if q == nil {
-		q = &queue{}
+		q = &queue{shares: f.sharesLocked(w)}
 		f.queues[id] = q
 	}
-	if len(q.waiting) >= maxQueueLength {
+	if len(q.waiting) >= maxQueueLength && !f.makeRoomLocked(q, w) {
+		f.countRefusedLocked(w)
 		return nil, f.refuseLocked(w)
 	}
 	if f.Disabled[LateWorkLast] {
@@ -165,11 +176,12 @@
 	}
 	now := f.now()
 	w.enqueuedAt = now
-	entry := &waiter{work: w, enqueuedAt: now, deadline: now + maxWait, done: make(chan waitResult, 1)}
+	entry := &waiter{work: w, enqueuedAt: now, deadline: now + maxWait, done: make(chan waitResult, 1), workspace: fairshare.KeyOf(w.Workspace)}
 	at := sort.Search(len(q.waiting), func(i int) bool { return q.waiting[i].work.Rank > w.Rank })
 	q.waiting = append(q.waiting, nil)
 	copy(q.waiting[at+1:], q.waiting[at:])
 	q.waiting[at] = entry
+	f.enqueuedLocked(w, q.shares)
 	return entry, nil
 }
 
@@ -254,6 +266,7 @@
 	q.remove(w)
 	p := f.placeLocked(e, w.work.Demand)
 	p.rank = w.work.Rank
+	f.chargeLocked(w.work)
 	w.done <- waitResult{placement: p}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -158,6 +158,7 @@
 	n.fleet.OnAdmissionRefusal = n.logAdmissionRefusal
 	n.fleet.OnUnreachable = n.logUnreachable
 	n.fleet.OnRates = n.logRatesChange
+	n.fleet.OnShares = n.logSharesChange
 	n.engines.OnNotice = n.fleet.RecordNoticeByAddress
 	n.fleet.ScheduleTick = func(after time.Duration) { time.AfterFunc(after, n.fleet.Tick) }
 	n.relay = &relay.Relay{
