--- a/cmd/crocusreel-node/main.go
+++ b/cmd/crocusreel-node/main.go
@@ -30,6 +30,7 @@
 type commandLine struct {
 	LogLevel string   `help:"Least level of log lines: debug, info, warn or error." default:"info"`
 	Without  []string `help:"Mechanisms to leave out, to measure what they are worth or while one is at fault." placeholder:"NAME"`
+	With     []string `help:"Optional mechanisms to use: workspace-shares." placeholder:"NAME"`
 }
 
 func main() { os.Exit(serve()) }
@@ -37,7 +38,7 @@
 func serve() int {
 	var cli commandLine
 	kong.Parse(&cli, kong.Name("crocusreel-node"), kong.Description(description))
-	disabled, err := fleet.ParseDisabledMechanisms(cli.Without)
+	disabled, err := fleet.ParseDisabledMechanisms(cli.Without, cli.With)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "crocusreel-node:", err)
 		return exitSettings
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -122,14 +122,28 @@
 
 var _ = Describe("disabled mechanisms", func() {
 	It("are accepted by their listed names only", func() {
-		w, err := fleet.ParseDisabledMechanisms([]string{"backups", "turns"})
+		w, err := fleet.ParseDisabledMechanisms([]string{"backups", "turns"}, nil)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(w[fleet.Backups]).To(BeTrue())
 		Expect(w[fleet.Moves]).To(BeFalse())
-		_, err = fleet.ParseDisabledMechanisms([]string{"backup"})
+		_, err = fleet.ParseDisabledMechanisms([]string{"backup"}, nil)
 		Expect(err).To(MatchError(ContainSubstring("short-line")))
 	})
 
+	// Guards against an optional mechanism that takes effect where nobody asked for it.
+	It("include the optional ones unless they are asked for", func() {
+		disabled, err := fleet.ParseDisabledMechanisms(nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(disabled).To(Equal(fleet.DisabledMechanisms{fleet.WorkspaceShares: true}))
+		disabled, err = fleet.ParseDisabledMechanisms(nil, []string{"workspace-shares"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(disabled).To(BeEmpty())
+		_, err = fleet.ParseDisabledMechanisms(nil, []string{"moves"})
+		Expect(err).To(MatchError(ContainSubstring("optional mechanisms are workspace-shares")))
+		_, err = fleet.ParseDisabledMechanisms([]string{"workspace-shares"}, []string{"workspace-shares"})
+		Expect(err).To(MatchError(ContainSubstring("both asked for and left out")))
+	})
+
 	It("include backups: without that mechanism, no backup is held", func() {
 		backed := *pool.Engine
 		backed.CanBackUp = true
--- a/fleet/mechanism.go
+++ b/fleet/mechanism.go
@@ -44,44 +44,57 @@
 	WorkspaceShares Mechanism = "workspace-shares"
 	// Admission refuses work at once that is predicted to wait too long.
 	Admission Mechanism = "admission"
-	// NodeRoom names nodes to callers in proportion to their free capacity.
-	NodeRoom Mechanism = "node-room"
-	// RequestPriority sends engines the priority of each request.
-	RequestPriority Mechanism = "request-priority"
-	// LengthEstimates reserves memory by the lengths of earlier answers.
-	LengthEstimates Mechanism = "length-estimates"
 	// UnreachableReports tells the other nodes which endpoints refuse connections.
 	UnreachableReports Mechanism = "unreachable"
-	// Yield lets less urgent work wait for more urgent work while it can still start in time.
-	Yield Mechanism = "yield"
 )
 
 // Mechanisms lists all mechanisms that can be disabled.
 var Mechanisms = []Mechanism{
 	Moves, MoveTurns, Backups, Turns, ShortQueue, LateWorkLast, PrefillBound, Ejection, HealthChecks, OneReader, ColdTurns, Retries,
-	Resume, EngineRates, WorkspaceShares, Admission, NodeRoom, RequestPriority, LengthEstimates, UnreachableReports, Yield,
+	Resume, EngineRates, WorkspaceShares, Admission, UnreachableReports,
 }
 
+// OptionalMechanisms lists the mechanisms that are disabled unless they are asked for.
+//
+// Workspace shares order waiting work by what each workspace has received. Where a few workspaces
+// are large by nature and nobody floods, that order makes more long answers late than the order by
+// age.
+var OptionalMechanisms = []Mechanism{WorkspaceShares}
+
 // DisabledMechanisms is a set of disabled mechanisms. It must not be changed while it is in use.
 type DisabledMechanisms map[Mechanism]bool
 
-// ParseDisabledMechanisms converts names of mechanisms to a set. It returns an error for an unknown
-// name.
-func ParseDisabledMechanisms(names []string) (DisabledMechanisms, error) {
-	disabled := make(DisabledMechanisms, len(names))
-	for _, name := range names {
+// ParseDisabledMechanisms returns the set of the mechanisms to leave out: those named in without, and
+// the optional ones that are not named in with. It returns an error for an unknown name, for one in
+// with that is not optional, and for one in both.
+func ParseDisabledMechanisms(without, with []string) (DisabledMechanisms, error) {
+	disabled := make(DisabledMechanisms, len(without)+len(OptionalMechanisms))
+	for _, m := range OptionalMechanisms {
+		disabled[m] = true
+	}
+	for _, name := range with {
+		m := Mechanism(name)
+		if !slices.Contains(OptionalMechanisms, m) {
+			return nil, eris.Errorf("unknown optional mechanism %q, optional mechanisms are %s", name, joinMechanisms(OptionalMechanisms))
+		}
+		delete(disabled, m)
+	}
+	for _, name := range without {
 		m := Mechanism(name)
 		if !slices.Contains(Mechanisms, m) {
-			return nil, eris.Errorf("unknown mechanism %q, known mechanisms are %s", name, mechanismNames())
+			return nil, eris.Errorf("unknown mechanism %q, known mechanisms are %s", name, joinMechanisms(Mechanisms))
+		}
+		if slices.Contains(with, name) {
+			return nil, eris.Errorf("mechanism %q is both asked for and left out", name)
 		}
 		disabled[m] = true
 	}
 	return disabled, nil
 }
 
-func mechanismNames() string {
-	names := make([]string, len(Mechanisms))
-	for i, m := range Mechanisms {
+func joinMechanisms(all []Mechanism) string {
+	names := make([]string, len(all))
+	for i, m := range all {
 		names[i] = string(m)
 	}
 	return strings.Join(names, ", ")
