--- a/fairshare/model_test.go
+++ b/fairshare/model_test.go
@@ -9,9 +9,8 @@
 	"github.com/onsi/gomega"
 )
 
-// The load of the model: 24 workspaces send 48 long requests per second together, and the engines
-// serve 52 per second. Work counts as served if it starts within modelTarget of its first arrival.
-// Reports of a node are sent every 150 ms to 1.4 s.
+// In the model, 24 workspaces send 48 long requests per second together, and the engines serve 52.
+// Work counts as served if it starts within modelTarget of its first arrival.
 const (
 	modelWorkspaces = 24
 	modelRate       = 2.0
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -24,8 +24,8 @@
 )
 
 // The stutter of a service is the factor by which the gaps between events are longer at times than
-// the engine's rate and its prefill explain. It is tracked as a quantile of the observed gaps, so that single gaps that the node
-// itself has delayed do not count.
+// the engine's rate and its prefill explain. It is tracked as a quantile of the observed gaps, so that
+// single gaps that the node itself has delayed do not count.
 const (
 	// stutterQuantile is what a stream of some fifty observations meets once.
 	stutterQuantile = 0.98
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -45,8 +45,8 @@
 	segmentHung
 )
 
-// stream serves a request whose answer is a series of events.
-// It runs again, on as many endpoints as it needs and may use.
+// stream serves a request whose answer is a series of events. If a run is lost and the route allows
+// it, another run continues the stream.
 func (j *job) stream(ctx context.Context) Result {
 	s, result := j.start(ctx)
 	for s != nil {
--- a/relay/unreachable_sim_test.go
+++ b/relay/unreachable_sim_test.go
@@ -18,9 +18,8 @@
 	"github.com/crocusreel/crocusreel/routing"
 )
 
-// The simulation has nodes with real fleets and relay decisions, engines with fixed run times, and
-// datagrams that arrive after a delay or are lost. A third of the engines refuse connections from
-// one moment on, in a burst, and their entries expire later.
+// The simulation has real fleets and relay decisions, engines with fixed run times, and datagrams that
+// are delayed or lost. In a burst, a third of the engines begin to refuse connections.
 
 const (
 	simEngines = 57
