--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,6 +103,10 @@
 	if err != nil {
 		return nil, refuseNotRun(crocusreel.ReasonBadRequest, 0, "%v", err)
 	}
+	if head.MalformedParts != nil {
+		metrics.Count("prompt_parts_malformed")
+		h.Log.Info("prompt parts not understood", zap.String("request", head.AttemptID), zap.Error(head.MalformedParts))
+	}
 	route, ws, refusal := h.authorize(&snapshot, ages, r, &head)
 	if refusal != nil {
 		return nil, refusal
@@ -144,6 +148,7 @@
 		Deadline:      received.Add(requestTimeout(route, head.Timeout)),
 		Size:          head.Size,
 		Fingerprint:   relay.NewFingerprint(workspace, r.RequestURI, body),
+		Parts:         head.Parts,
 		LastEvent:     lastEvent,
 		Resumes:       resumes,
 	}, nil
--- /dev/null
+++ b/quarantine/part.go
@@ -0,0 +1,20 @@
+// Package quarantine finds the parts of prompts that crash each engine that runs them, and keeps
+// requests with such parts off the engines.
+package quarantine
+
+import "strconv"
+
+// Part identifies a part of a prompt that requests share.
+type Part uint64
+
+// String returns the part's ID in hexadecimal, as callers state it.
+func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
+
+// Strings returns the IDs of parts.
+func Strings(parts []Part) []string {
+	ids := make([]string, 0, len(parts))
+	for _, p := range parts {
+		ids = append(ids, p.String())
+	}
+	return ids
+}
--- a/relay/dead_endpoint.go
+++ b/relay/dead_endpoint.go
@@ -11,6 +11,7 @@
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/logging"
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/quarantine"
 )
 
 // A deadly request kills each endpoint that runs it, and its caller sends it again. It is
@@ -104,7 +105,8 @@
 	strikes := j.Strikes.Add(j.r.Fingerprint, uint32(in.Incarnation().Key()))
 	metrics.Count("endpoint_died")
 	j.Log.Warn("endpoint died of a request", zap.String("request", j.r.ID), zap.String("endpoint", in.ID),
-		logging.FingerprintField(uint64(j.r.Fingerprint)), zap.String("address", in.Address), zap.Int("strikes", strikes))
+		logging.FingerprintField(uint64(j.r.Fingerprint)), zap.String("address", in.Address), zap.Int("strikes", strikes),
+		zap.Strings("parts", quarantine.Strings(j.r.Parts)), zap.Int("events", j.prog.count))
 }
 
 // strikeAfterCut calls strikeIfDead for a stream that was cut off and may be resumed from a copy.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/notice"
+	"github.com/crocusreel/crocusreel/quarantine"
 	"github.com/crocusreel/crocusreel/reach"
 	"github.com/crocusreel/crocusreel/retry"
 	"github.com/crocusreel/crocusreel/routing"
@@ -44,6 +45,8 @@
 	Size     Size
 	// Fingerprint identifies the work over all attempts of the caller.
 	Fingerprint Fingerprint
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []quarantine.Part
 	// Forwarded is set if another node has admitted the request and forwarded it to this one.
 	Forwarded bool
 	// Counted is set once the request is counted in the retry budget of a node, as a first attempt
