--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -45,6 +45,8 @@
 	SkipEvent
 	// Crash stops the worker as Stop does; for a stream, after half of its events.
 	Crash
+	// CrashAtStart stops the worker when it begins the answer, before the first event.
+	CrashAtStart
 	// Restart ignores the Last-Event-Id of a new run and sends all events.
 	Restart
 	// SkipFirst omits the first event of a stream's run.
@@ -294,7 +296,7 @@
 		text = w.responseHead(run, http.StatusOK, "") + body[:4]
 	case Hang:
 		time.Sleep(time.Minute)
-	case Crash:
+	case Crash, CrashAtStart:
 		w.Stop()
 		return
 	}
@@ -350,6 +352,11 @@
 	w.mu.Lock()
 	w.conns = append(w.conns, conn)
 	w.mu.Unlock()
+	if fault == CrashAtStart {
+		time.Sleep(w.options.EventInterval)
+		w.Stop()
+		return
+	}
 	last := int64(w.options.Events)
 	if fault == StopShort {
 		last /= 4
--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -190,6 +190,22 @@
 	}
 }
 
+// entryData returns the encoded entry of a ready endpoint.
+func entryData(service, address string) []byte {
+	data, err := json.Marshal(newEntry(service, address, "ready"))
+	if err != nil {
+		panic(err) // the entry holds texts and numbers only
+	}
+	return data
+}
+
+// writeEndpoint writes or removes the entry of an endpoint. It may be called from any goroutine.
+func (s *site) writeEndpoint(w platform.Write) error {
+	w.Table = platform.TableEndpoints
+	_, err := s.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{w}})
+	return err
+}
+
 func (s *site) writeEntry(id string, entry map[string]any) {
 	GinkgoHelper()
 	data, err := json.Marshal(entry)
@@ -404,23 +420,34 @@
 
 // sendOver is like send, over the connections of the given client and with the given deadline.
 func (s *site) sendOver(over *http.Client, n *nodeProcess, path, key string, deadline time.Duration) reply {
+	return s.sendRequest(over, n, path, "body", http.Header{
+		"Crocusreel-Deadline-Ms": {strconv.FormatInt(deadline.Milliseconds(), 10)}, "Authorization": {"Bearer " + key},
+	})
+}
+
+// sendRequest sends a request with a new ID and reads the whole answer. The given headers replace those
+// that send sets.
+func (s *site) sendRequest(over *http.Client, n *nodeProcess, path, body string, header http.Header) reply {
 	id := fmt.Sprintf("%s-%d", filepath.Base(s.dir), s.requestCount.Add(1))
-	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, callerPort, path), strings.NewReader("body"))
+	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, callerPort, path), strings.NewReader(body))
 	if err != nil {
 		return reply{id: id}
 	}
 	req.Host = "a.example"
 	req.Header.Set("Crocusreel-Attempt-Id", id)
-	req.Header.Set("Crocusreel-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	req.Header.Set("Crocusreel-Deadline-Ms", strconv.FormatInt(sendDeadline.Milliseconds(), 10))
 	req.Header.Set("Crocusreel-Token-Usage", "1000,400")
-	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Authorization", "Bearer key")
+	for name, values := range header {
+		req.Header[name] = values
+	}
 	resp, err := over.Do(req)
 	if err != nil {
 		return reply{id: id}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return reply{id: id, status: resp.StatusCode, body: string(body), complete: err == nil}
+	data, err := io.ReadAll(resp.Body)
+	return reply{id: id, status: resp.StatusCode, body: string(data), complete: err == nil}
 }
 
 func readFile(dir, name string) string {
