Quarantine prompt parts that crash engines, by the evidence of all nodes

Cause: a death counted against the fingerprint of one request. Here a part of the prompt crashes each engine that begins an answer on it, and each request that holds it is a new one.

Change: package quarantine attributes deaths to prompt parts; suspected parts run one at a time over all nodes, quarantined ones are refused at every node.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -20,6 +20,7 @@
 	"github.com/crocusreel/crocusreel/internal/standin/worker"
 	"github.com/crocusreel/crocusreel/knowledge"
 	"github.com/crocusreel/crocusreel/platform"
+	"github.com/crocusreel/crocusreel/quarantine"
 	"github.com/crocusreel/crocusreel/relay"
 	"github.com/crocusreel/crocusreel/retry"
 	"github.com/crocusreel/crocusreel/routing"
@@ -67,7 +68,7 @@
 		Relay: &relay.Relay{
 			Fleet: endpoints, Client: client, Protocol: platform.Protocol{}, Mover: platform.NewEngineClient(client), Log: zap.NewNop(),
 			Budgets: &retry.Windows{Ratio: 0.2, Slack: 50, Length: 10 * time.Second, Now: boottime.Now, Nodes: func() int { return 1 }},
-			Strikes: relay.NewStrikes(boottime.Now),
+			Strikes: relay.NewStrikes(boottime.Now), Quarantine: quarantine.New(boottime.Now),
 			Vacated: relay.NewVacatedRuns(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
 		},
 	}
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/knowledge"
 	"github.com/crocusreel/crocusreel/platform"
@@ -57,6 +58,7 @@
 		}
 		return
 	}
+	n.configKnownSince.CompareAndSwap(0, int64(boottime.Now()))
 	c, err := platform.DecodeConfiguration(s.Raw)
 	if err != nil {
 		n.log.Error("stored configuration not readable; keeping the previous one", zap.Int64("row", s.Revision.Version),
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -56,6 +56,9 @@
 		Away:          n.storeDegraded(),
 		Evacuations:   evacuations,
 	}
+	if n.quarantineRows.known.Load() {
+		resp.Quarantines, resp.QuarantinesKnown = encodeVerdicts(n.relay.Quarantine.Verdicts()), true
+	}
 	if age, restored := n.restorations.Age(); restored {
 		resp.RestoredAgeMs = uint64(age.Milliseconds()) + 1
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -15,6 +15,7 @@
 	"github.com/crocusreel/crocusreel/knowledge"
 	"github.com/crocusreel/crocusreel/peer"
 	"github.com/crocusreel/crocusreel/platform"
+	"github.com/crocusreel/crocusreel/quarantine"
 )
 
 // One node, the reader, polls the store. The first node of each other data centre follows the
@@ -163,6 +164,10 @@
 		return err
 	}
 	n.observePeerEra(resp.Msg, address)
+	n.relay.Quarantine.Merge(address, quarantine.News{Verdicts: readVerdicts(resp.Msg.GetQuarantines())})
+	if resp.Msg.GetQuarantinesKnown() {
+		n.quarantineRows.known.Store(true)
+	}
 	// ConfirmedAt counts back from the time the request was sent: the peer computed the ages later
 	// than that, and how long its answer was in transit is unknown.
 	answered := boottime.Now()
--- a/node/forward.go
+++ b/node/forward.go
@@ -308,7 +308,7 @@
 		Service: r.Service.Name, ConfigVersion: r.ConfigVersion, ElapsedUs: uint64(max(time.Since(r.Received).Microseconds(), 0)),
 		PromptTokens: uint32(r.Size.Prompt), MaxOutputTokens: uint32(r.Size.MaxOutput), LengthHint: uint32(r.Size.Hint),
 		Fingerprint: uint64(r.Fingerprint), Counted: r.Counted, Runs: uint32(r.Runs),
-		LastEvent: r.LastEvent, Resumes: r.Resumes,
+		LastEvent: r.LastEvent, Resumes: r.Resumes, PromptParts: encodeParts(r.Parts),
 		Route: &exchangev1.ForwardRoute{
 			Name: r.Route.Name, Kind: int32(r.Route.Kind), TargetLatencyMs: uint32(r.Route.TargetLatency.Milliseconds()),
 			Priority: int32(r.Route.Priority), MaxAttempts: uint32(r.Route.MaxAttempts), Regions: r.Route.Regions,
--- a/node/forward_server.go
+++ b/node/forward_server.go
@@ -109,6 +109,7 @@
 		Runs:          int(m.GetRuns()),
 		LastEvent:     m.GetLastEvent(),
 		Resumes:       m.GetResumes(),
+		Parts:         readParts(m.GetPromptParts()),
 	}
 	if refusal := n.entry.RefuseLateStream(r.Route, r.Size); refusal != nil {
 		return nil, refusal.Message
--- a/node/node.go
+++ b/node/node.go
@@ -89,6 +89,10 @@
 	invalidBacklogs sync.Map
 	forwarded       forwardedCount
 	endpointTable   endpointTable
+	// quarantineRows are the rows of quarantined prompt parts; configKnownSince is when this node first
+	// knew a configuration, in nanoseconds of its clock.
+	quarantineRows   quarantineRows
+	configKnownSince atomic.Int64
 	// registrationLost requests to check this node's row in the store after a restoration.
 	registrationLost chan struct{}
 	endpointUpdates  endpointUpdates
@@ -182,6 +186,8 @@
 		Forwarder: n.forwards,
 		Witness:   n.askWitness,
 	}
+	n.quarantineRows = quarantineRows{stored: make(map[string]bool)}
+	n.relay.Quarantine = n.newQuarantine()
 	n.entry = n.newEntry()
 	n.relay.Vacated.Broadcast = n.gossip.AnnounceAll
 	n.relay.Strikes.Broadcast = n.gossip.AnnounceAllUrgent
@@ -261,7 +267,7 @@
 	}
 	addServer(&group, peer.NewServer(n.peerHandler(), nil), peers)
 	for _, task := range []func(context.Context) error{
-		n.configFeed.run, n.endpointFeed.run, n.gossip.Run, n.join, n.follow, n.housekeeping, n.checkHealth, n.watchReach, n.awaitSignal,
+		n.configFeed.run, n.endpointFeed.run, n.gossip.Run, n.join, n.follow, n.housekeeping, n.checkHealth, n.watchReach, n.keepQuarantine, n.awaitSignal,
 	} {
 		daemon.AddTask(&group, task)
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -80,6 +80,7 @@
 	for _, c := range n.relay.Claims.Own() {
 		s.Claims = append(s.Claims, &exchangev1.Claim{Work: uint64(c.Work), Id: c.ID, Running: c.Running})
 	}
+	n.quarantineNews(s)
 	for _, run := range n.relay.Vacated.OwnRecent(vacatedAnnouncePeriod) {
 		s.Vacated = append(s.Vacated, uint32(run))
 	}
@@ -158,6 +159,7 @@
 	for _, c := range s.GetClaims() {
 		claims = append(claims, relay.Claim{Work: relay.Fingerprint(c.GetWork()), ID: c.GetId(), Running: c.GetRunning()})
 	}
+	n.applyPeerQuarantine(s)
 	n.relay.Claims.SetRemote(s.GetAddress(), claims)
 }
 
--- a/node/serve.go
+++ b/node/serve.go
@@ -43,7 +43,7 @@
 // ready reports whether callers may be sent to this node.
 func (n *Node) ready() bool {
 	known, ages := n.config.Current()
-	return known.Table != nil && n.evacuations.Revision().Version > 0 && !n.gate.Leaving() && ages.Confirmed < n.maxKeyAge()
+	return known.Table != nil && n.evacuations.Revision().Version > 0 && n.quarantineKnown() && !n.gate.Leaving() && ages.Confirmed < n.maxKeyAge()
 }
 
 // announceReadiness broadcasts a change of this node's readiness at once. Starting nodes wait for
--- /dev/null
+++ b/quarantine/verdict.go
@@ -0,0 +1,63 @@
+package quarantine
+
+import (
+	"strings"
+	"time"
+)
+
+const (
+	// firstProbeAfter is the time from the last crash until one request with a quarantined part may
+	// run to find out whether the part still crashes engines. It doubles after each such crash, up to
+	// maxProbeAfter.
+	firstProbeAfter = 2 * time.Minute
+	maxProbeAfter   = time.Hour
+	// minRetryAfter is the shortest time after which a refused caller is told to come back.
+	minRetryAfter = time.Second
+	// verdictIdleTime is the time without any request for a verdict's parts after which it is dropped.
+	verdictIdleTime = 30 * time.Minute
+	// maxVerdicts bounds the verdicts; the one that was refused longest ago is dropped. maxVerdictParts
+	// bounds the parts of a verdict.
+	maxVerdicts     = 256
+	maxVerdictParts = 8
+)
+
+// Verdict quarantines parts of prompts: requests that hold all of them are refused.
+type Verdict struct {
+	Parts []Part
+	// Crashes is the number of crashes on which the verdict rests.
+	Crashes int
+	// CrashAge is the time since the last of them, RefusedAge the time since this node has refused a
+	// request for it, negative if it has not.
+	CrashAge, RefusedAge time.Duration
+	// Stored is set if the platform's store is known to hold the verdict.
+	Stored bool
+}
+
+// Key identifies the verdict in the store.
+func (v Verdict) Key() string { return verdictKey(v.Parts) }
+
+func verdictKey(parts []Part) string { return strings.Join(Strings(parts), "-") }
+
+// verdict is a Verdict with times of the tracker's clock.
+type verdict struct {
+	parts     []Part
+	crashes   int
+	crashedAt time.Duration
+	// refusedAt is the last refusal by any node, ownRefusedAt that by this node; 0 for none.
+	refusedAt, ownRefusedAt time.Duration
+	probes                  int
+	probeAt                 time.Duration
+	stored                  bool
+}
+
+func (v *verdict) scheduleProbe(now time.Duration) {
+	v.probeAt = now + min(firstProbeAfter<<min(v.probes, 10), maxProbeAfter)
+}
+
+func (v *verdict) export(now time.Duration) Verdict {
+	e := Verdict{Parts: v.parts, Crashes: v.crashes, CrashAge: now - v.crashedAt, RefusedAge: -1, Stored: v.stored}
+	if v.ownRefusedAt > 0 {
+		e.RefusedAge = now - v.ownRefusedAt
+	}
+	return e
+}
--- a/refusal.go
+++ b/refusal.go
@@ -27,6 +27,7 @@
 	ReasonStreamLimit          Reason = "stream_limit"          // 429: the workspace has too many concurrent requests at this gateway.
 	ReasonRateLimit            Reason = "rate_limit"            // 429: a retry budget is exhausted.
 	ReasonSuspectRequest       Reason = "suspect_request"       // 422: endpoints died while running this request.
+	ReasonQuarantined          Reason = "quarantined_prompt"    // 503: engines died while running requests that share parts of this prompt.
 	ReasonNoEndpoint           Reason = "no_endpoint"           // 503: no live endpoint serves the model or route.
 	ReasonEvacuated            Reason = "evacuated"             // 503: all endpoints of the service are in evacuated data centres.
 	ReasonEndpointLimit        Reason = "endpoint_limit"        // 503: no endpoint of the service accepts the request in time, because of endpoint limits or requested pauses.
--- a/relay/call.go
+++ b/relay/call.go
@@ -70,6 +70,7 @@
 		j.tried = append(j.tried, p.Instance().ID)
 		if got.answer != nil && !j.shouldRetryStatus(got.answer.resp.StatusCode) {
 			j.Strikes.Clear(j.r.Fingerprint)
+			j.proveParts()
 			j.r.Runs++
 			return j.deliver(got.answer)
 		}
--- a/relay/claims.go
+++ b/relay/claims.go
@@ -60,15 +60,23 @@
 	Broadcast func()
 
 	mu      sync.Mutex
-	own     map[uint32]Claim
+	own     map[claimKey]Claim
 	remote  map[string][]Claim
 	changed chan struct{}
 }
 
+// claimKey identifies a claim of this node. A request may claim several works.
+type claimKey struct {
+	work Fingerprint
+	id   uint32
+}
+
+func (c Claim) key() claimKey { return claimKey{work: c.Work, id: c.ID} }
+
 // NewClaims returns an empty set of claims.
 func NewClaims() *Claims {
 	return &Claims{
-		Broadcast: func() {}, own: make(map[uint32]Claim), remote: make(map[string][]Claim), changed: make(chan struct{}),
+		Broadcast: func() {}, own: make(map[claimKey]Claim), remote: make(map[string][]Claim), changed: make(chan struct{}),
 	}
 }
 
@@ -105,6 +113,13 @@
 	c.notifyLocked()
 }
 
+// Notify has all waiting requests check their turns again.
+func (c *Claims) Notify() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notifyLocked()
+}
+
 func (c *Claims) notifyLocked() {
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -113,7 +128,7 @@
 // set adds or updates a claim of this node.
 func (c *Claims) set(claim Claim) {
 	c.mu.Lock()
-	c.own[claim.ID] = claim
+	c.own[claim.key()] = claim
 	c.notifyLocked()
 	c.mu.Unlock()
 	c.Broadcast()
@@ -121,7 +136,7 @@
 
 func (c *Claims) drop(claim Claim) {
 	c.mu.Lock()
-	delete(c.own, claim.ID)
+	delete(c.own, claim.key())
 	c.notifyLocked()
 	c.mu.Unlock()
 	c.Broadcast()
@@ -151,9 +166,13 @@
 
 // newClaim returns the claim of a request to its work. Its ID is a hash of the request's ID.
 func newClaim(r *Request, running bool) Claim {
+	return Claim{Work: r.Fingerprint, ID: claimID(r), Running: running}
+}
+
+func claimID(r *Request) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(r.ID))
-	return Claim{Work: r.Fingerprint, ID: h.Sum32(), Running: running}
+	return h.Sum32()
 }
 
 // awaitClaim waits until the request may run concurrently with the other copies of its work. Work
@@ -212,9 +231,10 @@
 	j.Claims.set(claim)
 }
 
-// dropClaim removes the request's claim, if it has one.
-func (j *job) dropClaim() {
+// dropClaims removes the request's claims.
+func (j *job) dropClaims() {
 	if j.ownClaim != nil {
 		j.Claims.drop(*j.ownClaim)
 	}
+	j.dropPartClaims()
 }
--- a/relay/copies.go
+++ b/relay/copies.go
@@ -142,7 +142,7 @@
 // resumeFromAny resumes a stream from the first of the copies that works. It returns nil if there
 // is none.
 func (s *segment) resumeFromAny(ctx context.Context, prog *progress, copies []runCopy) *segment {
-	if len(copies) == 0 || s.strikeLimitReached() {
+	if len(copies) == 0 || s.strikeLimitReached() || !s.mayResumeParts() {
 		return nil
 	}
 	ended, handle := s.ensureStopped(ctx, copies[0].engine)
--- a/relay/dead_endpoint.go
+++ b/relay/dead_endpoint.go
@@ -102,6 +102,7 @@
 	if leaving(p) && p.EndpointContext().Err() == nil || !j.endpointDied(ctx, p) {
 		return
 	}
+	j.recordPartsCrash(p)
 	strikes := j.Strikes.Add(j.r.Fingerprint, uint32(in.Incarnation().Key()))
 	metrics.Count("endpoint_died")
 	j.Log.Warn("endpoint died of a request", zap.String("request", j.r.ID), zap.String("endpoint", in.ID),
@@ -111,11 +112,11 @@
 
 // strikeAfterCut calls strikeIfDead for a stream that was cut off and may be resumed from a copy.
 // The check runs in the background so that it does not delay the resumption, and the returned
-// function waits for it. If this death would reach strikeLimit, the check is finished before
-// strikeAfterCut returns. A caller that learns of the loss may send the request again immediately,
+// function waits for it. If this death would reach strikeLimit, or the run had not gone on past its
+// first event, the check is finished before strikeAfterCut returns. A caller that learns of the loss may send the request again immediately,
 // and the strike must be recorded before that.
 func (j *job) strikeAfterCut(ctx context.Context, p *fleet.Placement) (wait func()) {
-	if j.Strikes.Count(j.r.Fingerprint)+1 >= strikeLimit {
+	if !j.proven || j.Strikes.Count(j.r.Fingerprint)+1 >= strikeLimit {
 		j.strikeIfDead(ctx, p)
 		return func() {}
 	}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -47,7 +47,7 @@
 // then to be served by this node.
 func (j *job) forward(ctx context.Context) (Result, bool) {
 	// The other node makes a claim of its own, which would wait for this one.
-	j.dropClaim()
+	j.dropClaims()
 	if refusal := j.Admit(j.r); refusal != nil {
 		return j.end(j.accurate(refusal), "not forwarded"), true
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -188,6 +188,8 @@
 	Budgets  *retry.Windows
 	Strikes  *Strikes
 	Claims   *Claims
+	// Quarantine holds what is known of prompt parts that crash engines.
+	Quarantine *quarantine.Tracker
 	// Vacated records, for all nodes, the runs that no longer use the links of engines that are
 	// about to stop.
 	Vacated *VacatedRuns
@@ -222,7 +224,10 @@
 	if n := l.Strikes.Count(r.Fingerprint); n >= strikeLimit {
 		return Result{Refusal: job.suspectRefusal(n)}
 	}
-	defer job.dropClaim()
+	if refusal := job.refuseQuarantined(); refusal != nil {
+		return Result{Refusal: refusal}
+	}
+	defer job.dropClaims()
 	if r.Resumes && !r.Forwarded {
 		metrics.Count("stream_resumed_by_caller")
 	}
@@ -257,6 +262,11 @@
 	prog *progress
 	// ownClaim is the request's claim to its work, nil if it has none.
 	ownClaim *Claim
+	// partClaims are the request's claims to suspected parts of its prompt. probing is set while the
+	// request runs although parts of it are quarantined, proven once a run has gone on past its first
+	// event.
+	partClaims      []Claim
+	probing, proven bool
 	// ran is set once an endpoint may have executed the request.
 	ran bool
 	// declined is set once the request was to be forwarded and no other node accepted it.
@@ -338,11 +348,10 @@
 	if refusal := j.awaitClaim(ctx); refusal != nil {
 		return nil, refusal
 	}
-	p, refusal := j.Fleet.Acquire(ctx, j.work(), j.maxWait())
+	p, refusal := j.acquire(ctx)
 	if refusal != nil {
 		return nil, refusal
 	}
-	j.result.Waited += p.Waited
 	if predicted := p.Predicted; predicted.Step > 0 {
 		j.Log.Debug("engine chosen by its rate", zap.String("request", j.r.ID), zap.String("endpoint", p.Instance().ID),
 			zap.Bool("known", predicted.Known), zap.Duration("step", predicted.Step),
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/internal/standin/worker"
 	"github.com/crocusreel/crocusreel/platform"
+	"github.com/crocusreel/crocusreel/quarantine"
 	"github.com/crocusreel/crocusreel/relay"
 	"github.com/crocusreel/crocusreel/retry"
 	"github.com/crocusreel/crocusreel/routing"
@@ -43,11 +44,12 @@
 		Budgets: &retry.Windows{
 			Ratio: 0.2, Slack: 100, Length: 10 * time.Second, Now: boottime.Now, Nodes: func() int { return 1 },
 		},
-		Strikes: relay.NewStrikes(boottime.Now),
-		Claims:  relay.NewClaims(),
-		Vacated: relay.NewVacatedRuns(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
-		Log:     zap.NewNop(),
-		Admit:   func(*relay.Request) *crocusreel.Refusal { return nil },
+		Strikes:    relay.NewStrikes(boottime.Now),
+		Claims:     relay.NewClaims(),
+		Quarantine: quarantine.New(boottime.Now),
+		Vacated:    relay.NewVacatedRuns(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
+		Log:        zap.NewNop(),
+		Admit:      func(*relay.Request) *crocusreel.Refusal { return nil },
 	}
 	return r
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -190,6 +190,7 @@
 			s.resp.Finish()
 			s.p.Release(fleet.Good)
 			s.Strikes.Clear(s.r.Fingerprint)
+			s.proveParts()
 			return end, nil
 		}
 		end, cause = segmentCut, io.ErrUnexpectedEOF
@@ -298,6 +299,9 @@
 		s.result.FirstEvent = time.Since(s.r.Received)
 	}
 	prog.record(id)
+	if prog.count >= provenEvents {
+		s.proveParts()
+	}
 	if prog.count%eventsPerUpdate == 1 {
 		s.p.SetProduced(s.producedTokens(prog))
 	}
