Answers without a length, and streams that end inside an event, are whole or broken

Cause: the event reader knew LF LF and CR LF CR LF only; the end of a connection without a length was compared with the endpoint's state for streams, not for calls.

Comments at the end of a stream need no empty line.

--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -39,6 +39,9 @@
 	Unframed
 	// UnframedReset resets the connection in the middle of a response without a length.
 	UnframedReset
+	// UnframedCrash stops the worker in the middle of a response without a length. Its connections end
+	// as after a whole response.
+	UnframedCrash
 	// Hang accepts the request and sends nothing for a minute.
 	Hang
 	// SkipEvent omits the middle event of a stream.
@@ -47,6 +50,10 @@
 	Crash
 	// CrashAtStart stops the worker when it begins the answer, before the first event.
 	CrashAtStart
+	// CutInEvent ends a stream in the middle of an event half-way, CutBeforeBlankLine before the empty
+	// line that ends it, each in the way in which a complete stream ends.
+	CutInEvent
+	CutBeforeBlankLine
 	// Restart ignores the Last-Event-Id of a new run and sends all events.
 	Restart
 	// SkipFirst omits the first event of a stream's run.
@@ -59,6 +66,17 @@
 	StopShort
 )
 
+// Framing is how the end of a stream is marked.
+type Framing int
+
+// Framings of streams.
+const (
+	// Chunked streams are sent in chunks.
+	Chunked Framing = iota
+	// UntilClose streams have neither a length nor chunks and end with their connection.
+	UntilClose
+)
+
 // Run is a request that a worker started to execute.
 type Run struct {
 	ID     string
@@ -91,6 +109,10 @@
 	MoveTime time.Duration
 	// CrashAfterCopy makes the worker crash after it has made a copy; nil for no crash.
 	CrashAfterCopy *CopyCrash
+	// Framing is how the ends of streams are marked, LineEnd what ends the lines of their events; LF if
+	// empty.
+	Framing Framing
+	LineEnd string
 	// LostMoveAnswers is the number of move orders, from the first on, whose copy is made but
 	// whose connection is then closed without a response.
 	LostMoveAnswers int
@@ -294,6 +316,10 @@
 		text = w.responseHead(run, http.StatusOK, "") + body
 	case UnframedReset:
 		text = w.responseHead(run, http.StatusOK, "") + body[:4]
+	case UnframedCrash:
+		_, _ = io.WriteString(conn, w.responseHead(run, http.StatusOK, "")+body[:4])
+		w.Stop()
+		return
 	case Hang:
 		time.Sleep(time.Minute)
 	case Crash, CrashAtStart:
@@ -343,7 +369,7 @@
 		return
 	}
 	framing, chunk, lastChunk := "Transfer-Encoding: chunked\r\n", "%x\r\n%s\r\n", "0\r\n\r\n"
-	if fault == Unframed {
+	if fault == Unframed || w.options.Framing == UntilClose {
 		framing, chunk, lastChunk = "", "%[2]s", ""
 	}
 	if _, err := io.WriteString(conn, w.responseHead(run, http.StatusOK, framing)); err != nil {
@@ -374,6 +400,9 @@
 		if fault == Unnumbered {
 			_, event, _ = strings.Cut(event, "\n")
 		}
+		if w.options.LineEnd != "" {
+			event = strings.ReplaceAll(event, "\n", w.options.LineEnd)
+		}
 		switch {
 		case fault == HangMidway && id == int64(w.options.Events)/2:
 			w.hang(run, closedByCaller)
@@ -383,6 +412,13 @@
 		case fault == Truncate && id == int64(w.options.Events)/2:
 			_, _ = fmt.Fprintf(conn, "%x\r\n%s", len(event), event[:len(event)/2])
 			return
+		case (fault == CutInEvent || fault == CutBeforeBlankLine) && id == int64(w.options.Events)/2:
+			part := event[:len(event)/2]
+			if fault == CutBeforeBlankLine {
+				part = strings.TrimRight(event, "\r\n") + w.lineEnd()
+			}
+			_, _ = fmt.Fprintf(conn, chunk+lastChunk, len(part), part)
+			return
 		case fault == Crash && id == int64(w.options.Events)/2:
 			w.Stop()
 			return
@@ -403,6 +439,13 @@
 	_, _ = io.WriteString(conn, lastChunk)
 }
 
+func (w *Worker) lineEnd() string {
+	if w.options.LineEnd == "" {
+		return "\n"
+	}
+	return w.options.LineEnd
+}
+
 // hang waits until the caller closes the connection, at most a minute.
 func (w *Worker) hang(run Run, closedByCaller <-chan struct{}) {
 	select {
--- a/relay/call.go
+++ b/relay/call.go
@@ -28,7 +28,9 @@
 // answer is an endpoint's answer, read to its end or up to maxBufferedAnswerBytes.
 type answer struct {
 	resp *h1.Response
-	body []byte
+	// placement is the endpoint that the answer is from.
+	placement *fleet.Placement
+	body      []byte
 	// hasMore reports whether the buffer is full, so that the body may continue beyond it.
 	hasMore bool
 	// closeExchange closes the exchange with the endpoint.
@@ -72,7 +74,7 @@
 			j.Strikes.Clear(j.r.Fingerprint)
 			j.proveParts()
 			j.r.Runs++
-			return j.deliver(got.answer)
+			return j.deliver(ctx, got.answer)
 		}
 		if got.answer != nil {
 			if errorAnswer != nil {
@@ -135,7 +137,7 @@
 // an endpoint, if there is one, and the refusal otherwise.
 func (j *job) exhausted(ctx context.Context, errorAnswer *answer, refusal *crocusreel.Refusal) Result {
 	if errorAnswer != nil {
-		return j.deliver(errorAnswer)
+		return j.deliver(ctx, errorAnswer)
 	}
 	if ctx.Err() != nil {
 		return j.end(j.deadlineRefusal(), j.result.Detail)
@@ -171,22 +173,22 @@
 		cancel()
 		return got
 	}
-	return j.readAnswer(resp, cancel)
+	return j.readAnswer(ctx, p, resp, cancel)
 }
 
 // readAnswer reads the body of an answer, up to maxBufferedAnswerBytes.
-func (j *job) readAnswer(resp *h1.Response, cancel context.CancelFunc) attemptResult {
+func (j *job) readAnswer(ctx context.Context, p *fleet.Placement, resp *h1.Response, cancel context.CancelFunc) attemptResult {
 	release := func() {
 		resp.Close()
 		cancel()
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswerBytes))
-	if err != nil {
+	got := attemptResult{health: fleet.Good}
+	got.answer = &answer{resp: resp, placement: p, body: body, hasMore: len(body) == maxBufferedAnswerBytes, closeExchange: release}
+	if err != nil || !got.answer.hasMore && !j.endConfirmed(ctx, got.answer) {
 		release()
 		return attemptResult{health: fleet.Failed, cause: causeTruncated}
 	}
-	got := attemptResult{health: fleet.Good}
-	got.answer = &answer{resp: resp, body: body, hasMore: len(body) == maxBufferedAnswerBytes, closeExchange: release}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		got.health = fleet.Failed
 		got.cause = causeFailed
@@ -197,6 +199,12 @@
 	return got
 }
 
+// endConfirmed reports whether an answer that has been read to its end is whole. The end of the
+// connections of an endpoint that dies looks like the end of an answer without a length.
+func (j *job) endConfirmed(ctx context.Context, a *answer) bool {
+	return a.resp.Framed() || !j.endpointGone(ctx, a.placement)
+}
+
 // attemptTimeShare is the share of the remaining time after which repeatable work is retried on
 // another endpoint, as long as the route allows a further attempt. Without it, an endpoint that
 // hangs would use up all of the remaining time.
@@ -246,7 +254,7 @@
 }
 
 // deliver sends the answer to the caller.
-func (j *job) deliver(a *answer) Result {
+func (j *job) deliver(ctx context.Context, a *answer) Result {
 	defer a.closeExchange()
 	j.result.Status = a.resp.StatusCode
 	j.result.FirstEvent = time.Since(j.r.Received)
@@ -262,7 +270,11 @@
 	if a.hasMore {
 		source = io.MultiReader(source, a.resp.Body)
 	}
-	if _, err := io.Copy(sinkWriter{j.sink}, source); err != nil {
+	_, err := io.Copy(sinkWriter{j.sink}, source)
+	if err == nil && a.hasMore && !j.endConfirmed(ctx, a) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		result := j.end(nil, "answer interrupted: "+err.Error())
 		result.Broken = true
 		return result
--- a/relay/events.go
+++ b/relay/events.go
@@ -1,8 +1,9 @@
 package relay
 
 import (
-	"bytes"
 	"io"
+
+	"github.com/crocusreel/crocusreel/internal/sse"
 )
 
 // maxEventBytes is the maximum size of one event of a stream.
@@ -36,9 +37,9 @@
 		}
 		n, err := r.source.Read(r.buf[len(r.buf):cap(r.buf)])
 		r.buf = r.buf[:len(r.buf)+n]
-		r.ready = completeEventsLen(r.buf)
+		r.ready = sse.Events(r.buf)
 		if err == io.EOF && r.ready < len(r.buf) {
-			err = io.ErrUnexpectedEOF
+			err = r.endWithinEvent()
 		}
 		if r.ready > 0 || err != nil {
 			return r.buf[:r.ready:r.ready], err
@@ -46,37 +47,22 @@
 	}
 }
 
-var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
-
-// completeEventsLen returns the length of the complete events at the start of b.
-func completeEventsLen(b []byte) int {
-	length := 0
-	for _, end := range eventTerminators {
-		if i := bytes.LastIndex(b, end); i >= 0 {
-			length = max(length, i+len(end))
-		}
+// endWithinEvent returns the error for a stream that ends after a part of an event. Comments at the end
+// need no empty line after them, and are passed on.
+func (r *eventReader) endWithinEvent() error {
+	rest := r.buf[r.ready:]
+	if last := rest[len(rest)-1]; sse.IsComment(rest) && (last == '\n' || last == '\r') {
+		r.ready = len(r.buf)
+		return io.EOF
 	}
-	return length
+	return io.ErrUnexpectedEOF
 }
 
 // splitEvent splits b, which holds complete events, after the first event.
 func splitEvent(b []byte) (event, rest []byte) {
-	length := len(b)
-	for _, end := range eventTerminators {
-		if i := bytes.Index(b, end); i >= 0 {
-			length = min(length, i+len(end))
-		}
+	length := sse.Event(b)
+	if length == 0 {
+		length = len(b)
 	}
 	return b[:length], b[length:]
 }
-
-// isComment reports whether a block of a stream is only a comment, which endpoints send to keep a
-// connection open and clients ignore.
-func isComment(event []byte) bool {
-	for line := range bytes.Lines(event) {
-		if line[0] != ':' && len(bytes.TrimSpace(line)) > 0 {
-			return false
-		}
-	}
-	return true
-}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -206,6 +206,7 @@
 		Entry("lost answer", worker.LoseAnswer),
 		Entry("truncated answer", worker.Truncate),
 		Entry("answer without a length that was reset", worker.UnframedReset),
+		Entry("answer without a length whose endpoint died", worker.UnframedCrash),
 		Entry("no answer", worker.Hang),
 		Entry("crash", worker.Crash),
 	)
@@ -231,6 +232,7 @@
 		Entry("lost answer", worker.LoseAnswer),
 		Entry("truncated answer", worker.Truncate),
 		Entry("answer without a length that was reset", worker.UnframedReset),
+		Entry("answer without a length whose endpoint died", worker.UnframedCrash),
 		Entry("no answer", worker.Hang),
 	)
 
--- a/relay/seam.go
+++ b/relay/seam.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/internal/sse"
 )
 
 // progress is what the caller has received of a stream.
@@ -103,7 +104,7 @@
 }
 
 func (m *seam) checkUnnumbered(p *progress, event []byte) eventPlace {
-	if isComment(event) {
+	if sse.IsComment(event) {
 		return eventNext
 	}
 	if m.strict && !m.reached(p) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -53,7 +53,7 @@
 		if s.resp.StatusCode != http.StatusOK {
 			j.releaseBackup(s.backup, false)
 			defer s.watch.end()
-			return j.deliverNonStream(s.p, s.resp)
+			return j.deliverNonStream(ctx, s.p, s.resp)
 		}
 		end, next := s.run(ctx, j.prog)
 		j.releaseBackup(s.backup, end == segmentComplete)
@@ -144,14 +144,14 @@
 const silentThreshold = 2 * time.Second
 
 // deliverNonStream delivers an endpoint's answer that is not a stream.
-func (j *job) deliverNonStream(p *fleet.Placement, resp *h1.Response) Result {
+func (j *job) deliverNonStream(ctx context.Context, p *fleet.Placement, resp *h1.Response) Result {
 	j.ran = true
-	got := j.readAnswer(resp, func() {})
+	got := j.readAnswer(ctx, p, resp, func() {})
 	p.Release(got.health)
 	if got.answer == nil {
 		return j.end(lostRefusal("%s", got.cause), got.cause)
 	}
-	return j.deliver(got.answer)
+	return j.deliver(ctx, got.answer)
 }
 
 // run forwards the events of this segment. If the stream is resumed on another endpoint, run
