Requests with suspected parts run alone on an idle engine

Each crash takes the streams beside the request with it, up to 24. Isolated work goes where the fewest runs are, and holds the memory of an engine that was idle until its second event, so that no node places other work there.

--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -39,6 +39,8 @@
 	// costJitter is the range of the random part of the cost. Nodes choose from the same load
 	// reports and would otherwise all choose the same endpoint.
 	costJitter = 0.04
+	// isolatedRunCost is the cost, for isolated work, of each run on the engine. It outweighs all others.
+	isolatedRunCost = 100.0
 	// copyCostPerSecond is the cost of each second that a memory copy to a target takes, including
 	// the wait for copies of all nodes that are in progress to the same target. It outweighs the
 	// other costs because a slow copy delays all other copies of the same source engine.
@@ -100,6 +102,9 @@
 	// RegionBound restricts the work to endpoints in Regions.
 	RegionBound bool
 	Regions     []string
+	// Isolated is set for work that may crash its engine. It is placed where the fewest runs are, and
+	// keeps other work off an engine that was idle.
+	Isolated bool
 	// late is set once StartWithin has elapsed.
 	late bool
 	// enqueuedAt is the time from which the work waits.
@@ -206,6 +211,9 @@
 	if e.missingSince != 0 {
 		cost += missingCost
 	}
+	if w.Isolated {
+		cost += isolatedRunCost * float64(load.Count)
+	}
 	if spec := w.Service.Engine; spec != nil {
 		share := float64(load.Tokens) / float64(max(spec.CacheTokens, 1))
 		return cost + share + score.runCost(e, w, *load)
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -20,6 +20,9 @@
 	released   bool
 	// incomingTokens is the memory, in tokens, that is being copied to the endpoint for this run.
 	incomingTokens int
+	// isolationTokens is the memory, in tokens, that is held in addition so that no other work is placed
+	// on the engine.
+	isolationTokens int
 	// placedAt is the time of the placement.
 	placedAt time.Duration
 	// producedAt is the time of the last update of produced, or 0 if there was none on this endpoint.
@@ -81,6 +84,36 @@
 	return p
 }
 
+// isolationFactor is the multiple of an engine's memory that isolated work holds: more than any other
+// work may count on.
+const isolationFactor = 2
+
+// placeWorkLocked places the work, and keeps other work off the engine if the work is isolated and the
+// engine is idle.
+func (f *Fleet) placeWorkLocked(e *Endpoint, w *Work) *Placement {
+	load := e.total()
+	p := f.placeLocked(e, w.Demand)
+	if spec := w.Service.Engine; w.Isolated && spec != nil && load.Count == 0 && w.Demand.Prompt > 0 {
+		p.isolationTokens = isolationFactor * spec.CacheTokens
+		e.own.Tokens += p.isolationTokens
+		f.broadcastLoadLocked(e)
+	}
+	return p
+}
+
+// EndIsolation lets other work onto the engine again.
+func (p *Placement) EndIsolation() {
+	f := p.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p.released || p.isolationTokens == 0 {
+		return
+	}
+	p.endpoint.own.Tokens -= p.isolationTokens
+	p.isolationTokens = 0
+	f.dispatchLocked(p.endpoint.Service)
+}
+
 // Instance returns the endpoint as it has registered.
 func (p *Placement) Instance() Instance { return p.endpoint.Instance }
 
@@ -112,7 +145,7 @@
 	}
 	const outgrownFactor = 1.25
 	output := max(float64(p.demand.Output), float64(p.produced)*outgrownFactor)
-	return p.demand.Prompt + int(output)
+	return p.demand.Prompt + int(output) + p.isolationTokens
 }
 
 // CurrentTokens returns the number of tokens that the run has in memory now.
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -93,7 +93,7 @@
 	inTurn := maxWait <= 0 || f.nodesAheadLocked(&w, w.Rank, f.now()) == 0
 	if q := f.queues[f.queueIDFor(&w)]; inTurn && (q == nil || !q.hasAhead(w.Rank, f.now())) {
 		if e := f.pickLocked(&w); e != nil {
-			p := f.placeLocked(e, w.Demand)
+			p := f.placeWorkLocked(e, &w)
 			p.rank = w.Rank
 			f.chargeLocked(&w)
 			f.mu.Unlock()
@@ -264,7 +264,7 @@
 		return
 	}
 	q.remove(w)
-	p := f.placeLocked(e, w.work.Demand)
+	p := f.placeWorkLocked(e, w.work)
 	p.rank = w.work.Rank
 	f.chargeLocked(w.work)
 	w.done <- waitResult{placement: p}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -292,6 +292,7 @@
 		Patience:    j.patience(),
 		Remaining:   time.Until(j.r.Deadline),
 		RequestID:   j.r.ID,
+		Isolated:    len(j.partClaims) > 0,
 
 		StartWithin: j.startWithin(),
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -299,8 +299,9 @@
 		s.result.FirstEvent = time.Since(s.r.Received)
 	}
 	prog.record(id)
-	if prog.count >= provenEvents {
+	if prog.count == provenEvents {
 		s.proveParts()
+		s.p.EndIsolation()
 	}
 	if prog.count%eventsPerUpdate == 1 {
 		s.p.SetProduced(s.producedTokens(prog))
