--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -148,6 +148,8 @@
 	// takes: if Announce took mu instead, a callback that runs with mu held would deadlock with it.
 	pendingMu sync.Mutex
 	pending   recipientFilter
+	// sent is closed when the pending changes have been sent; nil if nobody waits for that.
+	sent chan struct{}
 	// peerCount is the number of peers; Announce reads it without mu.
 	peerCount atomic.Int32
 	// liveCache caches the result of Live until a live node changes, or until liveCacheUntil at the
@@ -215,6 +217,23 @@
 	g.AnnounceAll()
 }
 
+// AnnounceAllAndWait is like AnnounceAllUrgent and returns once the round has been sent, or when ctx
+// ends.
+func (g *Gossip) AnnounceAllAndWait(ctx context.Context) {
+	g.pendingMu.Lock()
+	if g.sent == nil {
+		g.sent = make(chan struct{})
+	}
+	sent := g.sent
+	g.pending.all = true
+	g.pendingMu.Unlock()
+	g.AnnounceAllUrgent()
+	select {
+	case <-sent:
+	case <-ctx.Done():
+	}
+}
+
 // Live returns the live nodes, ordered by address. The result is shared and must not be modified:
 // it is read for each request and many times a second besides, and building it each time would use
 // up the CPU of a small VM once there are hundreds of nodes.
--- a/gossip/rounds.go
+++ b/gossip/rounds.go
@@ -124,7 +124,10 @@
 
 // sendRound sends the state of this node to every node that is due.
 func (g *Gossip) sendRound(conn net.PacketConn) {
-	to := g.prepareRound()
+	to, sent := g.prepareRound()
+	if sent != nil {
+		defer close(sent)
+	}
 	g.send(conn, to.brief, func(s *exchangev1.NodeState) { removeAddresses(s) })
 	g.send(conn, to.full, func(s *exchangev1.NodeState) { s.Known = g.liveAddresses(maxKnownRegular) })
 	g.send(conn, to.discovered, func(s *exchangev1.NodeState) { s.Known = g.liveAddresses(maxKnownDiscovered) })
@@ -145,22 +148,25 @@
 	}
 }
 
-// takePending returns the recipients of pending changes and clears them.
-func (g *Gossip) takePending() recipientFilter {
+// takePending returns the recipients of pending changes, and the channel to close once they have been
+// sent, and clears them.
+func (g *Gossip) takePending() (recipientFilter, chan struct{}) {
 	g.pendingMu.Lock()
 	defer g.pendingMu.Unlock()
-	filter := g.pending
-	g.pending = recipientFilter{}
-	return filter
+	filter, sent := g.pending, g.sent
+	g.pending, g.sent = recipientFilter{}, nil
+	return filter, sent
 }
 
-// prepareRound returns the nodes to send to, and calls OnLost for those that have become silent.
-func (g *Gossip) prepareRound() recipients {
-	to, lost := g.selectRecipients(g.takePending())
+// prepareRound returns the nodes to send to and the channel to close afterwards, nil for none, and
+// calls OnLost for those that have become silent.
+func (g *Gossip) prepareRound() (recipients, chan struct{}) {
+	filter, sent := g.takePending()
+	to, lost := g.selectRecipients(filter)
 	for _, address := range lost {
 		g.opts.OnLost(address)
 	}
-	return to
+	return to, sent
 }
 
 // selectRecipients selects the recipients of a round and removes nodes that have been silent for
--- a/node/node.go
+++ b/node/node.go
@@ -191,6 +191,7 @@
 	n.entry = n.newEntry()
 	n.relay.Vacated.Broadcast = n.gossip.AnnounceAll
 	n.relay.Strikes.Broadcast = n.gossip.AnnounceAllUrgent
+	n.relay.Strikes.Announce = n.gossip.AnnounceAllAndWait
 	n.relay.Claims.Broadcast = n.gossip.AnnounceAllUrgent
 	n.starter = n.newStarter()
 	n.configFeed = &feed{
--- a/relay/dead_endpoint.go
+++ b/relay/dead_endpoint.go
@@ -12,6 +12,7 @@
 	"github.com/crocusreel/crocusreel/internal/logging"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/quarantine"
+	"github.com/crocusreel/crocusreel/retry"
 )
 
 // A deadly request kills each endpoint that runs it, and its caller sends it again. It is
@@ -108,6 +109,19 @@
 	j.Log.Warn("endpoint died of a request", zap.String("request", j.r.ID), zap.String("endpoint", in.ID),
 		logging.FingerprintField(uint64(j.r.Fingerprint)), zap.String("address", in.Address), zap.Int("strikes", strikes),
 		zap.Strings("parts", quarantine.Strings(j.r.Parts)), zap.Int("events", j.prog.count))
+	j.announceDeath(ctx)
+}
+
+// announceTimeout limits the wait until a death has been announced.
+const announceTimeout = 100 * time.Millisecond
+
+// announceDeath returns once the other nodes know the death. The caller learns of it afterwards only: it
+// may send the request again at once, and at any node.
+func (j *job) announceDeath(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	j.Strikes.Announce(ctx)
+	retry.Sleep(ctx, claimSettleTime)
 }
 
 // strikeAfterCut calls strikeIfDead for a stream that was cut off and may be resumed from a copy.
--- a/relay/strikes.go
+++ b/relay/strikes.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/binary"
 	"sync"
@@ -47,6 +48,9 @@
 	// Broadcast is called when other nodes should receive this node's strikes at once. It must not
 	// block.
 	Broadcast func()
+	// Announce sends this node's strikes to the other nodes and returns once they have been sent, or
+	// when ctx ends.
+	Announce func(ctx context.Context)
 
 	now      func() time.Duration
 	mu       sync.Mutex
@@ -57,7 +61,7 @@
 
 // NewStrikes returns an empty record. The function now reads a monotonic clock.
 func NewStrikes(now func() time.Duration) *Strikes {
-	return &Strikes{Broadcast: func() {}, now: now, suspects: policy.NewSuspects(strikeTTL)}
+	return &Strikes{Broadcast: func() {}, Announce: func(context.Context) {}, now: now, suspects: policy.NewSuspects(strikeTTL)}
 }
 
 // Count returns the number of endpoints that died of the work within the last strikeTTL.
