--- /dev/null
+++ b/relay/parts_fleet_test.go
@@ -0,0 +1,178 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/internal/standin/worker"
+	"github.com/crocusreel/crocusreel/quarantine"
+	"github.com/crocusreel/crocusreel/relay"
+	"github.com/crocusreel/crocusreel/routing"
+)
+
+const (
+	// newsDelay is the time from a change at a node until all others know it, newsPeriod that between
+	// regular reports.
+	newsDelay  = 5 * time.Millisecond
+	newsPeriod = 150 * time.Millisecond
+	// engineRestart is the time until a crashed engine is back.
+	engineRestart = time.Second
+)
+
+const (
+	commonPart quarantine.Part = 1
+	deadlyPart quarantine.Part = 0xbad
+)
+
+// relayFleet is a number of relays in one process that tell each other what they know of prompt parts,
+// before engines that crash when they begin an answer to a prompt with deadlyPart.
+type relayFleet struct {
+	nodes   []*testRelay
+	pending []atomic.Bool
+	deliver sync.Mutex
+	crashes atomic.Int32
+	started atomic.Int32
+	stopped atomic.Bool
+}
+
+func newRelayFleet(nodes, engines int) *relayFleet {
+	GinkgoHelper()
+	f := &relayFleet{pending: make([]atomic.Bool, nodes)}
+	for i := range nodes {
+		n := newTestRelay()
+		n.Quarantine.Broadcast = func() { f.announce(i) }
+		n.Quarantine.OnChange = n.Claims.Notify
+		n.Claims.Broadcast = func() { f.announce(i) }
+		f.nodes = append(f.nodes, n)
+	}
+	for range engines {
+		f.startEngine()
+	}
+	go func() {
+		for i := 0; !f.stopped.Load(); i++ {
+			time.Sleep(newsPeriod / time.Duration(nodes))
+			f.send(i % nodes)
+		}
+	}()
+	DeferCleanup(func() { f.stopped.Store(true) })
+	return f
+}
+
+// announce sends the news of a node to all others after newsDelay.
+func (f *relayFleet) announce(node int) {
+	if f.pending[node].CompareAndSwap(false, true) {
+		time.AfterFunc(newsDelay, func() { f.send(node) })
+	}
+}
+
+func (f *relayFleet) send(node int) {
+	f.pending[node].Store(false)
+	from := f.nodes[node]
+	news, claims := from.Quarantine.News(), from.Claims.Own()
+	name := fmt.Sprint(node)
+	for i, to := range f.nodes {
+		if i != node {
+			to.Quarantine.Merge(name, news)
+			to.Claims.SetRemote(name, claims)
+		}
+	}
+}
+
+func (f *relayFleet) startEngine() {
+	id := fmt.Sprintf("e%d", f.started.Add(1))
+	w, err := worker.Start(worker.Options{
+		ID: id, Events: 10, EventInterval: 10 * time.Millisecond, KVStore: f.nodes[0].memory,
+		FaultOf: func(r *worker.Run) worker.Fault {
+			if !strings.Contains(r.Target, "deadly") {
+				return worker.None
+			}
+			f.crashes.Add(1)
+			time.AfterFunc(engineRestart, func() { f.replace(id) })
+			return worker.CrashAtStart
+		},
+	})
+	if err != nil {
+		panic(err) // a loopback port is there
+	}
+	for _, n := range f.nodes {
+		n.Fleet.Update(fleet.Instance{ID: id, Service: "pool", Address: w.Address(), DataCentre: "dc1", Slots: 24})
+	}
+}
+
+func (f *relayFleet) replace(id string) {
+	if f.stopped.Load() {
+		return
+	}
+	for _, n := range f.nodes {
+		n.Fleet.Remove(id, false)
+	}
+	f.startEngine()
+}
+
+// play sends sound streams and, from the given time on, deadly ones to the nodes in turn, and returns
+// the numbers of sound streams that were served and refused.
+func (f *relayFleet) play(length, deadlyFrom, deadlyGap, soundGap time.Duration) (served, refused int) {
+	var mu sync.Mutex
+	var sending, senders sync.WaitGroup
+	began := time.Now()
+	id := 0
+	send := func(target string, parts []quarantine.Part) {
+		mu.Lock()
+		id++
+		n := f.nodes[id%len(f.nodes)]
+		req := n.request(routing.Streaming)
+		req.ID = fmt.Sprintf("r%d", id)
+		mu.Unlock()
+		req.Header.Set("Crocusreel-Attempt-Id", req.ID)
+		req.Target, req.Parts = target+req.ID, parts
+		req.Fingerprint = relay.NewFingerprint("ws", req.Target, nil)
+		result := n.Serve(context.Background(), req, &recordingSink{})
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case strings.Contains(target, "deadly"):
+		case result.Refusal != nil:
+			refused++
+		case !result.Broken:
+			served++
+		}
+	}
+	each := func(from, gap time.Duration, do func()) {
+		time.Sleep(from)
+		for time.Since(began) < length {
+			sending.Go(do)
+			time.Sleep(gap)
+		}
+	}
+	senders.Go(func() { each(0, soundGap, func() { send("/sound/", []quarantine.Part{commonPart}) }) })
+	senders.Go(func() {
+		each(deadlyFrom, deadlyGap, func() { send("/deadly/", []quarantine.Part{commonPart, deadlyPart}) })
+	})
+	senders.Wait()
+	sending.Wait()
+	return served, refused
+}
+
+var _ = Describe("many nodes before engines that a part of prompts crashes", func() {
+	// Guards against a bound on crashes that grows with the number of nodes: each new request meets
+	// another node.
+	DescribeTable("lose no more engines than few nodes do", func(nodes int) {
+		f := newRelayFleet(nodes, 14)
+		served, refused := f.play(5*time.Second, time.Second, 60*time.Millisecond, 20*time.Millisecond)
+		AddReportEntry("outcome", fmt.Sprintf("%d nodes: %d crashes, %d sound streams served, %d refused", nodes, f.crashes.Load(), served, refused))
+		Expect(f.crashes.Load()).To(BeNumerically("<=", 5))
+		Expect(refused).To(BeZero())
+		for _, n := range f.nodes {
+			Expect(n.Quarantine.Assess([]quarantine.Part{deadlyPart}, false).State).To(Equal(quarantine.Quarantined))
+			Expect(n.Quarantine.Assess([]quarantine.Part{commonPart}, false).State).To(Equal(quarantine.Clear))
+		}
+	}, Entry("3 nodes", 3), Entry("75 nodes", 75), Entry("300 nodes", 300))
+})
