--- a/tests/node/deadly_parts_test.go
+++ b/tests/node/deadly_parts_test.go
@@ -37,10 +37,14 @@
 
 	mu      sync.Mutex
 	started int
+	// workers are the engines that were started, ids their IDs.
 	workers []*worker.Worker
+	ids     []string
 	// crashes are the times at which engines crashed, runs those at which deadly runs began.
 	crashes, runs []time.Time
 	stopped       bool
+	// restarting is held while nodes are killed and started.
+	restarting sync.Mutex
 }
 
 func newCrashingPool(engines int, deadly ...string) *crashingPool {
@@ -70,6 +74,7 @@
 		return err
 	}
 	p.workers = append(p.workers, w)
+	p.ids = append(p.ids, id)
 	return p.writeEndpoint(platform.Write{Key: id, Value: entryData("pool", w.Address())})
 }
 
--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -191,8 +191,11 @@
 }
 
 // entryData returns the encoded entry of a ready endpoint.
-func entryData(service, address string) []byte {
-	data, err := json.Marshal(newEntry(service, address, "ready"))
+func entryData(service, address string) []byte { return entryDataIn(service, address, "ready") }
+
+// entryDataIn returns the encoded entry of an endpoint in the given phase.
+func entryDataIn(service, address, phase string) []byte {
+	data, err := json.Marshal(newEntry(service, address, phase))
 	if err != nil {
 		panic(err) // the entry holds texts and numbers only
 	}
