Own API: prompts that begin alike and crash engines are quarantined by their scheduler

Change: deaths also count against the hashes of the prompt's leading blocks, with the package that the nodes use. Gateways remember the quarantines for the next scheduler and for their own fallback, as they do strikes. Prefixes travel with requests and losses only, not with open permits.

--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -63,6 +63,7 @@
 	req.Losses, req.Strikes = m.permits.lossesAndStrikes(req.Fingerprint, pv.key, m.now())
 	p, err := m.acquireOnce(ctx, pv, req)
 	if err == nil {
+		p.Prefixes = req.Prefixes
 		m.permits.add(p, pv.key, false)
 	}
 	return p, err
@@ -111,6 +112,9 @@
 	}
 	metrics.Count("spare_scheduler")
 	req.Losses, req.Strikes = m.permits.lossesAndStrikes(req.Fingerprint, pv.key, m.now())
+	if known := m.permits.quarantinesFrom(pv.key); len(known) > 0 {
+		pv.fallback.send(reportEvent{report: &gatewayReport{Gateway: m.opts.VMID, Partial: true, Quarantines: known}})
+	}
 	wait, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// Cancel without setting a deadline: the pool would treat a deadline as the caller's and refuse
@@ -118,6 +122,7 @@
 	defer time.AfterFunc(fallbackWait, cancel).Stop()
 	p, err := pv.fallback.acquire(wait, req)
 	if err == nil {
+		p.Prefixes = req.Prefixes
 		m.permits.add(p, pv.key, true)
 	}
 	return p, err
--- a/scheduler/convert.go
+++ b/scheduler/convert.go
@@ -6,8 +6,12 @@
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/peer/peerv1"
 	"github.com/crocusreel/crocusreel/policy"
+	"github.com/crocusreel/crocusreel/quarantine"
 )
 
+// maxQuarantinesInReport bounds the quarantined prefixes in a report and in the response to one.
+const maxQuarantinesInReport = 16
+
 func requestToWire(r *Request, pool string, timeLeft, now time.Duration) *peerv1.AcquireRequest {
 	return &peerv1.AcquireRequest{
 		RequestId: r.RequestID, Gateway: r.Gateway, Model: r.Model, Adapter: r.Adapter,
@@ -15,7 +19,7 @@
 		PromptTokens: uint32(r.PromptTokens), MaxTokens: uint32(r.MaxTokens),
 		DeadlineMs: uint32(timeLeft.Milliseconds()), Prefixes: r.Prefixes, Excluded: r.Excluded,
 		Fingerprint: r.Fingerprint, LengthHint: uint32(r.LengthHint), Pool: pool,
-		Losses: permitsToWire(r.Losses), Strikes: strikesToWire(r.Strikes, now),
+		Losses: lossesToWire(r.Losses), Strikes: strikesToWire(r.Strikes, now),
 	}
 }
 
@@ -31,6 +35,15 @@
 	}
 }
 
+// lossesToWire returns the messages of lost permits, with the prefixes of their requests.
+func lossesToWire(losses []Permit) []*peerv1.Permit {
+	out := permitsToWire(losses)
+	for i := range losses {
+		out[i].Prefixes = losses[i].Prefixes
+	}
+	return out
+}
+
 func permitsToWire(permits []Permit) []*peerv1.Permit {
 	out := make([]*peerv1.Permit, len(permits))
 	for i := range permits {
@@ -56,6 +69,39 @@
 	}
 }
 
+// releaseToWire returns the message of a release. Prefixes are needed for losses only.
+func releaseToWire(r *Release) *peerv1.Release {
+	m := &peerv1.Release{Permit: permitToWire(&r.Permit), End: string(r.End)}
+	if r.End == EndEndpointLost {
+		m.Permit.Prefixes = r.Permit.Prefixes
+	}
+	return m
+}
+
+// quarantinesToWire returns the messages of quarantined prefixes. They are sent without the times of
+// refusals, which each scheduler keeps itself.
+func quarantinesToWire(verdicts []quarantine.Verdict) []*peerv1.Quarantine {
+	out := make([]*peerv1.Quarantine, 0, min(len(verdicts), maxQuarantinesInReport))
+	for _, v := range verdicts[:min(len(verdicts), maxQuarantinesInReport)] {
+		m := &peerv1.Quarantine{Crashes: uint32(v.Crashes), CrashAgeMs: uint64(max(v.CrashAge.Milliseconds(), 0))}
+		for _, p := range v.Parts {
+			m.Prefixes = append(m.Prefixes, uint64(p))
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func quarantinesFromWire(in []*peerv1.Quarantine) []quarantine.Verdict {
+	var out []quarantine.Verdict
+	for _, m := range in {
+		out = append(out, quarantine.Verdict{
+			Parts: prefixParts(m.GetPrefixes()), Crashes: int(m.GetCrashes()), CrashAge: time.Duration(m.GetCrashAgeMs()) * time.Millisecond, RefusedAge: -1,
+		})
+	}
+	return out
+}
+
 func permitFromWire(m *peerv1.Permit) Permit {
 	return Permit{
 		ID: m.GetId(), Endpoint: m.GetEndpoint(), Workspace: m.GetWorkspace(),
@@ -63,6 +109,7 @@
 		PromptTokens: int(m.GetPromptTokens()), Produced: int(m.GetProduced()),
 		EnginePriority: int(m.GetEnginePriority()), Fingerprint: m.GetFingerprint(),
 		MaxTokens: int(m.GetMaxTokens()), LengthHint: int(m.GetLengthHint()), Incarnation: m.GetIncarnation(),
+		Prefixes: m.GetPrefixes(),
 	}
 }
 
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -10,6 +10,7 @@
 	"github.com/crocusreel/crocusreel/config"
 	"github.com/crocusreel/crocusreel/notice"
 	"github.com/crocusreel/crocusreel/policy"
+	"github.com/crocusreel/crocusreel/quarantine"
 )
 
 const (
@@ -50,6 +51,8 @@
 	reply          chan result
 	done           bool
 	permitID       string
+	// probing is set if the request runs to find out whether quarantined prefixes still crash engines.
+	probing bool
 	// holdLogged is set once the first log entry about holding the request back has been written;
 	// no further ones are.
 	holdLogged bool
@@ -80,8 +83,11 @@
 	prefix    *policy.PrefixIndex
 	queues    map[crocusreel.Class]*policy.Queue[*queuedRequest]
 	// backlogs holds the service rate of each class.
-	backlogs          map[crocusreel.Class]*backlog
-	suspects          *policy.Suspects
+	backlogs map[crocusreel.Class]*backlog
+	suspects *policy.Suspects
+	// parts holds what is known of prompt prefixes that crash engines, as of partsNow.
+	parts             *quarantine.Tracker
+	partsNow          time.Duration
 	riskController    *policy.RiskController
 	picker            policy.Picker
 	reservation       *policy.Reservation
@@ -124,7 +130,7 @@
 	if h.log == nil {
 		h.log = zap.NewNop()
 	}
-	return &core{
+	c := &core{
 		vm: vm, hooks: h,
 		estimator: policy.NewEstimator(),
 		prefix:    policy.NewPrefixIndex(),
@@ -143,6 +149,8 @@
 		tombstones:     make(map[string]time.Duration),
 		lastReports:    make(map[string]time.Duration),
 	}
+	c.parts = c.newParts()
+	return c
 }
 
 // configure applies a configuration.
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -239,7 +239,11 @@
 }
 
 func (c *core) addStrike(e *engine, p *Permit, now time.Duration) {
-	if e.leaving || e.spec.Leaving || p.Fingerprint == 0 {
+	if e.leaving || e.spec.Leaving {
+		return
+	}
+	c.recordPartsCrash(p, now)
+	if p.Fingerprint == 0 {
 		return
 	}
 	c.suspects.Record(policy.Strike{Fingerprint: p.Fingerprint, Death: p.deathID(), At: now})
--- a/scheduler/gateway_report.go
+++ b/scheduler/gateway_report.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "github.com/crocusreel/crocusreel/policy"
+import (
+	"github.com/crocusreel/crocusreel/policy"
+	"github.com/crocusreel/crocusreel/quarantine"
+)
 
 // gatewayReport is a gateway's report to the scheduler of a pool.
 type gatewayReport struct {
@@ -12,4 +15,12 @@
 	Releases []Release
 	// Strikes are those that the gateway received from an earlier scheduler.
 	Strikes []policy.Strike
+	// Quarantines are the quarantined prompt prefixes that it received from an earlier scheduler.
+	Quarantines []quarantine.Verdict
+}
+
+// toRemember is what a gateway remembers for the next scheduler.
+type toRemember struct {
+	strikes     []policy.Strike
+	quarantines []quarantine.Verdict
 }
--- a/scheduler/handler.go
+++ b/scheduler/handler.go
@@ -57,17 +57,19 @@
 	now := s.m.now()
 	rep := &gatewayReport{
 		Gateway: r.Msg.GetGateway(), Partial: r.Msg.GetPartial(),
-		Strikes: strikesFromWire(r.Msg.GetStrikes(), now),
+		Strikes: strikesFromWire(r.Msg.GetStrikes(), now), Quarantines: quarantinesFromWire(r.Msg.GetQuarantines()),
 	}
 	rep.Open = permitsFromWire(r.Msg.GetOpen())
 	for _, x := range r.Msg.GetReleases() {
 		rep.Releases = append(rep.Releases, Release{Permit: permitFromWire(x.GetPermit()), End: EndReason(x.GetEnd())})
 	}
-	strikes, err := pv.primary.report(ctx, rep)
+	remember, err := pv.primary.report(ctx, rep)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewResponse(&peerv1.ReportResponse{Strikes: strikesToWire(strikes, now)}), nil
+	return connect.NewResponse(&peerv1.ReportResponse{
+		Strikes: strikesToWire(remember.strikes, now), Quarantines: quarantinesToWire(remember.quarantines),
+	}), nil
 }
 
 var errNoView = errors.New("no configuration yet")
--- a/scheduler/logging.go
+++ b/scheduler/logging.go
@@ -9,6 +9,7 @@
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/internal/logging"
 	"github.com/crocusreel/crocusreel/policy"
+	"github.com/crocusreel/crocusreel/quarantine"
 )
 
 // Log entries of a pool. Each decision on a request is logged with its reasons: the granted engine
@@ -44,6 +45,11 @@
 		zap.Int("engines", c.enginesRunning(w.req.Fingerprint)))
 }
 
+func (c *core) logHeldForParts(w *queuedRequest, parts []quarantine.Part, other *Permit) {
+	c.logHeld(w, "request held back while another one with suspected prompt parts runs", zap.Strings("parts", quarantine.Strings(parts)),
+		zap.String("permit", other.ID), zap.String("endpoint", other.Endpoint))
+}
+
 func (c *core) logHeld(w *queuedRequest, event string, cause ...zap.Field) {
 	if w.holdLogged {
 		return
--- a/scheduler/permit_store.go
+++ b/scheduler/permit_store.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocusreel/crocusreel/policy"
+	"github.com/crocusreel/crocusreel/quarantine"
 )
 
 // maxReleases bounds the releases kept for an unreachable scheduler. If some are discarded, the
@@ -37,6 +38,8 @@
 	releases map[string][]Release // by pool key
 	// strikes are those last received from each pool's scheduler.
 	strikes map[string][]policy.Strike
+	// quarantines are the quarantined prompt prefixes last received from each pool's scheduler.
+	quarantines map[string][]quarantine.Verdict
 	// losses are the answers that this gateway lost, by fingerprint.
 	losses map[uint64][]lostPermit
 }
@@ -61,7 +64,8 @@
 func newPermitStore() *permitStore {
 	return &permitStore{
 		releases: make(map[string][]Release), strikes: make(map[string][]policy.Strike),
-		losses: make(map[uint64][]lostPermit),
+		quarantines: make(map[string][]quarantine.Verdict),
+		losses:      make(map[uint64][]lostPermit),
 	}
 }
 
@@ -115,11 +119,18 @@
 	return losses, strikes
 }
 
-// setStrikes replaces the known strikes of a pool.
-func (h *permitStore) setStrikes(pool string, s []policy.Strike) {
+// remember replaces what is known from the scheduler of a pool.
+func (h *permitStore) remember(pool string, r toRemember) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.strikes[pool] = s
+	h.strikes[pool], h.quarantines[pool] = r.strikes, r.quarantines
+}
+
+// quarantinesFrom returns the known quarantined prefixes of a pool.
+func (h *permitStore) quarantinesFrom(pool string) []quarantine.Verdict {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.quarantines[pool]
 }
 
 // strikesFrom returns the known strikes of a pool.
--- a/scheduler/permits.go
+++ b/scheduler/permits.go
@@ -6,6 +6,7 @@
 
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/policy"
+	"github.com/crocusreel/crocusreel/quarantine"
 )
 
 // maxStrikesInReport bounds the strikes in the response to a report.
@@ -22,7 +23,7 @@
 		ID:       c.hooks.id + strconv.FormatUint(c.sequence, 36),
 		Endpoint: e.spec.Name, Model: w.req.Model, Workspace: w.req.Workspace, Class: w.req.Class,
 		PromptTokens: w.req.PromptTokens, MaxTokens: w.req.MaxTokens,
-		Fingerprint: w.req.Fingerprint, LengthHint: w.req.LengthHint, Incarnation: e.incarnation,
+		Fingerprint: w.req.Fingerprint, LengthHint: w.req.LengthHint, Incarnation: e.incarnation, Prefixes: w.req.Prefixes,
 	}
 	p.EnginePriority = policy.EnginePriority(now, c.expectedDuration(e, w.expectedTokens), w.req.Class, w.req.Priority)
 	c.openPermit(&grant{Permit: p, gateway: w.req.Gateway, grantedAt: now, reportedAt: now, expectedTokens: w.expectedTokens}, &w.placement.Demand, now)
@@ -56,7 +57,7 @@
 	e.view.Attach(g.ID, &policy.Answer{
 		Key: lengthKey(&g.Permit), Prompt: g.PromptTokens, MaxTokens: g.MaxTokens, LengthHint: g.LengthHint,
 		Produced: g.Produced, ProducedAt: now,
-		Suspect: c.needsIsolation(g.Fingerprint, now),
+		Suspect: c.needsIsolation(g.Fingerprint, now) || c.hasSuspectPrefix(g.Prefixes, now),
 	}, d)
 }
 
@@ -89,6 +90,9 @@
 	g := c.permits[p.ID]
 	c.dropPermit(p.ID)
 	c.tombstones[p.ID] = now
+	if g != nil && (r.End == EndFinished || p.Produced >= provenTokens) {
+		c.provePrefixes(g.Prefixes, now)
+	}
 	e, known := c.engines[p.Endpoint]
 	if known {
 		e.view.Refresh(c.estimator, now, c.isOraclePolicy())
@@ -123,15 +127,16 @@
 	}
 }
 
-// report applies a gateway's report. A full report returns the strikes that the gateway has to
-// remember; a partial one returns nil.
-func (c *core) report(r *gatewayReport, now time.Duration) []policy.Strike {
+// report applies a gateway's report. A full report returns what the gateway has to remember; a partial
+// one returns nothing.
+func (c *core) report(r *gatewayReport, now time.Duration) toRemember {
 	for i := range r.Releases {
 		c.release(&r.Releases[i], now)
 	}
 	c.mergeStrikes(r.Strikes, r.Gateway, now)
+	c.partsAt(now).Merge(r.Gateway, quarantine.News{Verdicts: r.Quarantines})
 	if r.Partial {
-		return nil
+		return toRemember{}
 	}
 	c.lastReports[r.Gateway] = now
 	listed := make(map[string]bool, len(r.Open))
@@ -145,7 +150,12 @@
 			c.dropPermit(id)
 		}
 	}
-	return c.suspects.AppendStrikes(nil, maxStrikesInReport, now)
+	return toRemember{strikes: c.suspects.AppendStrikes(nil, maxStrikesInReport, now), quarantines: c.partsAt(now).Verdicts()}
+}
+
+// hasSuspectPrefix reports whether a prefix may crash engines.
+func (c *core) hasSuspectPrefix(prefixes []uint64, now time.Duration) bool {
+	return c.pc.cfg.Limits.Strikes > 0 && c.partsAt(now).Assess(prefixParts(prefixes), true).State != quarantine.Clear
 }
 
 // applyReportedPermit updates a permit from a report, or adopts one that an earlier scheduler
@@ -167,6 +177,9 @@
 		e.updateTokenRate(g, p.Produced, now)
 		a.Produced, a.ProducedAt = p.Produced, now
 	}
+	if g.Produced < provenTokens && p.Produced >= provenTokens {
+		c.provePrefixes(g.Prefixes, now)
+	}
 	g.Produced, g.reportedAt = p.Produced, now
 }
 
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -14,7 +14,6 @@
 	"github.com/crocusreel/crocusreel/endpoint"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/notice"
-	"github.com/crocusreel/crocusreel/policy"
 )
 
 const (
@@ -184,15 +183,15 @@
 
 type reportEvent struct {
 	report *gatewayReport
-	// reply receives the strikes that the gateway has to remember; nil if they are not needed.
-	reply chan []policy.Strike
+	// reply receives what the gateway has to remember; nil if it is not needed.
+	reply chan toRemember
 }
 
 func (e reportEvent) apply(p *pool, now time.Duration) {
 	p.updateActive(now)
-	strikes := p.core.report(e.report, now)
+	remember := p.core.report(e.report, now)
 	if e.reply != nil {
-		e.reply <- strikes
+		e.reply <- remember
 	}
 }
 
@@ -259,19 +258,18 @@
 var errPoolClosed = crocusreel.Refuse(crocusreel.ReasonSchedulerUnreachable, crocusreel.OutcomeNotRun, minRetryAfter,
 	"the scheduler has stopped")
 
-// report passes a gateway's report to the core and returns the strikes that the gateway has to
-// remember.
-func (p *pool) report(ctx context.Context, r *gatewayReport) ([]policy.Strike, error) {
-	reply := make(chan []policy.Strike, 1)
+// report passes a gateway's report to the core and returns what the gateway has to remember.
+func (p *pool) report(ctx context.Context, r *gatewayReport) (toRemember, error) {
+	reply := make(chan toRemember, 1)
 	if !p.send(reportEvent{report: r, reply: reply}) {
-		return nil, errPoolClosed
+		return toRemember{}, errPoolClosed
 	}
 	select {
 	case s := <-reply:
 		return s, nil
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return toRemember{}, ctx.Err()
 	case <-p.ctx.Done():
-		return nil, errPoolClosed
+		return toRemember{}, errPoolClosed
 	}
 }
--- a/scheduler/queueing.go
+++ b/scheduler/queueing.go
@@ -6,6 +6,7 @@
 
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/policy"
+	"github.com/crocusreel/crocusreel/quarantine"
 )
 
 const (
@@ -61,6 +62,9 @@
 	if r := c.suspectRefusal(w, now); r != nil {
 		return r
 	}
+	if r := c.quarantineRefusal(w, now); r != nil {
+		return r
+	}
 	if r := c.noEndpointRefusal(w); r != nil {
 		return r
 	}
@@ -293,7 +297,14 @@
 		c.logHeldForCopies(w, now)
 		return false
 	}
-	w.placement.Suspect = c.needsIsolation(w.req.Fingerprint, now)
+	parts := c.assessParts(w, now)
+	if parts.State != quarantine.Clear {
+		if other := c.partsRunning(parts.Parts, now); other != nil {
+			c.logHeldForParts(w, parts.Parts, other)
+			return false
+		}
+	}
+	w.placement.Suspect = c.needsIsolation(w.req.Fingerprint, now) || parts.State != quarantine.Clear
 	w.placement.Holders, w.placement.CachedShare = c.prefix.Holders(w.req.Prefixes, now)
 	endpoints := c.endpointsByModel[w.req.Model]
 	w.placement.Excluded = w.req.Excluded
--- a/scheduler/remote.go
+++ b/scheduler/remote.go
@@ -9,7 +9,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/crocusreel/crocusreel/peer/peerv1"
-	"github.com/crocusreel/crocusreel/policy"
 )
 
 // failuresUntilUnreachable is the number of consecutive failed reports after which a scheduler
@@ -83,18 +82,19 @@
 	return permitFromWire(resp.Msg.GetPermit()), nil
 }
 
-// report sends a report and returns the strikes that the gateway has to remember.
-func (r *remoteScheduler) report(ctx context.Context, rep *gatewayReport, pool string, now time.Duration) ([]policy.Strike, error) {
+// report sends a report and returns what the gateway has to remember.
+func (r *remoteScheduler) report(ctx context.Context, rep *gatewayReport, pool string, now time.Duration) (toRemember, error) {
 	msg := &peerv1.ReportRequest{Gateway: rep.Gateway, Pool: pool, Partial: rep.Partial}
 	msg.Open = permitsToWire(rep.Open)
 	for i := range rep.Releases {
 		x := &rep.Releases[i]
-		msg.Releases = append(msg.Releases, &peerv1.Release{Permit: permitToWire(&x.Permit), End: string(x.End)})
+		msg.Releases = append(msg.Releases, releaseToWire(x))
 	}
 	msg.Strikes = strikesToWire(rep.Strikes, now)
+	msg.Quarantines = quarantinesToWire(rep.Quarantines)
 	resp, err := r.client.Report(ctx, connect.NewRequest(msg))
 	if err != nil {
-		return nil, eris.Wrapf(err, "scheduler %s", r.id)
+		return toRemember{}, eris.Wrapf(err, "scheduler %s", r.id)
 	}
-	return strikesFromWire(resp.Msg.GetStrikes(), now), nil
+	return toRemember{strikes: strikesFromWire(resp.Msg.GetStrikes(), now), quarantines: quarantinesFromWire(resp.Msg.GetQuarantines())}, nil
 }
--- a/scheduler/reporter.go
+++ b/scheduler/reporter.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/crocusreel/crocusreel/internal/metrics"
-	"github.com/crocusreel/crocusreel/policy"
 	"github.com/crocusreel/crocusreel/retry"
 )
 
@@ -141,18 +140,19 @@
 	r.Releases = s.m.permits.takeReleases(pv.key)
 	if !r.Partial && !s.hasFullReport(pv) {
 		r.Strikes = s.m.permits.strikesFrom(pv.key)
+		r.Quarantines = s.m.permits.quarantinesFrom(pv.key)
 	}
 	s.inFlightReports.Add(1)
 	go func() {
 		defer s.inFlightReports.Done()
 		ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 		defer cancel()
-		strikes, err := s.deliver(ctx, pv, r)
+		remember, err := s.deliver(ctx, pv, r)
 		if err != nil {
 			metrics.Count("reports_failed")
 			s.m.permits.queueReleases(pv.key, r.Releases...)
 		} else if !r.Partial {
-			s.m.permits.setStrikes(pv.key, strikes)
+			s.m.permits.remember(pv.key, remember)
 		}
 		s.finish(pv, r.Partial, err)
 	}()
@@ -167,16 +167,16 @@
 	return before != nil && before.schedulerCtx == pv.schedulerCtx
 }
 
-func (s *reporter) deliver(ctx context.Context, pv *poolView, r *gatewayReport) ([]policy.Strike, error) {
+func (s *reporter) deliver(ctx context.Context, pv *poolView, r *gatewayReport) (toRemember, error) {
 	metrics.Count("reports_sent")
 	if pv.remote == nil {
 		return pv.primary.report(ctx, r)
 	}
-	strikes, err := pv.remote.report(ctx, r, pv.key, s.m.now())
+	remember, err := pv.remote.report(ctx, r, pv.key, s.m.now())
 	if s.ctx.Err() == nil {
 		pv.remote.recordReport(err)
 	}
-	return strikes, err
+	return remember, err
 }
 
 // claim reserves a pool for one report. A slow scheduler gets no second report before it has
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -61,6 +61,8 @@
 	LengthHint     int
 	// Incarnation is that of the engine when the permit was granted; empty if it was not known.
 	Incarnation string
+	// Prefixes are those of the request. Permits that are reported as open lack them.
+	Prefixes []uint64
 }
 
 // deathID identifies the death of the permit's engine. It is the same for all answers that one
