--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -24,14 +24,17 @@
 const tableQuarantine = "quarantine"
 
 const (
-	// quarantineInterval is the interval at which the rows are compared with what is known.
-	quarantineInterval = 100 * time.Millisecond
+	// quarantineInterval is the interval at which the rows are compared with what is known,
+	// quarantineStartInterval that at which a node that starts tries to read them.
+	quarantineInterval      = 100 * time.Millisecond
+	quarantineStartInterval = 10 * time.Millisecond
 	// quarantineStagger is the time by which each further node, in the order of their addresses, waits
 	// longer before it writes a row that is still missing.
 	quarantineStagger = 300 * time.Millisecond
-	// quarantineRetry is the pause after a failed call.
-	quarantineRetry   = time.Second
-	quarantineTimeout = time.Second
+	// quarantineRetry is the pause after a failed call, quarantineStartRetry that of a node that starts.
+	quarantineRetry      = time.Second
+	quarantineStartRetry = 100 * time.Millisecond
+	quarantineTimeout    = time.Second
 	// quarantineCheckInterval is the interval at which one node checks whether an operator has removed
 	// rows.
 	quarantineCheckInterval = 10 * time.Second
@@ -108,7 +111,11 @@
 func (n *Node) keepQuarantine(ctx context.Context) error {
 	rows := &n.quarantineRows
 	for ctx.Err() == nil {
-		pause(ctx, quarantineInterval)
+		interval, retryAfter := quarantineStartInterval, quarantineStartRetry
+		if rows.known.Load() {
+			interval, retryAfter = quarantineInterval, quarantineRetry
+		}
+		pause(ctx, interval)
 		if era := n.restorations.Era(); era != rows.era {
 			rows.era = era
 			clear(rows.stored)
@@ -121,7 +128,7 @@
 		if err := n.updateQuarantineRows(ctx, now); err != nil {
 			metrics.Count("quarantine_store_failed")
 			n.log.Info("quarantine not read from or written to the store", zap.Error(err))
-			rows.nextCall = boottime.Now() + jitter(quarantineRetry)
+			rows.nextCall = boottime.Now() + jitter(retryAfter)
 		}
 	}
 	return nil
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -25,7 +25,7 @@
 	maxCrashes      = 64
 	maxRunsPerCrash = 8
 	// maxReportedParts bounds the parts of one run that are kept.
-	maxReportedParts = 16
+	maxReportedParts = 8
 )
 
 // crash is the death of one incarnation of an engine.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -15,9 +15,9 @@
 	// several datagrams, any of which may be lost.
 	reportTime = 2 * time.Second
 	// maxReportedCrashes, maxReportedSurvivals and maxReportedVerdicts bound what a datagram holds.
-	maxReportedCrashes   = 6
-	maxReportedSurvivals = 24
-	maxReportedVerdicts  = 8
+	maxReportedCrashes   = 4
+	maxReportedSurvivals = 16
+	maxReportedVerdicts  = 4
 	// maxSurvivals bounds the parts whose survival is remembered.
 	maxSurvivals = 8192
 	// sameTimeTolerance is the difference up to which two nodes' times of an event are the same: ages
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -211,8 +211,8 @@
 			}
 		}
 		Expect(len(b.Verdicts())).To(BeNumerically("<=", 256))
-		Expect(len(b.News().Verdicts)).To(BeNumerically("<=", 8))
-		Expect(len(b.News().Crashes)).To(BeNumerically("<=", 6))
+		Expect(len(b.News().Verdicts)).To(BeNumerically("<=", 4))
+		Expect(len(b.News().Crashes)).To(BeNumerically("<=", 4))
 	})
 })
 
