--- a/node/node.go
+++ b/node/node.go
@@ -91,7 +91,7 @@
 	endpointTable   endpointTable
 	// quarantineRows are the rows of quarantined prompt parts; configKnownSince is when this node first
 	// knew a configuration, in nanoseconds of its clock.
-	quarantineRows   quarantineRows
+	quarantineRows   *quarantineRows
 	configKnownSince atomic.Int64
 	// registrationLost requests to check this node's row in the store after a restoration.
 	registrationLost chan struct{}
@@ -186,7 +186,7 @@
 		Forwarder: n.forwards,
 		Witness:   n.askWitness,
 	}
-	n.quarantineRows = quarantineRows{stored: make(map[string]bool)}
+	n.quarantineRows = newQuarantineRows()
 	n.relay.Quarantine = n.newQuarantine()
 	n.entry = n.newEntry()
 	n.relay.Vacated.Broadcast = n.gossip.AnnounceAll
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -24,9 +24,9 @@
 const tableQuarantine = "quarantine"
 
 const (
-	// quarantineInterval is the interval at which the rows are compared with what is known,
-	// quarantineStartInterval that at which a node that starts tries to read them.
-	quarantineInterval      = 100 * time.Millisecond
+	// quarantineInterval is the interval at which the rows are compared with what is known, in addition
+	// to each change; quarantineStartInterval that at which a node that starts tries to read them.
+	quarantineInterval      = time.Second
 	quarantineStartInterval = 10 * time.Millisecond
 	// quarantineStagger is the time by which each further node, in the order of their addresses, waits
 	// longer before it writes a row that is still missing.
@@ -54,6 +54,8 @@
 type quarantineRows struct {
 	// known is set once this node has learnt of all quarantines.
 	known atomic.Bool
+	// changed is signalled when a verdict has changed.
+	changed chan struct{}
 	// since is when each verdict without a row was seen first, stored holds the keys of rows that the
 	// store is known to have.
 	since  map[string]time.Duration
@@ -64,6 +66,21 @@
 	nextCall, checkAt time.Duration
 }
 
+func newQuarantineRows() *quarantineRows {
+	return &quarantineRows{stored: make(map[string]bool), changed: make(chan struct{}, 1)}
+}
+
+// wait returns after the interval, or when a verdict has changed.
+func (r *quarantineRows) wait(ctx context.Context, interval time.Duration) {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-r.changed:
+	}
+}
+
 // newQuarantine returns the tracker of this node.
 func (n *Node) newQuarantine() *quarantine.Tracker {
 	t := quarantine.New(boottime.Now)
@@ -91,6 +108,10 @@
 	}
 	n.log.Warn("prompt parts "+e.Change, zap.Strings("parts", quarantine.Strings(e.Parts)), zap.Int("crashes", e.Crashes),
 		zap.String("source", source))
+	select {
+	case n.quarantineRows.changed <- struct{}{}:
+	default:
+	}
 }
 
 // probesQuarantine reports whether this node is the one that probes quarantined parts: the ready node
@@ -109,13 +130,13 @@
 
 // keepQuarantine learns the quarantines at the start and keeps their rows in the store.
 func (n *Node) keepQuarantine(ctx context.Context) error {
-	rows := &n.quarantineRows
+	rows := n.quarantineRows
 	for ctx.Err() == nil {
 		interval, retryAfter := quarantineStartInterval, quarantineStartRetry
 		if rows.known.Load() {
 			interval, retryAfter = quarantineInterval, quarantineRetry
 		}
-		pause(ctx, interval)
+		rows.wait(ctx, interval)
 		if era := n.restorations.Era(); era != rows.era {
 			rows.era = era
 			clear(rows.stored)
@@ -198,7 +219,7 @@
 
 // removeQuarantineRows removes the rows of quarantines that have ended.
 func (n *Node) removeQuarantineRows(ctx context.Context) error {
-	rows := &n.quarantineRows
+	rows := n.quarantineRows
 	n.relay.Quarantine.Expire()
 	verdicts := n.relay.Quarantine.Verdicts()
 	for _, v := range verdicts {
@@ -222,7 +243,7 @@
 
 // writeQuarantineRows writes the rows of quarantines that the store lacks.
 func (n *Node) writeQuarantineRows(ctx context.Context, now time.Duration) error {
-	rows := &n.quarantineRows
+	rows := n.quarantineRows
 	missing := make(map[string]time.Duration)
 	for _, v := range n.relay.Quarantine.Verdicts() {
 		if v.Stored {
@@ -260,7 +281,7 @@
 
 // checkQuarantineRows ends quarantines whose rows an operator has removed.
 func (n *Node) checkQuarantineRows(ctx context.Context, now time.Duration) error {
-	rows := &n.quarantineRows
+	rows := n.quarantineRows
 	if now < rows.checkAt || len(rows.stored) == 0 || n.addressRank() != 0 {
 		return nil
 	}
