A survival withdraws a suspicion also right after another one; Report and Change as types

Found by reading: within two seconds of a survival that was reported, the next one did not clear a part that had been suspected meanwhile, so that its requests ran one at a time for up to two seconds more. The spec 'is withdrawn by each survival' failed before. News is called Report, changes are typed constants; no other change of behaviour.

--- a/node/follow.go
+++ b/node/follow.go
@@ -164,7 +164,7 @@
 		return err
 	}
 	n.observePeerEra(resp.Msg, address)
-	n.relay.Quarantine.Merge(address, quarantine.News{Verdicts: readVerdicts(resp.Msg.GetQuarantines())})
+	n.relay.Quarantine.Merge(address, quarantine.Report{Verdicts: readVerdicts(resp.Msg.GetQuarantines())})
 	if resp.Msg.GetQuarantinesKnown() {
 		n.quarantineRows.known.Store(true)
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -80,7 +80,7 @@
 	for _, c := range n.relay.Claims.Own() {
 		s.Claims = append(s.Claims, &exchangev1.Claim{Work: uint64(c.Work), Id: c.ID, Running: c.Running})
 	}
-	n.quarantineNews(s)
+	n.quarantineReport(s)
 	for _, run := range n.relay.Vacated.OwnRecent(vacatedAnnouncePeriod) {
 		s.Vacated = append(s.Vacated, uint32(run))
 	}
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -101,12 +101,12 @@
 }
 
 func (n *Node) logQuarantineEvent(e quarantine.Event) {
-	metrics.Count("quarantine_" + e.Change)
+	metrics.Count("quarantine_" + string(e.Change))
 	source := e.Source
 	if source == "" {
 		source = n.settings.IP
 	}
-	n.log.Warn("prompt parts "+e.Change, zap.Strings("parts", quarantine.Strings(e.Parts)), zap.Int("crashes", e.Crashes),
+	n.log.Warn("prompt parts "+string(e.Change), zap.Strings("parts", quarantine.Strings(e.Parts)), zap.Int("crashes", e.Crashes),
 		zap.String("source", source))
 	select {
 	case n.quarantineRows.changed <- struct{}{}:
@@ -186,7 +186,7 @@
 		}
 		verdicts = append(verdicts, v)
 	}
-	n.relay.Quarantine.Merge("store", quarantine.News{Verdicts: verdicts})
+	n.relay.Quarantine.Merge("store", quarantine.Report{Verdicts: verdicts})
 	n.quarantineRows.known.Store(true)
 	n.log.Info("quarantine read", zap.Int("count", len(verdicts)))
 	return nil
@@ -328,27 +328,27 @@
 	return true
 }
 
-// quarantineNews adds what this node reports to its state.
-func (n *Node) quarantineNews(s *exchangev1.NodeState) {
-	news := n.relay.Quarantine.News()
-	for _, c := range news.Crashes {
+// quarantineReport adds what this node has observed of prompt parts to its state.
+func (n *Node) quarantineReport(s *exchangev1.NodeState) {
+	report := n.relay.Quarantine.Report()
+	for _, c := range report.Crashes {
 		s.PartCrashes = append(s.PartCrashes, &exchangev1.PartCrash{Endpoint: c.Endpoint, AgeMs: uint32(c.Age.Milliseconds()), Parts: encodeParts(c.Parts)})
 	}
-	for _, v := range news.Survivals {
+	for _, v := range report.Survivals {
 		s.PartSurvivals = append(s.PartSurvivals, &exchangev1.PartSurvival{Part: uint64(v.Part), AgeMs: uint32(v.Age.Milliseconds())})
 	}
-	s.Quarantines = encodeVerdicts(news.Verdicts)
+	s.Quarantines = encodeVerdicts(report.Verdicts)
 }
 
 func (n *Node) applyPeerQuarantine(s *exchangev1.NodeState) {
-	news := quarantine.News{Verdicts: readVerdicts(s.GetQuarantines())}
+	report := quarantine.Report{Verdicts: readVerdicts(s.GetQuarantines())}
 	for _, c := range s.GetPartCrashes() {
-		news.Crashes = append(news.Crashes, quarantine.CrashReport{Endpoint: c.GetEndpoint(), Age: millis(uint64(c.GetAgeMs())), Parts: readParts(c.GetParts())})
+		report.Crashes = append(report.Crashes, quarantine.CrashReport{Endpoint: c.GetEndpoint(), Age: millis(uint64(c.GetAgeMs())), Parts: readParts(c.GetParts())})
 	}
 	for _, v := range s.GetPartSurvivals() {
-		news.Survivals = append(news.Survivals, quarantine.Survival{Part: quarantine.Part(v.GetPart()), Age: millis(uint64(v.GetAgeMs()))})
+		report.Survivals = append(report.Survivals, quarantine.Survival{Part: quarantine.Part(v.GetPart()), Age: millis(uint64(v.GetAgeMs()))})
 	}
-	n.relay.Quarantine.Merge(s.GetAddress(), news)
+	n.relay.Quarantine.Merge(s.GetAddress(), report)
 }
 
 func encodeVerdicts(verdicts []quarantine.Verdict) []*exchangev1.Quarantine {
--- a/quarantine/benchmark_test.go
+++ b/quarantine/benchmark_test.go
@@ -25,6 +25,6 @@
 	now := time.Hour
 	t := quarantine.New(func() time.Duration { return now })
 	for b.Loop() {
-		t.News()
+		t.Report()
 	}
 }
--- a/quarantine/news.go
+++ b/quarantine/report.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// News returns what this node reports to the others.
-func (t *Tracker) News() News {
+// Report returns what this node reports to the others.
+func (t *Tracker) Report() Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var n News
+	var n Report
 	now := t.now()
 	t.ownCrashes = slices.DeleteFunc(t.ownCrashes, func(c ownCrash) bool { return now-c.at > reportTime })
 	for _, c := range t.ownCrashes[max(0, len(t.ownCrashes)-maxReportedCrashes):] {
@@ -49,7 +49,7 @@
 }
 
 // Merge adds what another node, or the store, reports.
-func (t *Tracker) Merge(source string, n News) {
+func (t *Tracker) Merge(source string, n Report) {
 	if n.Empty() {
 		return
 	}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -65,22 +65,34 @@
 	Age  time.Duration
 }
 
-// News is what a node sends to the others.
-type News struct {
+// Report is what a node sends to the others.
+type Report struct {
 	Crashes   []CrashReport
 	Survivals []Survival
 	Verdicts  []Verdict
 }
 
 // Empty reports whether there is nothing to send.
-func (n News) Empty() bool {
+func (n Report) Empty() bool {
 	return len(n.Crashes) == 0 && len(n.Survivals) == 0 && len(n.Verdicts) == 0
 }
 
+// Change is a change of what is believed of parts.
+type Change string
+
+// Changes. Parts are suspected or cleared one by one, and quarantined, released or expired with a
+// verdict.
+const (
+	Suspected       Change = "suspected"
+	Cleared         Change = "cleared"
+	MadeQuarantined Change = "quarantined"
+	Released        Change = "released"
+	Expired         Change = "expired"
+)
+
 // Event is a change of what is believed of parts.
 type Event struct {
-	// Change is "suspected", "cleared", "quarantined", "released" or "expired".
-	Change  string
+	Change  Change
 	Parts   []Part
 	Crashes int
 	// Source is the node whose report led to the change, "store", or empty for this node.
@@ -106,7 +118,7 @@
 // Invariant: a part that a run has survived after the last crash that it is blamed for is in no
 // verdict and not suspected.
 type Tracker struct {
-	// Broadcast is called when the other nodes are to receive the news at once, OnEvent for each change
+	// Broadcast is called when the other nodes are to receive the report at once, OnEvent for each change
 	// of belief, OnChange when waiting requests should be assessed again. They must not block. OnEvent
 	// and Broadcast are called without locks held.
 	Broadcast func()
@@ -267,20 +279,20 @@
 	}
 	t.mu.Lock()
 	now := t.now()
-	news := false
+	toReport := false
 	for _, p := range parts {
 		t.survived.Add(p, survival{at: now, own: now})
 		if t.candidates[p] || t.inVerdictLocked(p) {
-			news = news || t.survivalsUntil[p] < now
+			toReport = toReport || t.survivalsUntil[p] < now || t.blame.suspects[p]
 			t.survivalsUntil[p] = now + reportTime
 			t.clearedLocked(p, now, "")
 		}
 	}
-	if news {
+	if toReport || len(t.events) > 0 {
 		t.judgeLocked("")
 	}
 	t.unlock()
-	if news {
+	if toReport {
 		t.Broadcast()
 	}
 }
@@ -292,7 +304,7 @@
 			continue
 		}
 		delete(t.verdicts, key)
-		t.events = append(t.events, Event{Change: "released", Parts: []Part{p}, Crashes: v.crashes, Source: source})
+		t.events = append(t.events, Event{Change: Released, Parts: []Part{p}, Crashes: v.crashes, Source: source})
 		rest := slices.DeleteFunc(slices.Clone(v.parts), func(other Part) bool { return other == p })
 		if len(rest) == 0 {
 			continue
@@ -348,10 +360,10 @@
 		}
 	}
 	if len(added) > 0 {
-		t.events = append(t.events, Event{Change: "suspected", Parts: sortedParts(added), Source: source})
+		t.events = append(t.events, Event{Change: Suspected, Parts: sortedParts(added), Source: source})
 	}
 	if len(removed) > 0 {
-		t.events = append(t.events, Event{Change: "cleared", Parts: sortedParts(removed), Source: source})
+		t.events = append(t.events, Event{Change: Cleared, Parts: sortedParts(removed), Source: source})
 	}
 }
 
@@ -371,7 +383,7 @@
 	v.refusedAt = max(v.refusedAt, now)
 	v.scheduleProbe(now)
 	t.verdicts[verdictKey(v.parts)] = v
-	t.events = append(t.events, Event{Change: "quarantined", Parts: v.parts, Crashes: v.crashes, Source: source})
+	t.events = append(t.events, Event{Change: MadeQuarantined, Parts: v.parts, Crashes: v.crashes, Source: source})
 	if len(t.verdicts) > maxVerdicts {
 		t.dropLongestIdleLocked()
 	}
@@ -392,5 +404,5 @@
 func (t *Tracker) expireLocked(key string) {
 	v := t.verdicts[key]
 	delete(t.verdicts, key)
-	t.events = append(t.events, Event{Change: "expired", Parts: v.parts, Crashes: v.crashes})
+	t.events = append(t.events, Event{Change: Expired, Parts: v.parts, Crashes: v.crashes})
 }
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -19,39 +19,39 @@
 	otherDeadly
 )
 
-// bench drives one tracker with a clock of its own.
-type bench struct {
+// fixture drives one tracker with a clock of its own.
+type fixture struct {
 	*quarantine.Tracker
 	now       time.Duration
 	endpoints uint32
 	events    []quarantine.Event
 }
 
-func newBench() *bench {
-	b := &bench{now: time.Hour}
+func newFixture() *fixture {
+	b := &fixture{now: time.Hour}
 	b.Tracker = quarantine.New(func() time.Duration { return b.now })
 	b.OnEvent = func(e quarantine.Event) { b.events = append(b.events, e) }
 	return b
 }
 
 // crash reports the death of another engine beside a run with the parts, a second later.
-func (b *bench) crash(parts parts) {
+func (b *fixture) crash(parts parts) {
 	b.now += time.Second
 	b.endpoints++
 	b.RecordCrash(b.endpoints, parts)
 }
 
 // survive reports, a millisecond later, that a run with the parts has gone on past its first event.
-func (b *bench) survive(parts parts) {
+func (b *fixture) survive(parts parts) {
 	b.now += time.Millisecond
 	b.RecordSurvival(parts)
 }
 
-func (b *bench) stateOf(parts parts) quarantine.State { return b.Assess(parts, false).State }
+func (b *fixture) stateOf(parts parts) quarantine.State { return b.Assess(parts, false).State }
 
 var _ = Describe("the verdict on a part", func() {
-	var b *bench
-	BeforeEach(func() { b = newBench() })
+	var b *fixture
+	BeforeEach(func() { b = newFixture() })
 
 	It("is a suspicion after one crash and a quarantine after three", func() {
 		Expect(b.stateOf(parts{deadly})).To(Equal(quarantine.Clear))
@@ -141,6 +141,20 @@
 		}
 	})
 
+	// Guards against a suspicion that outlasts a survival, because another one was reported just before.
+	It("is withdrawn by each survival", func() {
+		b.crash(parts{rare})
+		b.survive(parts{rare})
+		for range 3 {
+			b.now += 300 * time.Millisecond
+			b.endpoints++
+			b.RecordCrash(b.endpoints, parts{rare})
+		}
+		Expect(b.stateOf(parts{rare})).To(Equal(quarantine.Suspect))
+		b.survive(parts{rare})
+		Expect(b.stateOf(parts{rare})).To(Equal(quarantine.Clear))
+	})
+
 	It("is drawn on a part that begins to crash engines after runs have survived it", func() {
 		b.survive(parts{deadly})
 		b.crash(parts{deadly})
@@ -197,11 +211,11 @@
 		}
 		b.now += time.Second
 		b.Release("3")
-		var changes []string
+		var changes []quarantine.Change
 		for _, e := range b.events {
 			changes = append(changes, e.Change)
 		}
-		Expect(changes).To(Equal([]string{"suspected", "cleared", "quarantined", "released"}))
+		Expect(changes).To(Equal([]quarantine.Change{quarantine.Suspected, quarantine.Cleared, quarantine.MadeQuarantined, quarantine.Released}))
 	})
 
 	It("keeps its memory bounded", func() {
@@ -211,18 +225,18 @@
 			}
 		}
 		Expect(len(b.Verdicts())).To(BeNumerically("<=", 256))
-		Expect(len(b.News().Verdicts)).To(BeNumerically("<=", 4))
-		Expect(len(b.News().Crashes)).To(BeNumerically("<=", 4))
+		Expect(len(b.Report().Verdicts)).To(BeNumerically("<=", 4))
+		Expect(len(b.Report().Crashes)).To(BeNumerically("<=", 4))
 	})
 })
 
 var _ = Describe("nodes that tell each other of parts", func() {
-	var a, b *bench
-	BeforeEach(func() { a, b = newBench(), newBench() })
+	var a, b *fixture
+	BeforeEach(func() { a, b = newFixture(), newFixture() })
 	exchange := func() {
-		a.Merge("b", b.News())
-		b.Merge("a", a.News())
-		a.Merge("b", b.News())
+		a.Merge("b", b.Report())
+		b.Merge("a", a.Report())
+		a.Merge("b", b.Report())
 	}
 	pass := func(d time.Duration) {
 		a.now += d
@@ -238,7 +252,7 @@
 		pass(time.Second)
 		a.RecordCrash(3, parts{common, deadly})
 		exchange()
-		for _, n := range []*bench{a, b} {
+		for _, n := range []*fixture{a, b} {
 			Expect(n.stateOf(parts{common, deadly})).To(Equal(quarantine.Quarantined))
 			Expect(n.stateOf(parts{common})).To(Equal(quarantine.Clear))
 		}
@@ -293,12 +307,12 @@
 			a.RecordCrash(a.endpoints, parts{deadly})
 		}
 		for range 1000 {
-			news := a.News()
+			report := a.Report()
 			pass(100 * time.Millisecond)
-			b.Merge("a", news)
-			news = b.News()
+			b.Merge("a", report)
+			report = b.Report()
 			pass(100 * time.Millisecond)
-			a.Merge("b", news)
+			a.Merge("b", report)
 		}
 		pass(28 * time.Minute)
 		Expect(a.Expire()).To(HaveLen(1))
@@ -309,12 +323,12 @@
 		for range 3 {
 			a.crash(parts{rare, deadly})
 		}
-		b.Merge("a", quarantine.News{Verdicts: a.Verdicts()})
+		b.Merge("a", quarantine.Report{Verdicts: a.Verdicts()})
 		Expect(b.stateOf(parts{rare, deadly})).To(Equal(quarantine.Quarantined))
 		Expect(b.stateOf(parts{rare})).To(Equal(quarantine.Suspect))
 		b.survive(parts{rare})
 		exchange()
-		for _, n := range []*bench{a, b} {
+		for _, n := range []*fixture{a, b} {
 			Expect(n.stateOf(parts{rare})).To(Equal(quarantine.Clear))
 			Expect(n.stateOf(parts{deadly})).To(Equal(quarantine.Quarantined))
 		}
--- a/relay/parts_fleet_test.go
+++ b/relay/parts_fleet_test.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	// newsDelay is the time from a change at a node until all others know it, newsPeriod that between
+	// exchangeDelay is the time from a change at a node until all others know it, exchangePeriod that between
 	// regular reports.
-	newsDelay  = 5 * time.Millisecond
-	newsPeriod = 150 * time.Millisecond
+	exchangeDelay  = 5 * time.Millisecond
+	exchangePeriod = 150 * time.Millisecond
 	// engineRestart is the time until a crashed engine is back.
 	engineRestart = time.Second
 )
@@ -37,7 +37,6 @@
 type relayFleet struct {
 	nodes   []*testRelay
 	pending []atomic.Bool
-	deliver sync.Mutex
 	crashes atomic.Int32
 	started atomic.Int32
 	stopped atomic.Bool
@@ -58,7 +57,7 @@
 	}
 	go func() {
 		for i := 0; !f.stopped.Load(); i++ {
-			time.Sleep(newsPeriod / time.Duration(nodes))
+			time.Sleep(exchangePeriod / time.Duration(nodes))
 			f.send(i % nodes)
 		}
 	}()
@@ -66,21 +65,21 @@
 	return f
 }
 
-// announce sends the news of a node to all others after newsDelay.
+// announce sends the reports of a node to all others after exchangeDelay.
 func (f *relayFleet) announce(node int) {
 	if f.pending[node].CompareAndSwap(false, true) {
-		time.AfterFunc(newsDelay, func() { f.send(node) })
+		time.AfterFunc(exchangeDelay, func() { f.send(node) })
 	}
 }
 
 func (f *relayFleet) send(node int) {
 	f.pending[node].Store(false)
 	from := f.nodes[node]
-	news, claims := from.Quarantine.News(), from.Claims.Own()
+	report, claims := from.Quarantine.Report(), from.Claims.Own()
 	name := fmt.Sprint(node)
 	for i, to := range f.nodes {
 		if i != node {
-			to.Quarantine.Merge(name, news)
+			to.Quarantine.Merge(name, report)
 			to.Claims.SetRemote(name, claims)
 		}
 	}
--- a/scheduler/parts.go
+++ b/scheduler/parts.go
@@ -25,8 +25,8 @@
 func (c *core) newParts() *quarantine.Tracker {
 	t := quarantine.New(func() time.Duration { return c.partsNow + partsClockOffset })
 	t.OnEvent = func(e quarantine.Event) {
-		c.hooks.count("quarantine_"+e.Change, 1)
-		c.hooks.log.Warn("prompt parts "+e.Change, zap.Strings("parts", quarantine.Strings(e.Parts)), zap.Int("crashes", e.Crashes),
+		c.hooks.count("quarantine_"+string(e.Change), 1)
+		c.hooks.log.Warn("prompt parts "+string(e.Change), zap.Strings("parts", quarantine.Strings(e.Parts)), zap.Int("crashes", e.Crashes),
 			zap.String("source", e.Source))
 	}
 	t.MayProbe = func() bool { return true }
--- a/scheduler/permits.go
+++ b/scheduler/permits.go
@@ -134,7 +134,7 @@
 		c.release(&r.Releases[i], now)
 	}
 	c.mergeStrikes(r.Strikes, r.Gateway, now)
-	c.partsAt(now).Merge(r.Gateway, quarantine.News{Verdicts: r.Quarantines})
+	c.partsAt(now).Merge(r.Gateway, quarantine.Report{Verdicts: r.Quarantines})
 	if r.Partial {
 		return toRemember{}
 	}
