Nodes report only the parts of a crash that no run is known to have survived; one spec listed

A node that has never run a part suspected it with each reported crash until the others told of its survival, which takes seconds among many nodes. The node that reports the crash knows.

--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -235,11 +235,14 @@
 	t.addCrashLocked(endpoint, now, kept, "")
 }
 
-// reportedPartsLocked returns the parts in their order, those that no run has survived first, up to
-// maxReportedParts.
+// reportedPartsLocked returns those of the parts that no run is known to have survived, or all if there
+// are none, up to maxReportedParts. Other nodes may not know that runs survive the rest.
 func (t *Tracker) reportedPartsLocked(parts []Part, now time.Duration) []Part {
 	of := candidatesOf(parts, now, t.survivalLocked)
-	kept := append(of.unproven, of.proven...)
+	kept := of.unproven
+	if len(kept) == 0 {
+		kept = of.proven
+	}
 	return kept[:min(len(kept), maxReportedParts)]
 }
 
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -281,6 +281,17 @@
 		Expect(b.stateOf(parts{deadly})).To(Equal(quarantine.Suspect))
 	})
 
+	// Guards against a part that all requests have and that is suspected at a node which has not run it,
+	// until the others tell of it: with many nodes that takes seconds.
+	It("do not suspect what the node that reports a crash has run before", func() {
+		a.survive(parts{common})
+		pass(time.Minute)
+		a.RecordCrash(1, parts{common, deadly})
+		b.Merge("a", a.Report())
+		Expect(b.stateOf(parts{common})).To(Equal(quarantine.Clear))
+		Expect(b.stateOf(parts{deadly})).To(Equal(quarantine.Suspect))
+	})
+
 	// Guards against a quarantine that has ended and comes back from a node that was cut off meanwhile.
 	It("agree on the survival after a cut", func() {
 		for range 3 {
--- a/relay/parts_fleet_test.go
+++ b/relay/parts_fleet_test.go
@@ -140,6 +140,7 @@
 		case strings.Contains(target, "deadly"):
 		case result.Refusal != nil:
 			refused++
+			AddReportEntry("refused", result.Refusal.Error())
 		case !result.Broken:
 			served++
 		}
