A death is announced before the caller learns of it, not before a retry

It is needed only where the request ends without a whole answer: then its caller may come again at any node.

Measured: 'kills each engine' passes; figures of lookups were not taken.

--- a/relay/dead_endpoint.go
+++ b/relay/dead_endpoint.go
@@ -109,7 +109,7 @@
 	j.Log.Warn("endpoint died of a request", zap.String("request", j.r.ID), zap.String("endpoint", in.ID),
 		logging.FingerprintField(uint64(j.r.Fingerprint)), zap.String("address", in.Address), zap.Int("strikes", strikes),
 		zap.Strings("parts", quarantine.Strings(j.r.Parts)), zap.Int("events", j.prog.count))
-	j.announceDeath(ctx)
+	j.struck.Store(true)
 }
 
 // announceTimeout limits the wait until a death has been announced.
@@ -127,7 +127,8 @@
 // strikeAfterCut calls strikeIfDead for a stream that was cut off and may be resumed from a copy.
 // The check runs in the background so that it does not delay the resumption, and the returned
 // function waits for it. If this death would reach strikeLimit, or the run had not gone on past its
-// first event, the check is finished before strikeAfterCut returns. A caller that learns of the loss may send the request again immediately,
+// first event, the check is finished before strikeAfterCut returns. A caller that learns of the loss
+// may send the request again immediately,
 // and the strike must be recorded before that.
 func (j *job) strikeAfterCut(ctx context.Context, p *fleet.Placement) (wait func()) {
 	if !j.proven || j.Strikes.Count(j.r.Fingerprint)+1 >= strikeLimit {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -231,7 +232,11 @@
 	if r.Resumes && !r.Forwarded {
 		metrics.Count("stream_resumed_by_caller")
 	}
-	return job.withProgress(job.serve(ctx))
+	result := job.serve(ctx)
+	if job.struck.Load() && (result.Broken || result.Refusal != nil) {
+		job.announceDeath(ctx)
+	}
+	return job.withProgress(result)
 }
 
 // serve has the request served by another node or serves it.
@@ -267,6 +272,8 @@
 	// event.
 	partClaims      []Claim
 	probing, proven bool
+	// struck is set once a strike was recorded against the request.
+	struck atomic.Bool
 	// ran is set once an endpoint may have executed the request.
 	ran bool
 	// declined is set once the request was to be forwarded and no other node accepted it.
