--- a/tests/node/deadly_parts_test.go
+++ b/tests/node/deadly_parts_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/crocusreel/crocusreel/internal/standin/admin"
 	"github.com/crocusreel/crocusreel/internal/standin/worker"
 	"github.com/crocusreel/crocusreel/platform"
 )
@@ -343,3 +345,69 @@
 		Entry("all at once", 10, time.Duration(0)),
 	)
 })
+
+var _ = Describe("the row of a quarantine", func() {
+	// rows returns the keys of the rows.
+	rows := func(p *crashingPool) func() []string {
+		return func() []string {
+			listing, err := p.store.List(context.Background(), "quarantine")
+			if err != nil {
+				return nil
+			}
+			var keys []string
+			for _, row := range listing.Rows {
+				keys = append(keys, row.Key)
+			}
+			return keys
+		}
+	}
+	quarantined := func() *crashingPool {
+		p := newCrashingPool(14, "bad")
+		p.start(3)
+		load := &partsLoad{
+			pool: p, deadly: func(int) string { return "f1:79,bad:400" }, sound: func(int) string { return "f1:79" },
+			deadlyGap: 60 * time.Millisecond, path: "/drafts/", length: 4 * time.Second,
+		}
+		load.run()
+		Eventually(rows(p), 3*time.Second, 50*time.Millisecond).Should(Equal([]string{"bad"}))
+		return p
+	}
+
+	// Guards against a wrong verdict that an operator cannot end.
+	It("ends it at all nodes when an operator removes it", func() {
+		p := quarantined()
+		p.write(platform.Write{Table: "quarantine", Key: "bad", Delete: true})
+		released := func(n *nodeProcess) func() bool {
+			return func() bool { return p.logged(n, "prompt parts released", "parts=[bad]") }
+		}
+		for _, n := range p.nodes {
+			Eventually(released(n), 15*time.Second, 100*time.Millisecond).Should(BeTrue(), n.ip)
+		}
+		crashes := p.crashCount()
+		p.sendParts(0, "/drafts/after", "f1:79,bad:400,e:1")
+		Expect(p.crashCount()).To(Equal(crashes + 1))
+	})
+
+	// Guards against a row that is lost when the store goes back to a copy, and is then taken for one that
+	// an operator has removed.
+	It("is written again after the store was restored from a copy without it", func() {
+		p := newCrashingPool(14, "bad")
+		ctx := GinkgoT().Context()
+		p.start(3)
+		Expect(p.faults.SetFaults(ctx, admin.PlatformFaults{KeepCopy: true})).To(Succeed())
+		load := &partsLoad{
+			pool: p, deadly: func(int) string { return "f1:79,bad:400" }, sound: func(int) string { return "f1:79" },
+			deadlyGap: 60 * time.Millisecond, path: "/drafts/", length: 4 * time.Second,
+		}
+		load.run()
+		Eventually(rows(p), 3*time.Second, 50*time.Millisecond).Should(Equal([]string{"bad"}))
+		Expect(p.faults.SetFaults(ctx, admin.PlatformFaults{Restore: true})).To(Succeed())
+		Eventually(rows(p), 8*time.Second, 50*time.Millisecond).Should(Equal([]string{"bad"}))
+		crashes := p.crashCount()
+		time.Sleep(12 * time.Second)
+		for i := range 6 {
+			Expect(p.sendParts(i, fmt.Sprintf("/drafts/again%d", i), "f1:79,bad:400,e:1").status).To(Equal(http.StatusServiceUnavailable))
+		}
+		Expect(p.crashCount()).To(Equal(crashes))
+	})
+})
