--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -50,7 +50,7 @@
 }
 
 // quarantineRows keeps the rows of the store up to date. Only the goroutine of keepQuarantine uses it,
-// apart from known.
+// apart from known and changed.
 type quarantineRows struct {
 	// known is set once this node has learnt of all quarantines.
 	known atomic.Bool
