Quarantines are told in turn; rows of expired ones stay in the store; one conversion of parts

Found by reading for verdicts that time alone ends: a report held only the four verdicts that were refused last, so that with more of them a node that got no such request itself dropped a verdict after 30 minutes although others refused requests for it all the time; and a node cut off from the others, but not from the store, removed the row of a verdict that they kept, which they took for an operator's removal and ended it.

Change: reports hold the verdicts that were reported longest ago, so that all come round. Rows are removed only where a run has survived, and beyond 256 the oldest. IDs and parts are converted in one place for nodes and schedulers.

--- a/node/forward.go
+++ b/node/forward.go
@@ -19,6 +19,7 @@
 	"github.com/crocusreel/crocusreel/gossip"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/peer"
+	"github.com/crocusreel/crocusreel/quarantine"
 	"github.com/crocusreel/crocusreel/reach"
 	"github.com/crocusreel/crocusreel/relay"
 	"github.com/crocusreel/crocusreel/routing"
@@ -308,7 +309,7 @@
 		Service: r.Service.Name, ConfigVersion: r.ConfigVersion, ElapsedUs: uint64(max(time.Since(r.Received).Microseconds(), 0)),
 		PromptTokens: uint32(r.Size.Prompt), MaxOutputTokens: uint32(r.Size.MaxOutput), LengthHint: uint32(r.Size.Hint),
 		Fingerprint: uint64(r.Fingerprint), Counted: r.Counted, Runs: uint32(r.Runs),
-		LastEvent: r.LastEvent, Resumes: r.Resumes, PromptParts: encodeParts(r.Parts),
+		LastEvent: r.LastEvent, Resumes: r.Resumes, PromptParts: quarantine.IDs(r.Parts),
 		Route: &exchangev1.ForwardRoute{
 			Name: r.Route.Name, Kind: int32(r.Route.Kind), TargetLatencyMs: uint32(r.Route.TargetLatency.Milliseconds()),
 			Priority: int32(r.Route.Priority), MaxAttempts: uint32(r.Route.MaxAttempts), Regions: r.Route.Regions,
--- a/node/forward_server.go
+++ b/node/forward_server.go
@@ -12,6 +12,7 @@
 
 	"github.com/crocusreel/crocusreel/exchange/exchangev1"
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/quarantine"
 	"github.com/crocusreel/crocusreel/reach"
 	"github.com/crocusreel/crocusreel/relay"
 	"github.com/crocusreel/crocusreel/routing"
@@ -109,7 +110,7 @@
 		Runs:          int(m.GetRuns()),
 		LastEvent:     m.GetLastEvent(),
 		Resumes:       m.GetResumes(),
-		Parts:         readParts(m.GetPromptParts()),
+		Parts:         quarantine.PartsOf(m.GetPromptParts()),
 	}
 	if refusal := n.entry.RefuseLateStream(r.Route, r.Size); refusal != nil {
 		return nil, refusal.Message
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -38,6 +39,8 @@
 	// quarantineCheckInterval is the interval at which one node checks whether an operator has removed
 	// rows.
 	quarantineCheckInterval = 10 * time.Second
+	// maxQuarantineRows bounds the rows in the store.
+	maxQuarantineRows = 256
 	// quarantineLoadTimeout is the time from which a node that knows the configuration serves although
 	// it could not learn the quarantined parts.
 	quarantineLoadTimeout = 2 * time.Second
@@ -217,10 +220,14 @@
 	return v, nil
 }
 
-// removeQuarantineRows removes the rows of quarantines that have ended.
+// removeQuarantineRows removes the rows of quarantines that have ended because a run survived. Those of
+// quarantines that have expired stay: a node that hears nobody must not remove the row of one that others
+// keep.
 func (n *Node) removeQuarantineRows(ctx context.Context) error {
 	rows := n.quarantineRows
-	n.relay.Quarantine.Expire()
+	for _, key := range n.relay.Quarantine.Expire() {
+		delete(rows.stored, key)
+	}
 	verdicts := n.relay.Quarantine.Verdicts()
 	for _, v := range verdicts {
 		if v.Stored {
@@ -290,6 +297,9 @@
 	if err != nil || listing.Era != rows.era {
 		return err
 	}
+	if err := n.pruneQuarantineRows(ctx, listing.Rows); err != nil {
+		return err
+	}
 	for key := range rows.stored {
 		if slices.ContainsFunc(listing.Rows, func(row platform.Row) bool { return row.Key == key }) {
 			continue
@@ -301,6 +311,26 @@
 	return nil
 }
 
+// pruneQuarantineRows removes the oldest of the rows beyond maxQuarantineRows whose quarantines this node
+// does not have.
+func (n *Node) pruneQuarantineRows(ctx context.Context, listed []platform.Row) error {
+	excess := len(listed) - maxQuarantineRows
+	byAge := slices.SortedFunc(slices.Values(listed), func(a, b platform.Row) int { return cmp.Compare(a.Version, b.Version) })
+	for _, row := range byAge {
+		if excess <= 0 {
+			return nil
+		}
+		if n.quarantineRows.stored[row.Key] {
+			continue
+		}
+		if err := n.commitQuarantine(ctx, platform.Write{Key: row.Key, Delete: true}); err != nil {
+			return err
+		}
+		excess--
+	}
+	return nil
+}
+
 // addressRank returns the number of live nodes with lower addresses.
 func (n *Node) addressRank() int {
 	rank := 0
@@ -332,7 +362,7 @@
 func (n *Node) quarantineReport(s *exchangev1.NodeState) {
 	report := n.relay.Quarantine.Report()
 	for _, c := range report.Crashes {
-		s.PartCrashes = append(s.PartCrashes, &exchangev1.PartCrash{Endpoint: c.Endpoint, AgeMs: uint32(c.Age.Milliseconds()), Parts: encodeParts(c.Parts)})
+		s.PartCrashes = append(s.PartCrashes, &exchangev1.PartCrash{Endpoint: c.Endpoint, AgeMs: uint32(c.Age.Milliseconds()), Parts: quarantine.IDs(c.Parts)})
 	}
 	for _, v := range report.Survivals {
 		s.PartSurvivals = append(s.PartSurvivals, &exchangev1.PartSurvival{Part: uint64(v.Part), AgeMs: uint32(v.Age.Milliseconds())})
@@ -343,7 +373,7 @@
 func (n *Node) applyPeerQuarantine(s *exchangev1.NodeState) {
 	report := quarantine.Report{Verdicts: readVerdicts(s.GetQuarantines())}
 	for _, c := range s.GetPartCrashes() {
-		report.Crashes = append(report.Crashes, quarantine.CrashReport{Endpoint: c.GetEndpoint(), Age: millis(uint64(c.GetAgeMs())), Parts: readParts(c.GetParts())})
+		report.Crashes = append(report.Crashes, quarantine.CrashReport{Endpoint: c.GetEndpoint(), Age: millis(uint64(c.GetAgeMs())), Parts: quarantine.PartsOf(c.GetParts())})
 	}
 	for _, v := range s.GetPartSurvivals() {
 		report.Survivals = append(report.Survivals, quarantine.Survival{Part: quarantine.Part(v.GetPart()), Age: millis(uint64(v.GetAgeMs()))})
@@ -355,7 +385,7 @@
 	var encoded []*exchangev1.Quarantine
 	for _, v := range verdicts {
 		m := &exchangev1.Quarantine{
-			Parts: encodeParts(v.Parts), Crashes: uint32(v.Crashes), CrashAgeMs: uint64(max(v.CrashAge.Milliseconds(), 0)), Stored: v.Stored,
+			Parts: quarantine.IDs(v.Parts), Crashes: uint32(v.Crashes), CrashAgeMs: uint64(max(v.CrashAge.Milliseconds(), 0)), Stored: v.Stored,
 		}
 		if v.RefusedAge >= 0 {
 			age := uint64(v.RefusedAge.Milliseconds())
@@ -370,7 +400,7 @@
 	var verdicts []quarantine.Verdict
 	for _, m := range encoded {
 		v := quarantine.Verdict{
-			Parts: readParts(m.GetParts()), Crashes: int(m.GetCrashes()), CrashAge: millis(m.GetCrashAgeMs()), RefusedAge: -1, Stored: m.GetStored(),
+			Parts: quarantine.PartsOf(m.GetParts()), Crashes: int(m.GetCrashes()), CrashAge: millis(m.GetCrashAgeMs()), RefusedAge: -1, Stored: m.GetStored(),
 		}
 		if m.RefusedAgeMs != nil {
 			v.RefusedAge = millis(m.GetRefusedAgeMs())
@@ -379,19 +409,3 @@
 	}
 	return verdicts
 }
-
-func encodeParts(parts []quarantine.Part) []uint64 {
-	encoded := make([]uint64, 0, len(parts))
-	for _, p := range parts {
-		encoded = append(encoded, uint64(p))
-	}
-	return encoded
-}
-
-func readParts(encoded []uint64) []quarantine.Part {
-	var parts []quarantine.Part
-	for _, p := range encoded {
-		parts = append(parts, quarantine.Part(p))
-	}
-	return parts
-}
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -18,3 +18,21 @@
 	}
 	return ids
 }
+
+// PartsOf returns the parts with the given IDs.
+func PartsOf(ids []uint64) []Part {
+	parts := make([]Part, 0, len(ids))
+	for _, id := range ids {
+		parts = append(parts, Part(id))
+	}
+	return parts
+}
+
+// IDs returns the IDs of parts as they are sent in messages.
+func IDs(parts []Part) []uint64 {
+	ids := make([]uint64, 0, len(parts))
+	for _, p := range parts {
+		ids = append(ids, uint64(p))
+	}
+	return ids
+}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -24,25 +26,35 @@
 			n.Survivals = append(n.Survivals, Survival{Part: p, Age: now - s.own})
 		}
 	}
-	n.Verdicts = t.verdictsLocked(maxReportedVerdicts)
+	n.Verdicts = t.nextVerdictsLocked(now)
 	return n
 }
 
+// nextVerdictsLocked returns up to maxReportedVerdicts verdicts: those that were reported longest ago, so
+// that the others learn of all of them, and of the refusals for each, within some reports.
+func (t *Tracker) nextVerdictsLocked(now time.Duration) []Verdict {
+	if len(t.verdicts) == 0 {
+		return nil
+	}
+	keys := slices.SortedFunc(maps.Keys(t.verdicts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(t.verdicts[a].reported, t.verdicts[b].reported), cmp.Compare(a, b))
+	})
+	var verdicts []Verdict
+	for _, key := range keys[:min(len(keys), maxReportedVerdicts)] {
+		t.reports++
+		t.verdicts[key].reported = t.reports
+		verdicts = append(verdicts, t.verdicts[key].export(now))
+	}
+	return verdicts
+}
+
 // Verdicts returns all verdicts, the one that was refused last first.
 func (t *Tracker) Verdicts() []Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.verdictsLocked(maxVerdicts)
-}
-
-func (t *Tracker) verdictsLocked(limit int) []Verdict {
-	if len(t.verdicts) == 0 {
-		return nil
-	}
-	keys := t.keysByRefusalLocked()
-	verdicts := make([]Verdict, 0, len(keys))
+	var verdicts []Verdict
 	now := t.now()
-	for _, key := range keys[:min(len(keys), limit)] {
+	for _, key := range t.keysByRefusalLocked() {
 		verdicts = append(verdicts, t.verdicts[key].export(now))
 	}
 	return verdicts
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -139,7 +139,9 @@
 	ownCrashes []ownCrash
 	// survivalsUntil holds the parts whose survival on this node is reported, and until when.
 	survivalsUntil map[Part]time.Duration
-	events         []Event
+	// reports counts the verdicts that were reported.
+	reports uint64
+	events  []Event
 }
 
 // New returns a Tracker without evidence. The function now reads a monotonic clock that is positive.
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -330,6 +330,29 @@
 		Expect(b.Expire()).To(HaveLen(1))
 	})
 
+	// Guards against verdicts that are never told, or that end at a node which gets no request with the part
+	// although others refuse such requests all the time, because a report holds only some of them.
+	It("keep each of many quarantines while one of them refuses requests", func() {
+		for n := range quarantine.Part(10) {
+			for range 3 {
+				pass(time.Second)
+				a.endpoints++
+				a.RecordCrash(a.endpoints, parts{100 + n})
+			}
+		}
+		for range 30 {
+			for n := range quarantine.Part(10) {
+				Expect(a.stateOf(parts{100 + n})).To(Equal(quarantine.Quarantined))
+			}
+			for range 5 {
+				exchange()
+			}
+			Expect(b.Verdicts()).To(HaveLen(10))
+			pass(10 * time.Minute)
+			Expect(b.Expire()).To(BeEmpty())
+		}
+	})
+
 	It("pass the quarantine on to a node that starts", func() {
 		for range 3 {
 			a.crash(parts{rare, deadly})
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -48,6 +48,8 @@
 	probes                  int
 	probeAt                 time.Duration
 	stored                  bool
+	// reported is the number of the last report that held the verdict, 0 for none.
+	reported uint64
 }
 
 func (v *verdict) scheduleProbe(now time.Duration) {
--- a/scheduler/convert.go
+++ b/scheduler/convert.go
@@ -83,11 +83,9 @@
 func quarantinesToWire(verdicts []quarantine.Verdict) []*peerv1.Quarantine {
 	out := make([]*peerv1.Quarantine, 0, min(len(verdicts), maxQuarantinesInReport))
 	for _, v := range verdicts[:min(len(verdicts), maxQuarantinesInReport)] {
-		m := &peerv1.Quarantine{Crashes: uint32(v.Crashes), CrashAgeMs: uint64(max(v.CrashAge.Milliseconds(), 0))}
-		for _, p := range v.Parts {
-			m.Prefixes = append(m.Prefixes, uint64(p))
-		}
-		out = append(out, m)
+		out = append(out, &peerv1.Quarantine{
+			Prefixes: quarantine.IDs(v.Parts), Crashes: uint32(v.Crashes), CrashAgeMs: uint64(max(v.CrashAge.Milliseconds(), 0)),
+		})
 	}
 	return out
 }
@@ -96,7 +94,7 @@
 	var out []quarantine.Verdict
 	for _, m := range in {
 		out = append(out, quarantine.Verdict{
-			Parts: prefixParts(m.GetPrefixes()), Crashes: int(m.GetCrashes()), CrashAge: time.Duration(m.GetCrashAgeMs()) * time.Millisecond, RefusedAge: -1,
+			Parts: quarantine.PartsOf(m.GetPrefixes()), Crashes: int(m.GetCrashes()), CrashAge: time.Duration(m.GetCrashAgeMs()) * time.Millisecond, RefusedAge: -1,
 		})
 	}
 	return out
--- a/scheduler/parts.go
+++ b/scheduler/parts.go
@@ -39,20 +39,12 @@
 	return c.parts
 }
 
-func prefixParts(prefixes []uint64) []quarantine.Part {
-	parts := make([]quarantine.Part, 0, len(prefixes))
-	for _, p := range prefixes {
-		parts = append(parts, quarantine.Part(p))
-	}
-	return parts
-}
-
 // assessParts returns what is known of the prefixes of a queued request.
 func (c *core) assessParts(w *queuedRequest, now time.Duration) quarantine.Assessment {
 	if c.pc.cfg.Limits.Strikes <= 0 {
 		return quarantine.Assessment{}
 	}
-	a := c.partsAt(now).Assess(prefixParts(w.req.Prefixes), w.probing)
+	a := c.partsAt(now).Assess(quarantine.PartsOf(w.req.Prefixes), w.probing)
 	w.probing = w.probing || a.Probe
 	return a
 }
@@ -93,10 +85,10 @@
 		return
 	}
 	death := p.deathID()
-	c.partsAt(now).RecordCrash(uint32(death^death>>32), prefixParts(p.Prefixes))
+	c.partsAt(now).RecordCrash(uint32(death^death>>32), quarantine.PartsOf(p.Prefixes))
 }
 
 // provePrefixes records that a run with the prefixes has gone on past its first event.
 func (c *core) provePrefixes(prefixes []uint64, now time.Duration) {
-	c.partsAt(now).RecordSurvival(prefixParts(prefixes))
+	c.partsAt(now).RecordSurvival(quarantine.PartsOf(prefixes))
 }
--- a/scheduler/permits.go
+++ b/scheduler/permits.go
@@ -155,7 +155,7 @@
 
 // hasSuspectPrefix reports whether a prefix may crash engines.
 func (c *core) hasSuspectPrefix(prefixes []uint64, now time.Duration) bool {
-	return c.pc.cfg.Limits.Strikes > 0 && c.partsAt(now).Assess(prefixParts(prefixes), true).State != quarantine.Clear
+	return c.pc.cfg.Limits.Strikes > 0 && c.partsAt(now).Assess(quarantine.PartsOf(prefixes), true).State != quarantine.Clear
 }
 
 // applyReportedPermit updates a permit from a report, or adopts one that an earlier scheduler
