A node that learns of its first configuration from two sources at once does not end

The second one finds that it is not newer and logs the version of the one that it had read before, which was none: a nil pointer.

A request that is forwarded to a node without a configuration is declined before its table is read (by reading).

--- a/node/configuration.go
+++ b/node/configuration.go
@@ -67,10 +67,12 @@
 	}
 	s.Table = routing.NewTable(c)
 	if !n.config.Apply(s) {
+		// Another source may have told of the first configuration meanwhile.
+		known, _ = n.config.Current()
 		if s.Revision.Era != known.Revision.Era {
 			metrics.Count("configuration_outdated")
 			n.log.Info("configuration not applied: the known one is newer", zap.Int64("config_version", c.Version),
-				zap.Int64("row", s.Revision.Version), zap.Int64("era", s.Revision.Era), zap.Int64("known", known.Table.Version),
+				zap.Int64("row", s.Revision.Version), zap.Int64("era", s.Revision.Era), zap.Int64("known", known.Number()),
 				zap.Int64("known_row", known.Revision.Version), zap.Int64("known_era", known.Revision.Era))
 		}
 		return
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"go.uber.org/zap"
@@ -201,3 +202,19 @@
 	RateMessages  = rateMessages
 	ReportedRates = reportedRates
 )
+
+// NewConfigurable returns a node that is not running and to which configurations can be applied.
+func NewConfigurable(callers net.Listener, log *zap.Logger) *Node {
+	n := New(&platform.NodeSettings{IP: "127.0.0.1", MemoryMB: 134}, nil, log)
+	n.callerServer = newCallerServer(n.entry, callers)
+	return n
+}
+
+// Configure applies a configuration as it was read from the store.
+func (n *Node) Configure(s knowledge.Snapshot) { n.applyConfiguration(s) }
+
+// ConfigVersion returns the version of the known configuration, 0 if there is none.
+func (n *Node) ConfigVersion() int64 {
+	known, _ := n.config.Current()
+	return known.Number()
+}
--- a/node/forward_server.go
+++ b/node/forward_server.go
@@ -85,7 +85,7 @@
 		return nil, "the call has no timeout"
 	}
 	known, _ := n.config.Current()
-	if !n.ready() && !n.gate.Leaving() {
+	if known.Table == nil || !n.ready() && !n.gate.Leaving() {
 		return nil, "this node is not ready"
 	}
 	service := known.Table.Services[m.GetService()]
