Crashes count as evidence for an hour; the model exchanges as seldom as many nodes do

Requests with a deadly part that come more than ten minutes apart crashed an engine each: the evidence of the one before was forgotten. The new spec failed before.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -7,7 +7,7 @@
 
 const (
 	// crashMemory is how long a crash counts as evidence.
-	crashMemory = 10 * time.Minute
+	crashMemory = time.Hour
 	// survivalMemory is the time for which a part that a run has survived is not suspected of single
 	// crashes.
 	survivalMemory = 10 * time.Minute
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -182,6 +182,17 @@
 		Expect(b.Verdicts()).To(BeEmpty())
 	})
 
+	// Guards against evidence that is forgotten between requests that come seldom: each would crash an engine.
+	It("is drawn on a part whose requests come half an hour apart", func() {
+		for range 2 {
+			b.crash(parts{deadly})
+			b.now += 29 * time.Minute
+			Expect(b.stateOf(parts{deadly})).To(Equal(quarantine.Suspect))
+		}
+		b.crash(parts{deadly})
+		Expect(b.stateOf(parts{deadly})).To(Equal(quarantine.Quarantined))
+	})
+
 	It("lets one request through as a probe, more and more seldom", func() {
 		b.MayProbe = func() bool { return true }
 		for range 3 {
--- a/relay/parts_fleet_test.go
+++ b/relay/parts_fleet_test.go
@@ -20,9 +20,10 @@
 
 const (
 	// exchangeDelay is the time from a change at a node until all others know it, exchangePeriod that between
-	// regular reports.
+	// regular reports of up to fullRateNodes nodes; it grows in proportion to further nodes.
 	exchangeDelay  = 5 * time.Millisecond
 	exchangePeriod = 150 * time.Millisecond
+	fullRateNodes  = 8
 	// engineRestart is the time until a crashed engine is back.
 	engineRestart = time.Second
 )
@@ -57,7 +58,7 @@
 	}
 	go func() {
 		for i := 0; !f.stopped.Load(); i++ {
-			time.Sleep(exchangePeriod / time.Duration(nodes))
+			time.Sleep(exchangePeriod / time.Duration(min(nodes, fullRateNodes)))
 			f.send(i % nodes)
 		}
 	}()
