--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -212,16 +211,6 @@
 	return Assessment{}
 }
 
-// inVerdictLocked reports whether the part is one of several parts of a verdict.
-func (t *Tracker) inVerdictLocked(p Part) bool {
-	for _, v := range t.verdicts {
-		if slices.Contains(v.parts, p) {
-			return true
-		}
-	}
-	return false
-}
-
 // RecordCrash records the death of an engine on which this node ran a request with the parts that had
 // not gone on past its first event.
 func (t *Tracker) RecordCrash(endpoint uint32, parts []Part) {
@@ -302,23 +291,6 @@
 	}
 }
 
-// clearedLocked removes a part that was survived at the given time from the verdicts.
-func (t *Tracker) clearedLocked(p Part, at time.Duration, source string) {
-	for key, v := range t.verdicts {
-		if !slices.Contains(v.parts, p) || at <= v.crashedAt {
-			continue
-		}
-		delete(t.verdicts, key)
-		t.events = append(t.events, Event{Change: Released, Parts: []Part{p}, Crashes: v.crashes, Source: source})
-		rest := slices.DeleteFunc(slices.Clone(v.parts), func(other Part) bool { return other == p })
-		if len(rest) == 0 {
-			continue
-		}
-		v.parts, v.stored = rest, false
-		t.verdicts[verdictKey(rest)] = v
-	}
-}
-
 // judgeLocked draws the conclusions from the evidence and reports what has changed.
 func (t *Tracker) judgeLocked(source string) {
 	now := t.now()
@@ -342,16 +314,6 @@
 	t.suspicionsChangedLocked(before, source)
 }
 
-// quarantinedLocked reports whether the parts of a run include those of a verdict.
-func (t *Tracker) quarantinedLocked(run []Part) bool {
-	for _, v := range t.verdicts {
-		if containsAll(run, v.parts) {
-			return true
-		}
-	}
-	return false
-}
-
 func (t *Tracker) suspicionsChangedLocked(before map[Part]bool, source string) {
 	var added, removed []Part
 	for p := range t.blame.suspects {
@@ -371,43 +333,3 @@
 		t.events = append(t.events, Event{Change: Cleared, Parts: sortedParts(removed), Source: source})
 	}
 }
-
-// quarantineLocked adds a verdict. It replaces those on more parts, and is left out if there is one on
-// fewer.
-func (t *Tracker) quarantineLocked(v *verdict, source string) {
-	v.parts = v.parts[:min(len(v.parts), maxVerdictParts)]
-	for key, other := range t.verdicts {
-		switch {
-		case containsAll(v.parts, other.parts):
-			return
-		case containsAll(other.parts, v.parts):
-			delete(t.verdicts, key)
-		}
-	}
-	now := t.now()
-	v.refusedAt = max(v.refusedAt, now)
-	v.scheduleProbe(now)
-	t.verdicts[verdictKey(v.parts)] = v
-	t.events = append(t.events, Event{Change: MadeQuarantined, Parts: v.parts, Crashes: v.crashes, Source: source})
-	if len(t.verdicts) > maxVerdicts {
-		t.dropLongestIdleLocked()
-	}
-}
-
-func (t *Tracker) dropLongestIdleLocked() {
-	keys := t.keysByRefusalLocked()
-	t.expireLocked(keys[len(keys)-1])
-}
-
-// keysByRefusalLocked returns the keys of the verdicts, the one that was refused last first.
-func (t *Tracker) keysByRefusalLocked() []string {
-	return slices.SortedFunc(maps.Keys(t.verdicts), func(a, b string) int {
-		return cmp.Or(cmp.Compare(t.verdicts[b].refusedAt, t.verdicts[a].refusedAt), cmp.Compare(a, b))
-	})
-}
-
-func (t *Tracker) expireLocked(key string) {
-	v := t.verdicts[key]
-	delete(t.verdicts, key)
-	t.events = append(t.events, Event{Change: Expired, Parts: v.parts, Crashes: v.crashes})
-}
