--- a/relay/call.go
+++ b/relay/call.go
@@ -87,7 +87,7 @@
 			j.ran = true
 		}
 		if got.broken() {
-			j.strikeIfDead(ctx, p)
+			j.strikeIfDead(ctx, p, j.prog.count)
 		}
 		if ctx.Err() != nil || !j.mayContinue(got, j.r.Runs) || j.strikeLimitReached() {
 			return j.exhausted(ctx, errorAnswer, j.failureRefusal(got))
--- a/relay/dead_endpoint.go
+++ b/relay/dead_endpoint.go
@@ -97,8 +97,9 @@
 
 // strikeIfDead records a strike against the request if the placement's endpoint has died. An
 // endpoint that announced its departure is exempt, because it did not die of the request, unless
-// its incarnation is known to have ended: a restart marks the old incarnation as leaving, too.
-func (j *job) strikeIfDead(ctx context.Context, p *fleet.Placement) {
+// its incarnation is known to have ended: a restart marks the old incarnation as leaving, too. events is
+// the number of events that the caller had when the run was lost.
+func (j *job) strikeIfDead(ctx context.Context, p *fleet.Placement, events int) {
 	in := p.Instance()
 	if leaving(p) && p.EndpointContext().Err() == nil || !j.endpointDied(ctx, p) {
 		return
@@ -108,7 +109,7 @@
 	metrics.Count("endpoint_died")
 	j.Log.Warn("endpoint died of a request", zap.String("request", j.r.ID), zap.String("endpoint", in.ID),
 		logging.FingerprintField(uint64(j.r.Fingerprint)), zap.String("address", in.Address), zap.Int("strikes", strikes),
-		zap.Strings("parts", quarantine.Strings(j.r.Parts)), zap.Int("events", j.prog.count))
+		zap.Strings("parts", quarantine.Strings(j.r.Parts)), zap.Int("events", events))
 	j.struck.Store(true)
 }
 
@@ -128,15 +129,15 @@
 // The check runs in the background so that it does not delay the resumption, and the returned
 // function waits for it. If this death would reach strikeLimit, or the run had not gone on past its
 // first event, the check is finished before strikeAfterCut returns. A caller that learns of the loss
-// may send the request again immediately,
-// and the strike must be recorded before that.
+// may send the request again immediately, and the strike must be recorded before that.
 func (j *job) strikeAfterCut(ctx context.Context, p *fleet.Placement) (wait func()) {
+	events := j.prog.count
 	if !j.proven || j.Strikes.Count(j.r.Fingerprint)+1 >= strikeLimit {
-		j.strikeIfDead(ctx, p)
+		j.strikeIfDead(ctx, p, events)
 		return func() {}
 	}
 	var check sync.WaitGroup
-	check.Go(func() { j.strikeIfDead(ctx, p) })
+	check.Go(func() { j.strikeIfDead(ctx, p, events) })
 	return check.Wait
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -91,7 +91,7 @@
 		j.result.Detail = got.cause
 		j.ran = j.ran || !got.notRun
 		if got.broken() {
-			j.strikeIfDead(ctx, p)
+			j.strikeIfDead(ctx, p, j.prog.count)
 		}
 		if ctx.Err() != nil || j.strikeLimitReached() || got.final || !j.mayContinueRun(got) {
 			return nil, j.exhausted(ctx, nil, j.failureRefusal(got))
