A report holds the claim of a deadly request's run or the strike that ended it; the death is shown to be known in time

(2) a node's report read strikes first and claims afterwards: a run that ended in between left neither in the report, and a waiting copy at another node ran as well.

Change: claims are read before strikes (Relay.OwnDeadly), and both before the report of prompt parts.

--- a/node/peers.go
+++ b/node/peers.go
@@ -74,12 +74,14 @@
 	}
 	s.Unreachable = n.ownUnreachable()
 	s.Rates = n.ownRates()
-	for _, k := range n.relay.Strikes.OwnRecent(relay.StrikeBroadcastPeriod) {
-		s.Strikes = append(s.Strikes, &exchangev1.Strike{Work: uint64(k.Work), Endpoint: k.Endpoint})
-	}
-	for _, c := range n.relay.Claims.Own() {
+	claims, strikes := n.relay.OwnDeadly()
+	for _, c := range claims {
 		s.Claims = append(s.Claims, &exchangev1.Claim{Work: uint64(c.Work), Id: c.ID, Running: c.Running})
 	}
+	for _, k := range strikes {
+		s.Strikes = append(s.Strikes, &exchangev1.Strike{Work: uint64(k.Work), Endpoint: k.Endpoint})
+	}
+	// The crash of a run with suspected parts is recorded before its claims are dropped.
 	n.quarantineReport(s)
 	for _, run := range n.relay.Vacated.OwnRecent(vacatedAnnouncePeriod) {
 		s.Vacated = append(s.Vacated, uint32(run))
@@ -160,6 +162,7 @@
 		claims = append(claims, relay.Claim{Work: relay.Fingerprint(c.GetWork()), ID: c.GetId(), Running: c.GetRunning()})
 	}
 	n.applyPeerQuarantine(s)
+	// Requests that wait for a claim to end must find the strike or crash that ended its run.
 	n.relay.Claims.SetRemote(s.GetAddress(), claims)
 }
 
--- a/relay/claims.go
+++ b/relay/claims.go
@@ -164,6 +164,14 @@
 	return n, c.changed
 }
 
+// OwnDeadly returns the claims and the recent strikes of this node, to broadcast to the others. The claims
+// are read first: a request drops its claim after it has recorded the strike of its run. A claim that is
+// missing has therefore either become a strike that is returned, or its run did not kill an endpoint.
+func (l *Relay) OwnDeadly() ([]Claim, []Strike) {
+	claims := l.Claims.Own()
+	return claims, l.Strikes.OwnRecent(StrikeBroadcastPeriod)
+}
+
 // newClaim returns the claim of a request to its work. Its ID is a hash of the request's ID.
 func newClaim(r *Request, running bool) Claim {
 	return Claim{Work: r.Fingerprint, ID: claimID(r), Running: running}
--- a/relay/export_test.go
+++ b/relay/export_test.go
@@ -54,3 +54,12 @@
 
 // Leave records that a run has left the engine.
 func (d *Departure) Leave(runID string) { d.relay.Vacated.markVacated(newRunKey(runID, testEngineKey)) }
+
+// EndDeadlyRun records, as a request does, that an endpoint died of its run, and drops its claim.
+func (l *Relay) EndDeadlyRun(claim Claim, endpoint uint32) {
+	l.Strikes.Add(claim.Work, endpoint)
+	l.Claims.drop(claim)
+}
+
+// SetClaim adds a claim of this node.
+func (l *Relay) SetClaim(claim Claim) { l.Claims.set(claim) }
--- a/relay/parts_fleet_test.go
+++ b/relay/parts_fleet_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/crocusreel/crocusreel/fleet"
+	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/internal/standin/worker"
 	"github.com/crocusreel/crocusreel/quarantine"
 	"github.com/crocusreel/crocusreel/relay"
@@ -19,8 +20,8 @@
 )
 
 const (
-	// exchangeDelay is the time from a change at a node until all others know it, exchangePeriod that between
-	// regular reports of up to fullRateNodes nodes; it grows in proportion to further nodes.
+	// exchangeDelay is the usual delay of a change, exchangePeriod the time between regular reports of up to
+	// fullRateNodes nodes; it grows in proportion to further nodes.
 	exchangeDelay  = 5 * time.Millisecond
 	exchangePeriod = 150 * time.Millisecond
 	fullRateNodes  = 8
@@ -33,24 +34,30 @@
 	deadlyPart quarantine.Part = 0xbad
 )
 
-// relayFleet is a number of relays in one process that tell each other what they know of prompt parts,
-// before engines that crash when they begin an answer to a prompt with deadlyPart.
+// relayFleet is a number of relays in one process that tell each other what they know of deadly requests
+// and prompt parts, before engines that crash when they begin an answer to a deadly request.
 type relayFleet struct {
-	nodes   []*testRelay
+	nodes []*testRelay
+	// delay is the time from a change at a node until all others know it.
+	delay   time.Duration
 	pending []atomic.Bool
+	// crashes counts the runs that crashed their engines, crashed holds the IDs of these engines.
 	crashes atomic.Int32
+	crashed sync.Map
 	started atomic.Int32
 	stopped atomic.Bool
 }
 
-func newRelayFleet(nodes, engines int) *relayFleet {
+func newRelayFleet(nodes, engines int, delay time.Duration) *relayFleet {
 	GinkgoHelper()
-	f := &relayFleet{pending: make([]atomic.Bool, nodes)}
+	f := &relayFleet{delay: delay, pending: make([]atomic.Bool, nodes)}
 	for i := range nodes {
 		n := newTestRelay()
 		n.Quarantine.Broadcast = func() { f.announce(i) }
 		n.Quarantine.OnChange = n.Claims.Notify
 		n.Claims.Broadcast = func() { f.announce(i) }
+		n.Strikes.Broadcast = func() { f.announce(i) }
+		n.Strikes.Announce = func(context.Context) { f.announce(i) }
 		f.nodes = append(f.nodes, n)
 	}
 	for range engines {
@@ -66,20 +73,24 @@
 	return f
 }
 
-// announce sends the reports of a node to all others after exchangeDelay.
+// announce sends the reports of a node to all others after f.delay.
 func (f *relayFleet) announce(node int) {
 	if f.pending[node].CompareAndSwap(false, true) {
-		time.AfterFunc(exchangeDelay, func() { f.send(node) })
+		time.AfterFunc(f.delay, func() { f.send(node) })
 	}
 }
 
 func (f *relayFleet) send(node int) {
 	f.pending[node].Store(false)
 	from := f.nodes[node]
-	report, claims := from.Quarantine.Report(), from.Claims.Own()
+	claims, strikes := from.OwnDeadly()
+	report := from.Quarantine.Report()
 	name := fmt.Sprint(node)
 	for i, to := range f.nodes {
 		if i != node {
+			for _, strike := range strikes {
+				to.Strikes.Merge(strike.Work, strike.Endpoint)
+			}
 			to.Quarantine.Merge(name, report)
 			to.Claims.SetRemote(name, claims)
 		}
@@ -95,6 +106,7 @@
 				return worker.None
 			}
 			f.crashes.Add(1)
+			f.crashed.Store(id, true)
 			time.AfterFunc(engineRestart, func() { f.replace(id) })
 			return worker.CrashAtStart
 		},
@@ -117,6 +129,14 @@
 	f.startEngine()
 }
 
+func (f *relayFleet) crashedEngines() (n int) {
+	f.crashed.Range(func(any, any) bool {
+		n++
+		return true
+	})
+	return n
+}
+
 // play sends sound streams and, from the given time on, deadly ones to the nodes in turn, and returns
 // the numbers of sound streams that were served and refused.
 func (f *relayFleet) play(length, deadlyFrom, deadlyGap, soundGap time.Duration) (served, refused int) {
@@ -162,11 +182,54 @@
 	return served, refused
 }
 
+var _ = Describe("nodes that learn of a death late", func() {
+	// Guards against copies of a deadly request that other nodes run because its caller learns of the
+	// death, and sends them, before these nodes do.
+	It("run a deadly request on no more engines than it may kill", func() {
+		const engineLimit = 3
+		f := newRelayFleet(3, 10, 20*time.Millisecond)
+		serve := func(id int) {
+			n := f.nodes[id%len(f.nodes)]
+			req := n.request(routing.Streaming)
+			req.ID, req.Target = fmt.Sprintf("r%d", id), "/deadly/1"
+			req.Fingerprint = relay.NewFingerprint("ws", req.Target, nil)
+			n.Serve(context.Background(), req, &recordingSink{})
+		}
+		serve(0)
+		Expect(f.crashedEngines()).To(Equal(1))
+		var copies sync.WaitGroup
+		for i := range 9 {
+			copies.Go(func() { serve(1 + i) })
+		}
+		copies.Wait()
+		Expect(f.crashedEngines()).To(Equal(engineLimit))
+	})
+})
+
+var _ = Describe("what a node tells of deadly work", func() {
+	// Guards against reports with neither the claim nor the strike of a run that ends meanwhile: other nodes
+	// would run further copies.
+	It("always has the claim of a run or the strike that ended it", func() {
+		claim := relay.Claim{Work: 7, ID: 1, Running: true}
+		for i := range 100_000 {
+			l := &relay.Relay{Strikes: relay.NewStrikes(boottime.Now), Claims: relay.NewClaims()}
+			l.SetClaim(claim)
+			var end sync.WaitGroup
+			end.Go(func() { l.EndDeadlyRun(claim, 1) })
+			claims, strikes := l.OwnDeadly()
+			end.Wait()
+			if len(claims)+len(strikes) == 0 {
+				Fail(fmt.Sprintf("report %d has neither the claim nor the strike", i))
+			}
+		}
+	})
+})
+
 var _ = Describe("many nodes before engines that a part of prompts crashes", func() {
 	// Guards against a bound on crashes that grows with the number of nodes: each new request meets
 	// another node.
 	DescribeTable("lose no more engines than few nodes do", func(nodes int) {
-		f := newRelayFleet(nodes, 14)
+		f := newRelayFleet(nodes, 14, exchangeDelay)
 		served, refused := f.play(5*time.Second, time.Second, 60*time.Millisecond, 20*time.Millisecond)
 		AddReportEntry("outcome", fmt.Sprintf("%d nodes: %d crashes, %d sound streams served, %d refused", nodes, f.crashes.Load(), served, refused))
 		Expect(f.crashes.Load()).To(BeNumerically("<=", 5))
