--- a/relay/parts_fleet_test.go
+++ b/relay/parts_fleet_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/internal/standin/worker"
@@ -137,9 +138,19 @@
 	return n
 }
 
+// outcomes counts sound streams: those that were served, those that were lost because their engine
+// crashed, and all others, which were refused or broken.
+type outcomes struct{ served, lost, failed int }
+
+// lostWithEngine reports whether a stream ended because the engine crashed on which it ran.
+func (f *relayFleet) lostWithEngine(result relay.Result) bool {
+	_, crashed := f.crashed.Load(result.Endpoint)
+	return crashed && (result.Broken || result.Refusal != nil && result.Refusal.Reason == crocusreel.ReasonEndpointLost)
+}
+
 // play sends sound streams and, from the given time on, deadly ones to the nodes in turn, and returns
-// the numbers of sound streams that were served and refused.
-func (f *relayFleet) play(length, deadlyFrom, deadlyGap, soundGap time.Duration) (served, refused int) {
+// the outcomes of the sound ones.
+func (f *relayFleet) play(length, deadlyFrom, deadlyGap, soundGap time.Duration) (sound outcomes) {
 	var mu sync.Mutex
 	var sending, senders sync.WaitGroup
 	began := time.Now()
@@ -159,11 +170,13 @@
 		defer mu.Unlock()
 		switch {
 		case strings.Contains(target, "deadly"):
-		case result.Refusal != nil:
-			refused++
-			AddReportEntry("refused", result.Refusal.Error())
-		case !result.Broken:
-			served++
+		case f.lostWithEngine(result):
+			sound.lost++
+		case result.Refusal != nil || result.Broken:
+			sound.failed++
+			AddReportEntry("failed", fmt.Sprintf("%s: refusal %v, broken %t", result.Endpoint, result.Refusal, result.Broken))
+		default:
+			sound.served++
 		}
 	}
 	each := func(from, gap time.Duration, do func()) {
@@ -179,7 +192,7 @@
 	})
 	senders.Wait()
 	sending.Wait()
-	return served, refused
+	return sound
 }
 
 var _ = Describe("nodes that learn of a death late", func() {
@@ -230,10 +243,10 @@
 	// another node.
 	DescribeTable("lose no more engines than few nodes do", func(nodes int) {
 		f := newRelayFleet(nodes, 14, exchangeDelay)
-		served, refused := f.play(5*time.Second, time.Second, 60*time.Millisecond, 20*time.Millisecond)
-		AddReportEntry("outcome", fmt.Sprintf("%d nodes: %d crashes, %d sound streams served, %d refused", nodes, f.crashes.Load(), served, refused))
+		sound := f.play(5*time.Second, time.Second, 60*time.Millisecond, 20*time.Millisecond)
+		AddReportEntry("outcome", fmt.Sprintf("%d nodes: %d crashes, sound streams: %+v", nodes, f.crashes.Load(), sound))
 		Expect(f.crashes.Load()).To(BeNumerically("<=", 5))
-		Expect(refused).To(BeZero())
+		Expect(sound.failed).To(BeZero())
 		for _, n := range f.nodes {
 			Expect(n.Quarantine.Assess([]quarantine.Part{deadlyPart}, false).State).To(Equal(quarantine.Quarantined))
 			Expect(n.Quarantine.Assess([]quarantine.Part{commonPart}, false).State).To(Equal(quarantine.Clear))
