A run moves to a slow engine of its data centre rather than to a fast one of another

Cause: a move to an engine that misses the target for pauses cost 2, as much as a copy of a usual run to another data centre. Of the first copies of leaving engines within 20 s, 22 of 88 went to another data centre (10 of 83 on, 6 of 93 without engine rates). Such a copy takes the link of the leaving engine for twice the time, and runs that still waited for it were lost with the engine. Ruled out: refreshes of copies (a few ms each), the number of targets (39 of some 50 in each case).

Result: a spec of fleet that chose the remote engine before. Placement of new work and deployments of equal engines are as before.

--- a/fleet/rates_test.go
+++ b/fleet/rates_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -153,12 +154,17 @@
 })
 
 var _ = Describe("choice among engines that differ", func() {
-	// differing returns a fleet of engines with the given steps, as another node has measured them.
-	differing := func(steps map[string]time.Duration) *fixture {
+	// differing returns a fleet of engines with the given steps, as another node has measured them. The
+	// remote ones are in another data centre.
+	differing := func(steps map[string]time.Duration, remote ...string) *fixture {
 		w := newFixture()
 		var rates []fleet.EndpointRate
 		for id, step := range steps {
-			w.addEngine(id, "dc1")
+			dataCentre := "dc1"
+			if slices.Contains(remote, id) {
+				dataCentre = "dc2"
+			}
+			w.addEngine(id, dataCentre)
 			rates = append(rates, fleet.EndpointRate{
 				Key: fleet.Incarnation{ID: id}.Key(), Report: enginerate.Report{Step: step, PrefillPerSecond: 1e5 / step.Seconds() / 1000, Weight: 16},
 			})
@@ -187,6 +193,20 @@
 		Expect(w.placeRunning(long).Instance().ID).To(Equal("slow"))
 	})
 
+	// Guards against copies to fast engines of another data centre, which take the link of the leaving engine
+	// for twice the time while other runs wait for it.
+	It("moves a run to a slow engine of the same data centre, and to a fast one if there is one", func() {
+		w := differing(map[string]time.Duration{"source": 4 * time.Millisecond, "slow": 12 * time.Millisecond, "remote": 4 * time.Millisecond}, "remote")
+		p := w.placeRunning(long)
+		Expect(p.Instance().ID).To(Equal("source"))
+		Expect(w.ReserveMoveTarget(p, long).Instance().ID).To(Equal("slow"))
+
+		w = differing(map[string]time.Duration{"source": 4 * time.Millisecond, "slow": 12 * time.Millisecond, "fast": 5 * time.Millisecond})
+		p = w.placeRunning(long)
+		Expect(p.Instance().ID).To(Equal("source"))
+		Expect(w.ReserveMoveTarget(p, long).Instance().ID).To(Equal("fast"))
+	})
+
 	// Guards against slow engines that stay unused while short answers slow down the streams on others.
 	It("uses a slow engine without streams for short answers", func() {
 		w := differing(steps)
