--- a/node/peers.go
+++ b/node/peers.go
@@ -74,7 +74,7 @@
 	}
 	s.Unreachable = n.ownUnreachable()
 	s.Rates = n.ownRates()
-	claims, strikes := n.relay.OwnDeadly()
+	claims, strikes := n.relay.OwnClaimsAndStrikes()
 	for _, c := range claims {
 		s.Claims = append(s.Claims, &exchangev1.Claim{Work: uint64(c.Work), Id: c.ID, Running: c.Running})
 	}
--- a/relay/claims.go
+++ b/relay/claims.go
@@ -164,10 +164,10 @@
 	return n, c.changed
 }
 
-// OwnDeadly returns the claims and the recent strikes of this node, to broadcast to the others. The claims
+// OwnClaimsAndStrikes returns the claims and the recent strikes of this node, to broadcast to the others. The claims
 // are read first: a request drops its claim after it has recorded the strike of its run. A claim that is
 // missing has therefore either become a strike that is returned, or its run did not kill an endpoint.
-func (l *Relay) OwnDeadly() ([]Claim, []Strike) {
+func (l *Relay) OwnClaimsAndStrikes() ([]Claim, []Strike) {
 	claims := l.Claims.Own()
 	return claims, l.Strikes.OwnRecent(StrikeBroadcastPeriod)
 }
--- a/relay/deadly_work_test.go
+++ b/relay/deadly_work_test.go
@@ -48,7 +48,7 @@
 			l.SetClaim(claim)
 			var end sync.WaitGroup
 			end.Go(func() { l.EndDeadlyRun(claim, 1) })
-			claims, strikes := l.OwnDeadly()
+			claims, strikes := l.OwnClaimsAndStrikes()
 			end.Wait()
 			if len(claims)+len(strikes) == 0 {
 				Fail(fmt.Sprintf("report %d has neither the claim nor the strike", i))
--- a/relay/relay_fleet_test.go
+++ b/relay/relay_fleet_test.go
@@ -82,7 +82,7 @@
 func (f *relayFleet) send(node int) {
 	f.pending[node].Store(false)
 	from := f.nodes[node]
-	claims, strikes := from.OwnDeadly()
+	claims, strikes := from.OwnClaimsAndStrikes()
 	report := from.Quarantine.Report()
 	name := fmt.Sprint(node)
 	for i, to := range f.nodes {
