The spec of late deaths uses a delay of 10 ms

Claims settle for 25 ms. With a delay of 20 ms the spec had 5 ms to spare, which a loaded machine may not give it; with 10 ms it fails without the wait as before, since copies are sent at once.

--- a/relay/deadly_work_test.go
+++ b/relay/deadly_work_test.go
@@ -19,7 +19,7 @@
 	// death, and sends them, before these nodes do.
 	It("run a deadly request on no more engines than it may kill", func() {
 		const engineLimit = 3
-		f := newRelayFleet(3, 10, 20*time.Millisecond)
+		f := newRelayFleet(3, 10, 10*time.Millisecond)
 		serve := func(id int) {
 			n := f.nodes[id%len(f.nodes)]
 			req := n.request(routing.Streaming)
