For a move, the speed of an engine of another data centre is no advantage

Cause: let a missed pause target count 0.5 for all moves, so that runs were copied to near engines even if these are slow.

Change: the cost of pauses is as before for engines of the run's own data centre; one of another counts as if it missed the target.

--- a/fleet/score.go
+++ b/fleet/score.go
@@ -20,10 +20,6 @@
 	// memory and the prefill of any engine with capacity, so that such an engine is used only if no
 	// other has capacity.
 	missedTargetCost = 2.0
-	// moveMissedTargetCost replaces it for a run that moves. It is less than the cost of copying a run of
-	// usual size to another data centre: such a copy takes the link of the leaving engine for twice the
-	// time, and the runs that still wait for the link are lost when the engine stops.
-	moveMissedTargetCost = 0.5
 	// missedTargetMargin is the excess over the target, as a share of it, from which the whole cost
 	// applies. Below it the cost rises gradually, as predictions are uncertain.
 	missedTargetMargin = 0.2
@@ -59,10 +55,16 @@
 	}
 	first := s.firstEvent(e, w, load)
 	cost := prefillCostPerSecond * first.Seconds()
-	if w.moveSource != nil {
-		return cost + s.pauseCost(e, w, load)*moveMissedTargetCost/missedTargetCost
+	switch {
+	case w.moveSource == nil:
+		return cost + missedTargetCost*excess(w.Since+first, w.Target) + s.pauseCost(e, w, load)
+	case e.DataCentre != w.moveSource.DataCentre:
+		// No speed makes up for a copy to another data centre: it takes the link of the leaving engine for
+		// twice the time, and the runs that still wait for the link are lost when the engine stops.
+		return cost + missedTargetCost
+	default:
+		return cost + s.pauseCost(e, w, load)
 	}
-	return cost + missedTargetCost*excess(w.Since+first, w.Target) + s.pauseCost(e, w, load)
 }
 
 // pauseCost scores an engine by the predicted longest pause of its streams. An engine without evidence
