--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -28,7 +29,7 @@
 type testRelay struct {
 	*relay.Relay
 	memory *worker.KVStore
-	ids    int
+	ids    atomic.Int64
 	// backups is set where engines keep backups of long answers.
 	backups bool
 }
@@ -100,7 +101,7 @@
 }
 
 func (r *testRelay) request(kind routing.Kind) *relay.Request {
-	r.ids++
+	id := r.ids.Add(1)
 	service := app
 	if kind == routing.Streaming {
 		service = pool
@@ -110,11 +111,11 @@
 		service, size.MaxOutput = backedPool, 1000
 	}
 	return &relay.Request{
-		ID:       fmt.Sprintf("attempt-%d", r.ids),
+		ID:       fmt.Sprintf("attempt-%d", id),
 		Method:   http.MethodPost,
 		Target:   "/x/1?q=2",
 		Host:     "a.example",
-		Header:   http.Header{"Crocusreel-Attempt-Id": {fmt.Sprintf("attempt-%d", r.ids)}},
+		Header:   http.Header{"Crocusreel-Attempt-Id": {fmt.Sprintf("attempt-%d", id)}},
 		Body:     []byte("body"),
 		Route:    &routing.Route{Name: "r", Kind: kind, MaxAttempts: 2, TargetLatency: time.Second},
 		Service:  service,
