--- a/relay/claims.go
+++ b/relay/claims.go
@@ -164,9 +164,9 @@
 	return n, c.changed
 }
 
-// OwnClaimsAndStrikes returns the claims and the recent strikes of this node, to broadcast to the others. The claims
-// are read first: a request drops its claim after it has recorded the strike of its run. A claim that is
-// missing has therefore either become a strike that is returned, or its run did not kill an endpoint.
+// OwnClaimsAndStrikes returns the claims and the recent strikes of this node, to broadcast to the
+// others. The claims are read first: a request drops its claim after it has recorded the strike of its
+// run. If a claim is missing, its strike is returned, or the run did not kill an endpoint.
 func (l *Relay) OwnClaimsAndStrikes() ([]Claim, []Strike) {
 	claims := l.Claims.Own()
 	return claims, l.Strikes.OwnRecent(StrikeBroadcastPeriod)
