--- a/node/node.go
+++ b/node/node.go
@@ -176,6 +176,8 @@
 			Length: s.RetryWindow,
 			Now:    boottime.Now,
 			Nodes:  n.retryingNodes,
+
+			OnDecision: n.logRetryDecision,
 		},
 		Strikes: relay.NewStrikes(boottime.Now),
 		Claims:  relay.NewClaims(),
--- a/node/population.go
+++ b/node/population.go
@@ -6,8 +6,11 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/boottime"
+	"github.com/crocusreel/crocusreel/retry"
 )
 
 const (
@@ -109,3 +112,13 @@
 func (n *Node) hasOtherSeeds() bool {
 	return len(n.settings.Seeds) > 1 || (len(n.settings.Seeds) == 1 && !n.isSeed())
 }
+
+// logRetryDecision logs a decision on a retry. The budget bounds the lines of the allowed ones; those
+// of the denied ones are counted by retry_denied.
+func (n *Node) logRetryDecision(d retry.Decision) {
+	if !d.Allowed {
+		return
+	}
+	n.log.Info("retry allowed", zap.String("service", d.Name), zap.Float64("attempts", d.Attempts), zap.Float64("retries", d.Retries),
+		zap.Float64("share", d.Share), zap.Int("nodes", d.Nodes), zap.Duration("uptime", boottime.Now()-n.started))
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -14,6 +14,7 @@
 	// head modulo windowSlices.
 	attempts, retries [windowSlices]float64
 	head              int64
+	name              string
 	set               *Windows
 }
 
@@ -31,11 +32,26 @@
 	Now    func() time.Duration
 	// Nodes returns the number of nodes that share the slack.
 	Nodes func() int
+	// OnDecision is called with each decision on a retry; nil if nobody needs to know. It must not
+	// block.
+	OnDecision func(Decision)
 
 	mu      sync.Mutex
 	windows map[string]*Window
 }
 
+// Decision is a decision on a retry and what it was based on.
+type Decision struct {
+	// Name is the name of the window.
+	Name    string
+	Allowed bool
+	// Attempts and Retries are the counts of the window, without the retry decided on.
+	Attempts, Retries float64
+	// Share is this node's part of the slack, and Nodes the number of nodes that share it.
+	Share float64
+	Nodes int
+}
+
 // slackShare is the share of the slack that is used. The remainder is for nodes that do not know of
 // each other yet.
 const slackShare = 0.7
@@ -50,7 +66,7 @@
 	}
 	w, ok := s.windows[name]
 	if !ok {
-		w = &Window{set: s}
+		w = &Window{name: name, set: s}
 		s.windows[name] = w
 	}
 	return w
@@ -83,18 +99,26 @@
 
 // AllowRetry records a retry and returns true, or returns false if no retry is left in the window.
 func (w *Window) AllowRetry() bool {
+	d := w.decide()
+	if w.set.OnDecision != nil {
+		w.set.OnDecision(d)
+	}
+	return d.Allowed
+}
+
+func (w *Window) decide() Decision {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
-	attempts, retries := 0.0, 0.0
+	d := Decision{Name: w.name, Nodes: max(w.set.Nodes(), 1)}
 	for i := range windowSlices {
-		attempts += w.attempts[i]
-		retries += w.retries[i]
+		d.Attempts += w.attempts[i]
+		d.Retries += w.retries[i]
 	}
-	nodes := float64(max(w.set.Nodes(), 1))
-	if retries+1 > w.set.Ratio*attempts+slackShare*w.set.Slack/nodes {
-		return false
+	d.Share = slackShare * w.set.Slack / float64(d.Nodes)
+	if d.Retries+1 <= w.set.Ratio*d.Attempts+d.Share {
+		d.Allowed = true
+		w.retries[w.head%windowSlices]++
 	}
-	w.retries[w.head%windowSlices]++
-	return true
+	return d
 }
