--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -72,6 +72,8 @@
 	storeCalls atomic.Int64
 	// requestCount counts the requests; it makes their IDs unique.
 	requestCount atomic.Int32
+	// extraSettings are further lines of the nodes' settings.
+	extraSettings string
 	// dir holds the settings and logs of the nodes.
 	dir string
 	// storeAddress is the IP:port of the store.
@@ -340,8 +342,8 @@
 bounds.grace_s=8
 bounds.retry_slack=50
 platform.address=%[8]s
-`, ip, callerPort, readyPort, peerPort, addressPort, gossipPort, seeds, s.exposeListener("store of "+ip, s.storeAddress), dataCentre,
-		s.regionOf(dataCentre), s.regionOf("dc1"), s.regionOf("dc2"), s.regionOf("dc3"))
+%[14]s`, ip, callerPort, readyPort, peerPort, addressPort, gossipPort, seeds, s.exposeListener("store of "+ip, s.storeAddress), dataCentre,
+		s.regionOf(dataCentre), s.regionOf("dc1"), s.regionOf("dc2"), s.regionOf("dc3"), s.extraSettings)
 	path := filepath.Join(s.dir, ip+".conf")
 	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
 	log := filepath.Join(s.dir, ip+".log")
