Retries are reserved in a ledger that all nodes share

What callers saw: nothing by themselves; endpoints in trouble got more retries than the budget of all nodes allows, so that they recovered later.

Cause: the budget was divided by the number of nodes, and what a node had spent was known to that node only, in memory. Each incarnation had a whole share again, and earned from new requests while the retries that its predecessor had made were forgotten. Besides, counts expired by slices up to a slice before they were a window old, so that a window could hold the retries of eleven slices without any restart. Class: a share of a common bound is given anew to each incarnation, since nobody keeps what was spent.

Change: each retry is reserved before it is made. The row of the service in the store's table `retries` counts the reserved ones and is raised by conditional writes, only while those of the last window stay within the slack and the ratio of the requests that count for every window the retry could lie in. Nodes tell each other their first attempts, the count and its age in the datagrams that exist, so that a node that starts knows what is left; ages only grow, the facts are monotone and may come late or twice. A node that has known the store's era for less than a window and has heard nothing reserves nothing. A retry that waits for an endpoint for more than 0.2 s is reserved again.

Weighed: no slack in the first window of an incarnation (safe only in part, costs callers a third of the budget); reports of what was spent by datagrams alone, which need acknowledgements of most nodes before a retry and a number of nodes that all agree on. The price of the ledger: no retries while the store is away.

Those on the use of the budget now have the platform's window of 10 s, for which the aim is stated, and callers before the refusals: the fixed times of messages are a fifth of a window of 4 s. "Retry no more than their share" had a node alone with the store refused at its own third, which is what was to change; it keeps its bound with the store cut off as well, and a new spec bounds the sum over three nodes that do not hear each other.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -67,7 +67,7 @@
 		},
 		Relay: &relay.Relay{
 			Fleet: endpoints, Client: client, Protocol: platform.Protocol{}, Mover: platform.NewEngineClient(client), Log: zap.NewNop(),
-			Budgets: &retry.Windows{Ratio: 0.2, Slack: 50, Length: 10 * time.Second, Now: boottime.Now, Nodes: func() int { return 1 }},
+			Budgets: retry.NewLocal(0.2, 50, 10*time.Second, boottime.Now),
 			Strikes: relay.NewStrikes(boottime.Now), Quarantine: quarantine.New(boottime.Now),
 			Vacated: relay.NewVacatedRuns(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
 		},
--- a/node/node.go
+++ b/node/node.go
@@ -28,7 +28,6 @@
 	"github.com/crocusreel/crocusreel/platform"
 	"github.com/crocusreel/crocusreel/reach"
 	"github.com/crocusreel/crocusreel/relay"
-	"github.com/crocusreel/crocusreel/retry"
 )
 
 var errNoConfiguration = eris.New("no configuration yet")
@@ -170,20 +169,12 @@
 		Client:   n.client,
 		Protocol: platform.Protocol{},
 		Mover:    n.engines,
-		Budgets: &retry.Windows{
-			Ratio:  s.RetryRatio,
-			Slack:  s.RetrySlack,
-			Length: s.RetryWindow,
-			Now:    boottime.Now,
-			Nodes:  n.retryingNodes,
-
-			OnDecision: n.logRetryDecision,
-		},
-		Strikes: relay.NewStrikes(boottime.Now),
-		Claims:  relay.NewClaims(),
-		Vacated: relay.NewVacatedRuns(boottime.Now),
-		Log:     log,
-		Reach:   reachRecorder{n},
+		Budgets:  n.newRetryBudgets(),
+		Strikes:  relay.NewStrikes(boottime.Now),
+		Claims:   relay.NewClaims(),
+		Vacated:  relay.NewVacatedRuns(boottime.Now),
+		Log:      log,
+		Reach:    reachRecorder{n},
 
 		Forwarder: n.forwards,
 		Witness:   n.askWitness,
@@ -296,6 +287,7 @@
 		pause(ctx, housekeepingInterval)
 		n.client.Prune()
 		n.recordLiveNodes()
+		n.observeLedgerEra()
 		n.announceReadiness()
 		n.endLostEvacuations()
 		n.fleet.Tick()
--- a/node/peers.go
+++ b/node/peers.go
@@ -81,6 +81,7 @@
 	for _, k := range strikes {
 		s.Strikes = append(s.Strikes, &exchangev1.Strike{Work: uint64(k.Work), Endpoint: k.Endpoint})
 	}
+	n.reportRetries(s)
 	// The crash of a run with suspected parts is recorded before its claims are dropped.
 	n.quarantineReport(s)
 	for _, run := range n.relay.Vacated.OwnRecent(vacatedAnnouncePeriod) {
@@ -147,6 +148,7 @@
 	n.applyPeerBrittle(s)
 	n.applyPeerUnreachable(s)
 	n.applyPeerRates(s)
+	n.applyPeerRetries(s)
 	if len(s.GetVacated()) > 0 {
 		runs := make([]relay.RunKey, 0, len(s.GetVacated()))
 		for _, run := range s.GetVacated() {
--- a/node/population.go
+++ b/node/population.go
@@ -6,11 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/boottime"
-	"github.com/crocusreel/crocusreel/retry"
 )
 
 const (
@@ -103,22 +100,6 @@
 	n.roster.record(boottime.Now(), live)
 }
 
-// retryingNodes returns the number of nodes that share the retry budget. It includes nodes that are
-// no longer live: they may be on the other side of a partition and retry there.
-func (n *Node) retryingNodes() int {
-	return max(len(n.gossip.Live())+1, n.population.current().Nodes, len(n.settings.Seeds))
-}
-
 func (n *Node) hasOtherSeeds() bool {
 	return len(n.settings.Seeds) > 1 || (len(n.settings.Seeds) == 1 && !n.isSeed())
 }
-
-// logRetryDecision logs a decision on a retry. The budget bounds the lines of the allowed ones; those
-// of the denied ones are counted by retry_denied.
-func (n *Node) logRetryDecision(d retry.Decision) {
-	if !d.Allowed {
-		return
-	}
-	n.log.Info("retry allowed", zap.String("service", d.Name), zap.Float64("attempts", d.Attempts), zap.Float64("retries", d.Retries),
-		zap.Float64("share", d.Share), zap.Int("nodes", d.Nodes), zap.Duration("uptime", boottime.Now()-n.started))
-}
--- a/relay/arrival_export_test.go
+++ b/relay/arrival_export_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"github.com/crocusreel/crocusreel/endpoint/h1"
@@ -18,7 +19,7 @@
 	s.j.result.Attempts++
 	err := &h1.Error{}
 	s.j.arrivals.lost += took
-	if !s.j.mayContinue(sendErrorResult(err), maxSends) {
+	if !s.j.mayContinue(context.Background(), sendErrorResult(err), maxSends) {
 		return false, 0
 	}
 	return true, s.j.arrivals.pause(s.j.freeTime())
--- a/relay/call.go
+++ b/relay/call.go
@@ -13,6 +13,7 @@
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/retry"
 )
 
 const (
@@ -57,6 +58,7 @@
 // call serves a request whose answer is a single message.
 func (j *job) call(ctx context.Context) Result {
 	var errorAnswer *answer
+	var last attemptResult
 	for {
 		if errorAnswer == nil && j.outOfReach() {
 			if result, served := j.forward(ctx); served {
@@ -67,7 +69,12 @@
 		if refusal != nil {
 			return j.exhausted(ctx, errorAnswer, refusal)
 		}
+		if !j.retryStillReserved(ctx) {
+			p.Release(fleet.Neutral)
+			return j.exhausted(ctx, errorAnswer, j.failureRefusal(last))
+		}
 		got := j.sendOnce(ctx, p, j.r.Runs)
+		last = got
 		p.Release(got.health)
 		j.tried = append(j.tried, p.Instance().ID)
 		if got.answer != nil && !j.shouldRetryStatus(got.answer.resp.StatusCode) {
@@ -89,7 +96,7 @@
 		if got.broken() {
 			j.strikeIfDead(ctx, p, j.prog.count)
 		}
-		if ctx.Err() != nil || !j.mayContinue(got, j.r.Runs) || j.strikeLimitReached() {
+		if ctx.Err() != nil || !j.mayContinue(ctx, got, j.r.Runs) || j.strikeLimitReached() {
 			return j.exhausted(ctx, errorAnswer, j.failureRefusal(got))
 		}
 		j.result.Detail = got.cause
@@ -114,18 +121,18 @@
 
 // mayContinue reports whether the request may be sent again, by this node or by another one. A
 // request that was never sent and is to be forwarded is not a retry.
-func (j *job) mayContinue(got attemptResult, runs int) bool {
-	return got.cause == causeUnreachable && j.outOfReach() || j.mayRetry(got, runs)
+func (j *job) mayContinue(ctx context.Context, got attemptResult, runs int) bool {
+	return got.cause == causeUnreachable && j.outOfReach() || j.mayRetry(ctx, got, runs)
 }
 
-func (j *job) mayRetry(got attemptResult, runs int) bool {
+func (j *job) mayRetry(ctx context.Context, got attemptResult, runs int) bool {
 	if !got.notRun && (!j.repeatable() || runs >= j.r.Route.MaxAttempts) {
 		return false
 	}
 	if j.freeSend(got) {
 		return true
 	}
-	if j.paidAttempts() >= maxSends || j.Fleet.Disabled[fleet.Retries] || !j.Budgets.Get(j.r.Service.Name).AllowRetry() {
+	if j.paidAttempts() >= maxSends || j.Fleet.Disabled[fleet.Retries] || !j.reserveRetry(ctx) {
 		metrics.Count("retry_denied")
 		return false
 	}
@@ -133,6 +140,26 @@
 	return true
 }
 
+// reserveRetry takes a retry from the budget that all nodes share.
+func (j *job) reserveRetry(ctx context.Context) bool {
+	if !j.Budgets.Get(j.r.Service.Name).AllowRetry(ctx) {
+		return false
+	}
+	j.retryReserved.Store(int64(j.Budgets.Now()))
+	return true
+}
+
+// retryStillReserved reports whether the next attempt may be sent now. A retry that has waited for an
+// endpoint is reserved again: it would count in a later window.
+func (j *job) retryStillReserved(ctx context.Context) bool {
+	reserved := time.Duration(j.retryReserved.Swap(0))
+	if reserved == 0 || j.Budgets.Now()-reserved <= retry.SendTime {
+		return true
+	}
+	metrics.Count("retry_reserved_again")
+	return j.Budgets.Get(j.r.Service.Name).AllowRetry(ctx)
+}
+
 // exhausted ends a request that cannot be sent again. It delivers errorAnswer, the error answer of
 // an endpoint, if there is one, and the refusal otherwise.
 func (j *job) exhausted(ctx context.Context, errorAnswer *answer, refusal *crocusreel.Refusal) Result {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -186,7 +186,7 @@
 	Client   *h1.Client
 	Protocol Protocol
 	Mover    Mover
-	Budgets  *retry.Windows
+	Budgets  *retry.Shared
 	Strikes  *Strikes
 	Claims   *Claims
 	// Quarantine holds what is known of prompt parts that crash engines.
@@ -279,6 +279,9 @@
 	// declined is set once the request was to be forwarded and no other node accepted it.
 	declined bool
 	arrivals arrivals
+	// retryReserved is the time at which the next attempt was reserved as a retry, in nanoseconds; 0 if
+	// it needs no reservation.
+	retryReserved atomic.Int64
 }
 
 func (j *job) work() fleet.Work {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -38,13 +38,11 @@
 	client := h1.NewClient()
 	r := &testRelay{memory: worker.NewKVStore()}
 	r.Relay = &relay.Relay{
-		Fleet:    fleet.New("dc1", boottime.Now),
-		Client:   client,
-		Protocol: platform.Protocol{},
-		Mover:    platform.NewEngineClient(client),
-		Budgets: &retry.Windows{
-			Ratio: 0.2, Slack: 100, Length: 10 * time.Second, Now: boottime.Now, Nodes: func() int { return 1 },
-		},
+		Fleet:      fleet.New("dc1", boottime.Now),
+		Client:     client,
+		Protocol:   platform.Protocol{},
+		Mover:      platform.NewEngineClient(client),
+		Budgets:    retry.NewLocal(0.2, 100, 10*time.Second, boottime.Now),
 		Strikes:    relay.NewStrikes(boottime.Now),
 		Claims:     relay.NewClaims(),
 		Quarantine: quarantine.New(boottime.Now),
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -49,7 +49,7 @@
 	if ctx.Err() != nil || !j.repeatable() || j.strikeLimitReached() {
 		return false
 	}
-	if !got.approved && !j.mayRunElsewhere(got) {
+	if !got.approved && !j.mayRunElsewhere(ctx, got) {
 		return false
 	}
 	j.recordRunAgain(s.p.Instance().ID, got.cause)
@@ -57,11 +57,11 @@
 }
 
 // mayContinueRun reports whether a stream whose run ended without an answer may be sent again.
-func (j *job) mayContinueRun(got attemptResult) bool {
+func (j *job) mayContinueRun(ctx context.Context, got attemptResult) bool {
 	switch {
 	case got.notRun:
-		return j.mayContinue(got, j.r.Runs)
-	case !got.approved && !j.mayRunElsewhere(got):
+		return j.mayContinue(ctx, got, j.r.Runs)
+	case !got.approved && !j.mayRunElsewhere(ctx, got):
 		return false
 	}
 	j.recordRunAgain(j.result.Endpoint, got.cause)
@@ -70,8 +70,8 @@
 
 // mayRunElsewhere reports whether there is an endpoint that was not tried and the request may run
 // again. Without such an endpoint the caller would wait for a placement that cannot come.
-func (j *job) mayRunElsewhere(got attemptResult) bool {
-	return (j.outOfReach() || j.Fleet.HasOther(j.r.Service.Name, j.tried)) && j.mayRetry(got, j.r.Runs)
+func (j *job) mayRunElsewhere(ctx context.Context, got attemptResult) bool {
+	return (j.outOfReach() || j.Fleet.HasOther(j.r.Service.Name, j.tried)) && j.mayRetry(ctx, got, j.r.Runs)
 }
 
 // recordRunAgain logs and counts a new run, after the one that was lost.
@@ -101,7 +101,7 @@
 
 // unusableStatus returns the result of a run whose answer has a status with which the stream cannot
 // go on, and closes that answer. The result has no cause if the answer is to be delivered.
-func (j *job) unusableStatus(resp *h1.Response) attemptResult {
+func (j *job) unusableStatus(ctx context.Context, resp *h1.Response) attemptResult {
 	if resp.StatusCode == http.StatusOK {
 		return attemptResult{}
 	}
@@ -110,7 +110,7 @@
 		got.health = fleet.Failed
 	}
 	if !j.sink.Begun() {
-		if !j.shouldRetryStatus(resp.StatusCode) || !j.Fleet.HasOther(j.r.Service.Name, j.tried) || !j.mayRetry(got, j.r.Runs+1) {
+		if !j.shouldRetryStatus(resp.StatusCode) || !j.Fleet.HasOther(j.r.Service.Name, j.tried) || !j.mayRetry(ctx, got, j.r.Runs+1) {
 			return attemptResult{}
 		}
 		got.approved = true
@@ -182,7 +182,7 @@
 	}
 	tried := slices.Clone(j.tried)
 	w.timer = time.AfterFunc(w.threshold, func() {
-		if !j.Fleet.HasOther(j.r.Service.Name, tried) || !j.Budgets.Get(j.r.Service.Name).AllowRetry() {
+		if !j.Fleet.HasOther(j.r.Service.Name, tried) || !j.reserveRetry(w.ctx) {
 			metrics.Count("retry_denied")
 			return
 		}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -70,6 +70,7 @@
 
 // start finds an endpoint that accepts the request. It returns a nil segment if there is none.
 func (j *job) start(ctx context.Context) (*segment, Result) {
+	var last attemptResult
 	for {
 		if j.outOfReach() {
 			if result, served := j.forward(ctx); served {
@@ -84,7 +85,12 @@
 			p.Release(fleet.Neutral)
 			return nil, j.exhausted(ctx, nil, nil)
 		}
+		if !j.retryStillReserved(ctx) {
+			p.Release(fleet.Neutral)
+			return nil, j.exhausted(ctx, nil, j.failureRefusal(last))
+		}
 		s, got := j.sendNew(ctx, p)
+		last = got
 		if s != nil {
 			return s, Result{}
 		}
@@ -93,7 +99,7 @@
 		if got.broken() {
 			j.strikeIfDead(ctx, p, j.prog.count)
 		}
-		if ctx.Err() != nil || j.strikeLimitReached() || got.final || !j.mayContinueRun(got) {
+		if ctx.Err() != nil || j.strikeLimitReached() || got.final || !j.mayContinueRun(ctx, got) {
 			return nil, j.exhausted(ctx, nil, j.failureRefusal(got))
 		}
 	}
@@ -111,7 +117,7 @@
 	watch.arm()
 	resp, err := j.send(watch.ctx, p, nil, backup)
 	watch.disarm()
-	got := j.startResult(resp, err, watch)
+	got := j.startResult(ctx, resp, err, watch)
 	if !got.notRun {
 		j.r.Runs++
 	}
@@ -126,7 +132,7 @@
 
 // startResult returns the result of sending a new run. Its cause is empty if there is an answer to be
 // delivered.
-func (j *job) startResult(resp *h1.Response, err error, watch *hangWatch) attemptResult {
+func (j *job) startResult(ctx context.Context, resp *h1.Response, err error, watch *hangWatch) attemptResult {
 	switch {
 	case err != nil && watch.hung():
 		return attemptResult{health: fleet.Silent, cause: causeHung, approved: true}
@@ -136,7 +142,7 @@
 	if got, refused := j.refusedResult(resp); refused {
 		return got
 	}
-	return j.unusableStatus(resp)
+	return j.unusableStatus(ctx, resp)
 }
 
 // silentThreshold is the time without the header of an answer after which an engine counts as
--- a/relay/unreachable_sim_test.go
+++ b/relay/unreachable_sim_test.go
@@ -93,9 +93,7 @@
 		n.Fleet.ScheduleTick = func(after time.Duration) { s.after(after, n.Fleet.Tick) }
 		n.Fleet.OnUnreachable = func(fleet.Suspension) { s.suspensions++ }
 		n.Fleet.Disabled = fleet.DisabledMechanisms{fleet.UnreachableReports: disabled}
-		n.Budgets = &retry.Windows{
-			Ratio: 0.2, Slack: 20, Length: 10 * time.Second, Now: func() time.Duration { return s.now }, Nodes: func() int { return nodes },
-		}
+		n.Budgets = retry.NewLocal(0.2, 20/float64(nodes), 10*time.Second, func() time.Duration { return s.now })
 		for e := range simEngines {
 			n.Fleet.Update(fleet.Instance{ID: fmt.Sprintf("e%d", e), Service: "pool", DataCentre: fmt.Sprintf("dc%d", e%4), Slots: 24})
 		}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -33,6 +33,12 @@
 	b.tokens = min(b.tokens+b.ratio, b.burst)
 }
 
+func (b *Budget) setRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio = ratio
+}
+
 // AllowRetry takes one retry from the budget. It returns false if none is left.
 func (b *Budget) AllowRetry() bool {
 	b.mu.Lock()
@@ -67,16 +73,17 @@
 	return &Budgets{burst: burst, budgets: make(map[string]*Budget)}
 }
 
-// Get returns the budget with the given name. If there is none yet, or its ratio differs, it
-// creates a full budget with the given ratio. Names come from the configuration, so their number is
-// bounded.
+// Get returns the budget with the given name and sets its ratio. If there is none yet, it creates a
+// full one. A new ratio changes what later attempts gain, not what has been spent. Names come from the
+// configuration, so their number is bounded.
 func (s *Budgets) Get(name string, ratio float64) *Budget {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, ok := s.budgets[name]
-	if !ok || b.ratio != ratio {
+	if !ok {
 		b = NewBudget(ratio, s.burst)
 		s.budgets[name] = b
 	}
+	b.setRatio(ratio)
 	return b
 }
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -37,3 +37,18 @@
 		g.Expect(w).To(gomega.And(gomega.BeNumerically(">=", 0), gomega.BeNumerically("<=", time.Second)))
 	}
 }
+
+// Guards against a budget that is full again after each change of its ratio in the configuration.
+func TestANewRatioDoesNotRefillABudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	budgets := NewBudgets(10)
+	retries := 0
+	for reload := range 20 {
+		for budgets.Get("workspace", 0.1+float64(reload%2)/10).AllowRetry() {
+			retries++
+		}
+	}
+	g.Expect(retries).To(gomega.Equal(10))
+	budgets.Get("workspace", 1).RecordAttempt()
+	g.Expect(budgets.Get("workspace", 0.1).AllowRetry()).To(gomega.BeTrue())
+}
--- a/tests/node/budget_test.go
+++ b/tests/node/budget_test.go
@@ -15,20 +15,28 @@
 )
 
 const (
-	// budgetWindow, budgetRatio and budgetSlack are the retry budget of the nodes in these specs.
-	budgetWindow = 4 * time.Second
-	budgetRatio  = 0.2
-	budgetSlack  = 50
-	// budgetCalls is the number of calls per second, over all nodes.
-	budgetCalls = 60
-	// refusalsBegin and refusalsEnd bound the time in which endpoints refuse, from the start of the load.
-	refusalsBegin = time.Second
-	refusalsEnd   = refusalsBegin + 2*budgetWindow
+	// budgetRatio and budgetSlack are the retry budget of the nodes in these specs.
+	budgetRatio = 0.2
+	budgetSlack = 50
+)
+
+// budgetLoad is the window of the retry budget, the time for which endpoints accept calls and then refuse
+// them, and the number of calls per second over all nodes.
+type budgetLoad struct {
+	window, quiet, refusals time.Duration
+	calls                   int
+}
+
+var (
+	shortWindow = budgetLoad{window: 4 * time.Second, quiet: time.Second, refusals: 8 * time.Second, calls: 60}
+	// fullWindow has the window of the platform, with calls at the rate of a small deployment.
+	fullWindow = budgetLoad{window: 10 * time.Second, quiet: 11 * time.Second, refusals: 11 * time.Second, calls: 25}
 )
 
 // budgetRun is a run of nodes whose endpoints refuse all calls for a while.
 type budgetRun struct {
 	*site
+	budgetLoad
 	workers []*worker.Worker
 	started time.Time
 
@@ -36,15 +44,16 @@
 	sent map[string]time.Time
 }
 
-// newBudgetRun starts nodes and endpoints that refuse all calls between refusalsBegin and refusalsEnd.
-func newBudgetRun(nodes int) *budgetRun {
+// newBudgetRun starts nodes, and endpoints that refuse all calls for the time that the load
+// names.
+func newBudgetRun(nodes int, load budgetLoad) *budgetRun {
 	GinkgoHelper()
-	r := &budgetRun{site: newSite(), sent: make(map[string]time.Time)}
-	r.extraSettings = fmt.Sprintf("bounds.retry_window_s=%d\nbounds.retry_budget_ratio=%g\n", int(budgetWindow.Seconds()), budgetRatio)
+	r := &budgetRun{site: newSite(), budgetLoad: load, sent: make(map[string]time.Time)}
+	r.extraSettings = fmt.Sprintf("bounds.retry_window_s=%d\nbounds.retry_budget_ratio=%g\n", int(load.window.Seconds()), budgetRatio)
 	refuse := func(*worker.Run) worker.Fault {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if since := time.Since(r.started); !r.started.IsZero() && since > refusalsBegin && since < refusalsEnd {
+		if since := time.Since(r.started); !r.started.IsZero() && since > load.quiet && since < load.quiet+load.refusals {
 			return worker.Shed
 		}
 		return worker.None
@@ -70,9 +79,9 @@
 		defer GinkgoRecover()
 		disturb()
 	})
-	tick := time.NewTicker(time.Second / budgetCalls)
+	tick := time.NewTicker(time.Second / time.Duration(r.calls))
 	defer tick.Stop()
-	for i := 0; time.Since(r.started) < refusalsEnd+budgetWindow/2; i++ {
+	for i := 0; time.Since(r.started) < r.quiet+r.refusals+r.window/2; i++ {
 		<-tick.C
 		running.Go(func() {
 			at := time.Now()
@@ -108,10 +117,10 @@
 	worst := 0.0
 	for _, from := range again {
 		count := func(times []time.Time, offset time.Duration) int {
-			return countBetween(times, from.Add(offset), from.Add(offset+budgetWindow))
+			return countBetween(times, from.Add(offset), from.Add(offset+r.window))
 		}
 		n := count(again, 0)
-		limit := budgetRatio*float64(max(count(requests, 0), count(requests, -budgetWindow), count(requests, -budgetWindow/2))) + budgetSlack
+		limit := budgetRatio*float64(max(count(requests, 0), count(requests, -r.window), count(requests, -r.window/2))) + budgetSlack
 		if float64(n)/limit > worst {
 			worst, repeats, allowed = float64(n)/limit, n, limit
 		}
@@ -148,7 +157,7 @@
 	// Guards against retries beyond the budget of all nodes when nodes restart while endpoints refuse:
 	// each incarnation then had a new share of the budget.
 	DescribeTable("is not exceeded while endpoints refuse and", func(nodes int, disturb func(*budgetRun)) {
-		r := newBudgetRun(nodes)
+		r := newBudgetRun(nodes, shortWindow)
 		r.load(func() { disturb(r) })
 		repeats, allowed := r.worstWindow()
 		Expect(float64(repeats)).To(BeNumerically("<=", allowed))
@@ -170,7 +179,7 @@
 			}
 		}),
 		Entry("nodes are stopped in turn", 3, func(r *budgetRun) {
-			time.Sleep(refusalsBegin)
+			time.Sleep(shortWindow.quiet)
 			for i := range 3 {
 				r.nodes[i].Terminate()
 				_, err := r.nodes[i].Wait(GinkgoT().Context())
@@ -190,7 +199,7 @@
 
 	// Guards against a budget that callers cannot use: of what is allowed, nodes retried a share only.
 	DescribeTable("is usable while endpoints refuse and", func(share float64, disturb func(*budgetRun)) {
-		r := newBudgetRun(3)
+		r := newBudgetRun(3, fullWindow)
 		r.load(func() { disturb(r) })
 		repeats, allowed := r.worstWindow()
 		Expect(float64(repeats)).To(BeNumerically(">=", share*allowed))
@@ -199,7 +208,7 @@
 	},
 		Entry("no node restarts", 0.9, func(*budgetRun) {}),
 		Entry("one of three nodes is killed", 0.8, func(r *budgetRun) {
-			after(refusalsBegin+500*time.Millisecond, func() { r.restart(1) })
+			after(fullWindow.quiet+500*time.Millisecond, func() { r.restart(1) })
 		}),
 	)
 })
--- a/tests/node/node_test.go
+++ b/tests/node/node_test.go
@@ -144,7 +144,8 @@
 	})
 
 	// Guards against retries beyond the budget that all nodes share: a node that has lost contact with
-	// the others uses no more than its share, since they may be running behind a network partition.
+	// the others and with the ledger uses no more than its share, since they may be running behind a
+	// network partition.
 	It("retry no more than their share after they have lost each other", func() {
 		const calls, slack, ratio = 100, 50.0, 0.2
 		s := newSite()
@@ -156,6 +157,7 @@
 		s.nodes[1].Kill()
 		s.nodes[2].Kill()
 		Eventually(s.nodes[0].addresses, 7*time.Second).Should(HaveLen(1))
+		Expect(s.faults.SetFaults(GinkgoT().Context(), admin.PlatformFaults{Unreachable: true})).To(Succeed())
 		for range calls {
 			s.send(s.nodes[0], "/calls/1", "key")
 		}
@@ -163,6 +165,34 @@
 		Expect(float64(repeats)).To(BeNumerically("<=", ratio*calls+slack/3))
 	})
 
+	// Guards against nodes that each retry as if they were alone, because no node hears another.
+	It("retry no more than all may make together after they have lost each other", func() {
+		const calls, slack, ratio = 100, 50.0, 0.2
+		s := newSite()
+		failing := s.startPlainWorker(worker.Options{ID: "i1", FaultOf: func(*worker.Run) worker.Fault { return worker.Fail }})
+		s.register("i1", "app", s.addresses["i1"], "ready")
+		other := s.startPlainWorker(worker.Options{ID: "i2", FaultOf: func(*worker.Run) worker.Fault { return worker.Fail }})
+		s.register("i2", "app", s.addresses["i2"], "ready")
+		s.start(3)
+		time.Sleep(12 * time.Second) // Each node knows the store for longer than a window.
+		began := time.Now()
+		for i, n := range s.nodes {
+			for j, silent := range s.nodes {
+				if j != i {
+					silent.Freeze()
+				}
+			}
+			n.Thaw()
+			for range calls {
+				s.send(n, "/calls/1", "key")
+			}
+		}
+		Expect(time.Since(began)).To(BeNumerically("<", 10*time.Second), "the calls lie within a window")
+		repeats := len(failing.Runs()) + len(other.Runs()) - 3*calls
+		Expect(float64(repeats)).To(BeNumerically("<=", ratio*3*calls+slack))
+		Expect(repeats).To(BeNumerically(">", slack/2))
+	})
+
 	// Guards against a request that waits in the socket of a frozen node and runs when the node thaws,
 	// with a key that was revoked meanwhile but is still in the node's memory.
 	It("run nothing for a key that was revoked while they were frozen", func() {
