Bounds on what endpoints and others send without end

What callers saw: a request to an endpoint whose answer has no end in its head waited until its deadline, and took the node's memory: http.ReadResponse keeps a status line or header field of any length.

Change: the heads of one exchange, informational answers included, are at most 32 KB, 2 s from a head's first byte to its end, and 16 informational answers; the connection is then closed, and the request goes on as after a broken answer, within the retry budget. Bodies of no interest (refusals, answers to other requests) are read for 16 KB (64 KB) and 0.2 s, and their connection is kept only if they have ended: the rest of a longer refusal used to stay in a connection that was used again. A stream ends as broken once it has twice the events of the longest answer that was asked for and 64 more. Looked at and bounded already: chunk lines, extensions and trailers (net/http), events (256 KB), probes, frames of the own API's engines, bodies at the client library.

A body of valid content without end is passed on until the request's deadline, through fixed buffers.

--- a/client/client.go
+++ b/client/client.go
@@ -140,7 +140,9 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     30 * time.Second,
-		ForceAttemptHTTP2:   false,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		ForceAttemptHTTP2:      false,
 	}
 }
 
--- a/client/complete.go
+++ b/client/complete.go
@@ -14,6 +14,9 @@
 // maxResponseBytes limits the size of a response that is not streamed.
 const maxResponseBytes = 64 << 20
 
+// maxHeaderBytes limits the size of the header of a response.
+const maxHeaderBytes = 64 << 10
+
 // Complete runs a generation and returns its complete answer. If an idempotent generation fails
 // midway, Complete starts it again and discards the tokens of the failed one. It fails with the
 // same errors as Generate.
--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -84,6 +84,10 @@
 	// connection, maxForeignBodyBytes the maximum size of their bodies in bytes.
 	maxForeignAnswers   = 2
 	maxForeignBodyBytes = 64 << 10
+	// maxDiscardBytes is the size up to which a body of no interest is read so that its connection can
+	// be used again, and maxDiscardTime the time for that.
+	maxDiscardBytes = 16 << 10
+	maxDiscardTime  = 200 * time.Millisecond
 	// minConcurrentWriteBytes is the body size in bytes from which the answer is read while the
 	// body is still being written, because an endpoint may answer before it has read a long body.
 	minConcurrentWriteBytes = 32 << 10
@@ -175,7 +179,7 @@
 		return nil, eris.Wrap(err, "connect")
 	}
 	c.OnOpen()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return newConn(raw), nil
 }
 
 func (c *Client) takeIdle(address string) *conn {
@@ -237,7 +241,9 @@
 
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	// reader reads through limiter.
+	reader  *bufio.Reader
+	limiter *headLimiter
 	// usableUntil is the end of the reuse time; zero until the first exchange has ended.
 	usableUntil time.Time
 }
@@ -288,8 +294,9 @@
 		return err
 	}
 	method := &http.Request{Method: req.Method}
+	r.conn.limiter.left = maxHeadBytes
 	for range maxForeignAnswers + 1 {
-		resp, err := readFinal(r.conn.reader, method)
+		resp, err := r.conn.readFinal(method)
 		if err != nil {
 			return &Error{Sent: true, Cause: eris.Wrap(err, "read answer")}
 		}
@@ -297,8 +304,7 @@
 			r.Response = resp
 			return nil
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBodyBytes))
-		if err != nil || n == maxForeignBodyBytes || resp.Close {
+		if !r.conn.discard(resp.Body, maxForeignBodyBytes) || resp.Close {
 			break
 		}
 	}
@@ -338,21 +344,30 @@
 	return append(make([]byte, 0, b.Len()+len(r.Body)), b.String()...)
 }
 
-// readFinal reads an answer and skips informational ones (status 1xx).
-func readFinal(reader *bufio.Reader, method *http.Request) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(reader, method)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
-		}
-	}
-}
-
 // Framed reports whether the end of the body can be distinguished from a broken connection.
 func (r *Response) Framed() bool {
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
+// Discard ends an exchange whose body is of no interest. The connection is kept if the rest of the body
+// is short and arrives soon, and closed otherwise.
+func (r *Response) Discard() {
+	if !r.closed && r.conn.discard(r.Body, maxDiscardBytes) {
+		r.Finish()
+		return
+	}
+	r.Close()
+}
+
+// discard reads a body to its end. It returns false if the body is longer than the given number of
+// bytes, or takes longer than maxDiscardTime.
+func (c *conn) discard(body io.Reader, limit int64) bool {
+	_ = c.SetReadDeadline(time.Now().Add(maxDiscardTime))
+	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
+	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	return err == nil && n <= limit
+}
+
 // Finish returns the connection to the pool if it can be reused, and closes it otherwise. The body
 // must have been read to its end.
 func (r *Response) Finish() {
--- /dev/null
+++ b/endpoint/h1/head.go
@@ -0,0 +1,100 @@
+package h1
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Bounds of the head of an answer. Endpoints in trouble send bytes without end that are no answer;
+// http.ReadResponse would keep all of a line or header field until the request's time is over.
+const (
+	// maxHeadBytes is the maximum size of the heads of one exchange in bytes, including informational
+	// answers.
+	maxHeadBytes = 32 << 10
+	// maxHeadTime is the time from the first byte of a head to its end.
+	maxHeadTime = 2 * time.Second
+	// maxInformational is the number of informational answers (status 1xx) before an answer.
+	maxInformational = 16
+)
+
+var (
+	errHeadTooLong         = eris.Errorf("the head of the answer is longer than %d bytes", maxHeadBytes)
+	errTooManyInformations = eris.Errorf("more than %d informational answers", maxInformational)
+)
+
+// headLimiter bounds what is read from a connection while the head of an answer is read.
+type headLimiter struct {
+	net.Conn
+	// inHead is set while a head is read, started once its first byte has arrived.
+	inHead, started bool
+	// left is the number of bytes that may still be read.
+	left int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.inHead {
+		return l.Conn.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.Conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	if n > 0 {
+		l.start()
+	}
+	return n, err
+}
+
+// start limits the time until the end of the head.
+func (l *headLimiter) start() {
+	if !l.started {
+		l.started = true
+		_ = l.SetReadDeadline(time.Now().Add(maxHeadTime))
+	}
+}
+
+// begin begins a head, of which the given number of bytes have been read already.
+func (l *headLimiter) begin(buffered int) {
+	l.inHead, l.started = true, false
+	if buffered > 0 {
+		l.start()
+	}
+}
+
+// end ends the head.
+func (l *headLimiter) end() {
+	l.inHead = false
+	if l.started {
+		_ = l.SetReadDeadline(time.Time{})
+	}
+}
+
+// readHead reads the head of the next answer.
+func (c *conn) readHead(method *http.Request) (*http.Response, error) {
+	c.limiter.begin(c.reader.Buffered())
+	defer c.limiter.end()
+	return http.ReadResponse(c.reader, method)
+}
+
+// readFinal reads the head of an answer and skips informational ones.
+func (c *conn) readFinal(method *http.Request) (*http.Response, error) {
+	for range maxInformational + 1 {
+		resp, err := c.readHead(method)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, errTooManyInformations
+}
+
+// newConn returns a connection to an endpoint that has not been used yet.
+func newConn(raw net.Conn) *conn {
+	limiter := &headLimiter{Conn: raw}
+	return &conn{Conn: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+}
--- a/internal/httponce/client.go
+++ b/internal/httponce/client.go
@@ -23,6 +23,8 @@
 	idleTimeout = 30 * time.Second
 	// maxIdleConns is the maximum number of idle connections, both in total and per server.
 	maxIdleConns = 512
+	// maxHeaderBytes is the maximum size of the header of a response in bytes.
+	maxHeaderBytes = 64 << 10
 )
 
 // Options configures a Client.
@@ -57,6 +59,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -26,6 +26,8 @@
 	connectionBufferBytes = 2 << 20
 	// maxIdleConnections is the maximum number of idle connections that are kept for reuse.
 	maxIdleConnections = 512
+	// maxHeaderBytes is the maximum size of the header of an answer in bytes.
+	maxHeaderBytes = 64 << 10
 )
 
 // NewHTTPClient returns a client for calls to peers. It uses HTTP/2 over TLS if config is not nil, and
@@ -38,6 +40,8 @@
 		MaxIdleConns:    maxIdleConnections,
 		IdleConnTimeout: time.Minute,
 		HTTP2:           pingConfig(),
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
--- a/relay/call.go
+++ b/relay/call.go
@@ -269,11 +269,7 @@
 	if !reply.NotRun {
 		return attemptResult{}, false
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedAnswerBytes)); err != nil {
-		resp.Close()
-	} else {
-		resp.Finish()
-	}
+	resp.Discard()
 	if reply.Misdirected {
 		return attemptResult{notRun: true, health: fleet.Unreachable, cause: "endpoint_replaced"}, true
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/crocusreel/crocusreel/endpoint/h1"
@@ -262,6 +263,10 @@
 			if !ok {
 				return segmentCorrupt, io.ErrUnexpectedEOF
 			}
+			if s.exceedsLongest(prog) {
+				metrics.Count("stream_without_end")
+				return segmentCorrupt, errWithoutEnd
+			}
 		}
 		if err == io.EOF {
 			return segmentComplete, io.EOF
@@ -275,6 +280,21 @@
 	}
 }
 
+const (
+	// maxLengthFactor and extraEvents bound the events of a stream, as a multiple of the longest answer
+	// that was asked for and a number of events besides.
+	maxLengthFactor = 2
+	extraEvents     = 64
+)
+
+var errWithoutEnd = eris.New("the endpoint sends more events than the longest answer has")
+
+// exceedsLongest reports whether the stream goes on far beyond the longest answer that was asked for.
+func (s *segment) exceedsLongest(prog *progress) bool {
+	longest := s.r.Size.MaxOutput / max(s.tokensPerEvent(), 1)
+	return s.r.Size.MaxOutput > 0 && prog.count > maxLengthFactor*longest+extraEvents
+}
+
 // newEvents checks the order of the events and returns those that the caller has not received yet.
 // It returns false if an event is missing; the events before it are returned all the same. After a
 // move or in a new run, an engine may send events again, and a faulty one may omit an event; the
