Nodes tell each other the version of the ledger's row with its count

Change: the version travels with the count; a node whose copy is known to be outdated reads first. The row's condition decides as before.

--- a/node/retries.go
+++ b/node/retries.go
@@ -137,6 +137,7 @@
 		budget := &exchangev1.RetryBudget{Service: r.Key, Attempts: uint64(r.Attempts), RecentAttempts: r.Recent}
 		if r.Count > 0 {
 			budget.Reserved, budget.ReservedAgeMs = uint64(r.Count), uint64(max(r.CountAge, 0).Milliseconds())
+			budget.ReservedVersion = uint64(r.Version)
 		}
 		if r.Settled > 0 {
 			budget.Settled, budget.SettledAgeMs = uint64(r.Settled), uint64(max(r.SettledAge, 0).Milliseconds())
@@ -153,7 +154,7 @@
 		reports = append(reports, retry.Report{
 			Key: b.GetService(), Attempts: int64(b.GetAttempts()), Recent: b.GetRecentAttempts(),
 			Count: int64(b.GetReserved()), CountAge: millis(b.GetReservedAgeMs()),
-			Settled: int64(b.GetSettled()), SettledAge: millis(b.GetSettledAgeMs()),
+			Version: int64(b.GetReservedVersion()), Settled: int64(b.GetSettled()), SettledAge: millis(b.GetSettledAgeMs()),
 		})
 	}
 	n.relay.Budgets.Merge(s.GetAddress(), s.GetIncarnation(), era, reports)
--- a/retry/report.go
+++ b/retry/report.go
@@ -17,6 +17,8 @@
 	// known. Settled is the number that was reserved at least SettledAge ago.
 	Count, Settled       int64
 	CountAge, SettledAge time.Duration
+	// Version is that of the ledger's entry with Count, 0 if it is not known.
+	Version int64
 }
 
 // EraReport is what a node tells the others about the store of the ledger: that it has been in an era
@@ -55,7 +57,12 @@
 	b.counts.prune(now - b.set.memory())
 	b.attempts.prune(now - 2*b.set.Length - settleTime)
 	latest, settled := b.counts.latest(), b.counts.at(now-b.set.memory())
+	version := int64(0)
+	if b.entry.Count == latest.count {
+		version = b.entry.Version
+	}
 	return Report{
+		Version:  version,
 		Attempts: b.attempts.total, Recent: b.attempts.recent(now, b.set.reportSpan()),
 		Count: latest.count, CountAge: now - latest.at,
 		Settled: settled.count, SettledAge: now - settled.at,
@@ -83,7 +90,9 @@
 		b.attempts.merge(node, incarnation, r.Attempts, r.Recent, now)
 		b.enterEra(current)
 		if era.Known && era.Era == b.era {
-			b.counts.add(fact{count: r.Count, at: now - r.CountAge})
+			if b.counts.add(fact{count: r.Count, at: now - r.CountAge}) && r.Version > 0 {
+				b.entry = Entry{Count: r.Count, Version: r.Version, Era: era.Era}
+			}
 			b.counts.add(fact{count: r.Settled, at: now - r.SettledAge})
 		}
 		b.mu.Unlock()
--- a/retry/shared.go
+++ b/retry/shared.go
@@ -434,11 +434,12 @@
 	b.pausedUntil = b.set.Now() + ledgerPause
 }
 
-// knownEntry returns the last known state of the entry. ok is false if it has to be read.
+// knownEntry returns the last known state of the entry. ok is false if it has to be read, or if another
+// node is known to have advanced it since.
 func (b *SharedBudget) knownEntry() (e Entry, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.entry, b.entry.Version > 0 && b.entry.Era == b.era
+	return b.entry, b.entry.Version > 0 && b.entry.Era == b.era && b.entry.Count == b.counts.latest().count
 }
 
 func (b *SharedBudget) forgetEntry() {
