A stream may have a thousand events more than twice the longest answer that was asked for

What callers would have seen: streams of 500 events, asked for with a longest answer of 400 tokens (100 events), ended as broken after 264 events. Cause: the bound on streams without end took the caller's number for exact, with 64 events to spare. Change: 1,000 events besides.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -284,7 +284,7 @@
 	// maxLengthFactor and extraEvents bound the events of a stream, as a multiple of the longest answer
 	// that was asked for and a number of events besides.
 	maxLengthFactor = 2
-	extraEvents     = 64
+	extraEvents     = 1000
 )
 
 var errWithoutEnd = eris.New("the endpoint sends more events than the longest answer has")
