--- a/tests/node/budget_test.go
+++ b/tests/node/budget_test.go
@@ -97,9 +97,8 @@
 	running.Wait()
 }
 
-// worstWindow returns the repeats and the allowed repeats of the window in which the share of the
-// budget that was used is largest. Requests are counted in the window, the one before it or the one
-// half a window before it, whichever has most.
+// worstWindow returns the repeats and the allowed repeats of the window that uses most of its budget.
+// Requests count in the window, the one before or half a window before, whichever has most.
 func (r *budgetRun) worstWindow() (repeats int, allowed float64) {
 	var requests, again []time.Time
 	for _, at := range r.sent {
