--- a/review/lab.py
+++ b/review/lab.py
@@ -169,6 +169,7 @@
         super().__init__()
         self.rows, self.changes, self.version, self.era = {}, [], 0, 1
         self.changed = asyncio.Event()
+        self.kept, self.away = None, False
 
     def commit(self, writes, removes=()):
         self.version += 1
@@ -183,6 +184,16 @@
         self.changed = asyncio.Event()
         return self.version
 
+    def keep_copy(self):
+        self.kept = dict(self.rows), list(self.changes), self.version
+
+    def restore(self):
+        """Comes back from the kept copy, in the next era. Its versions are given out again."""
+        self.rows, self.changes, self.version = dict(self.kept[0]), list(self.kept[1]), self.kept[2]
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def put(self, table, key, value):
         return self.commit([(table, key, json.dumps(value).encode())])
 
@@ -194,6 +205,9 @@
         url = urllib.parse.urlsplit(target)
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query, keep_blank_values=True).items()}
         await asyncio.sleep(self.LATENCY_S)
+        if self.away:
+            writer.write(answer(503, [("Store-Era", str(self.era))]))
+            return True
         status, body = 404, {}
         if url.path == "/rows-tx" and method == "POST":
             status, body = self.transact(json.loads(request.body))
@@ -222,9 +236,13 @@
         return 200, {"rows": [self.rows[table, k] for k in keys[:limit]], "has_more": len(keys) > limit}
 
     async def feed(self, query):
-        table, since = query["table_name"], int(query["since_revision"])
+        table, since, era = query["table_name"], int(query["since_revision"]), self.era
+        if since > self.version:
+            return 410, {}
         end = time.monotonic() + min(int(query.get("wait_ms", 0)), 30000) / 1000
         while True:
+            if era != self.era or self.away:
+                return 410, {}
             rows = [row for row in self.changes if row["table_name"] == table and row["schema_version"] > since]
             left = end - time.monotonic()
             if rows or left <= 0:
