--- a/review/lab.py
+++ b/review/lab.py
@@ -565,12 +565,13 @@
     async def run():
         lab = Lab(case_file)
         code = NOT_RUN
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             if not os.path.exists(PROGRAM):
                 raise CannotRun(f"{PROGRAM} is not built")
             lab.check_ports()
             code = await asyncio.wait_for(case(lab), limit_s)
-        except (CannotRun, OSError, asyncio.TimeoutError) as err:
+        except (Exception, asyncio.CancelledError) as err:  # a fault of the case says nothing of the rule
             lab.record.add("case", "could not run:", cause=repr(err))
         finally:
             await lab.close()
