--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import lab as kit  # noqa: E402
 
-REQUESTERS = 24
+REQUESTERS = 40
 WORK_S = 0.6  # a third of a second and more below the time budget
 BUDGET_MS = 2500
 CALM_S = kit.CONTACT_S + 2
