--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/drain"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/knowledge"
 	"github.com/crocusreel/crocusreel/platform"
@@ -24,7 +25,7 @@
 type Handler struct {
 	Config     *knowledge.ConfigurationTracker
 	Relay      *relay.Relay
-	Gate       *Gate
+	Gate       *drain.Gate
 	BodyMemory *BodyMemory
 	// Freshness limits the age of the configuration that decisions are based on.
 	Freshness FreshnessLimits
@@ -61,11 +62,13 @@
 		w.Header().Set("Connection", "close")
 	}
 	sink := &responseSink{w: w, rc: http.NewResponseController(w)}
-	if !h.Gate.StartRequest() {
+	tracked := h.Gate.Admit()
+	if tracked == nil {
 		h.reject(sink, r, refuseNotRun(crocusreel.ReasonShuttingDown, leavingRetryAfter, "this node has stopped"))
 		return
 	}
-	defer h.Gate.EndRequest()
+	defer tracked.End()
+	tracked.Identify(platform.AttemptID(r))
 	metered := &meteredBody{Reader: r.Body, budget: h.BodyMemory}
 	defer metered.release()
 	r.Body = io.NopCloser(metered)
@@ -74,6 +77,8 @@
 		h.reject(sink, r, refusal)
 		return
 	}
+	req.Tracked = tracked
+	tracked.Enter(drain.Waiting)
 	result := h.Relay.Serve(r.Context(), req, sink)
 	if result.Refusal != nil && !result.Broken {
 		result.Status = statusOf(result.Refusal)
@@ -327,7 +332,7 @@
 	if v.Broken || v.Detail != "" {
 		fields = append(fields, zap.Bool("broken", v.Broken), zap.String("detail", v.Detail))
 	}
-	h.Log.Info("request ended", fields...)
+	h.Log.Info("request ended", append(fields, req.Tracked.LogFields()...)...)
 }
 
 // observeLatency records the latencies of a request.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/crocusreel/crocusreel/drain"
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/entry"
 	"github.com/crocusreel/crocusreel/fleet"
@@ -30,7 +31,7 @@
 type fixture struct {
 	now    time.Duration
 	config *knowledge.ConfigurationTracker
-	gate   *entry.Gate
+	gate   *drain.Gate
 	app    *worker.Worker
 	url    string
 	logs   *observer.ObservedLogs
@@ -41,7 +42,7 @@
 
 func newFixture() *fixture {
 	GinkgoHelper()
-	s := &fixture{now: time.Hour, gate: entry.NewGate(), usage: "100,2000"}
+	s := &fixture{now: time.Hour, gate: drain.NewGate(), usage: "100,2000"}
 	s.config = knowledge.NewConfigurationTracker(func() time.Duration { return s.now })
 	client := h1.NewClient()
 	endpoints := fleet.New("dc1", boottime.Now)
@@ -255,9 +256,10 @@
 	It("starts no request once it is closed", func() {
 		s := newFixture()
 		s.configure()
-		Expect(s.gate.StartRequest()).To(BeTrue())
+		r := s.gate.Admit()
+		Expect(r).NotTo(BeNil())
 		Expect(s.gate.CloseIfIdle()).To(BeFalse())
-		s.gate.EndRequest()
+		r.End()
 		Expect(s.gate.CloseIfIdle()).To(BeTrue())
 		Expect(s.send("/calls/1", "key", "").status).To(Equal(http.StatusServiceUnavailable))
 		Expect(s.app.Runs()).To(BeEmpty())
--- a/node/forward_server.go
+++ b/node/forward_server.go
@@ -56,13 +56,16 @@
 	sink := &forwardSink{stream: stream}
 	sink.controller, _ = ctx.Value(responseControllerKey{}).(*http.ResponseController)
 	r, cause := n.readForwarded(ctx, req.Msg)
-	if cause == "" && !n.gate.StartRequest() {
-		cause = "this node has stopped"
-	}
 	if cause != "" {
 		return sink.decline(cause)
 	}
-	defer n.gate.EndRequest()
+	tracked := n.gate.Admit()
+	if tracked == nil {
+		return sink.decline("this node has stopped")
+	}
+	defer tracked.End()
+	tracked.Identify(r.ID)
+	r.Tracked = tracked
 	if !n.forwarded.begin() {
 		return sink.decline("this node serves too many requests for others")
 	}
@@ -147,7 +150,7 @@
 	if result.Refusal != nil {
 		fields = append(fields, zap.String("reason", string(result.Refusal.Reason)), zap.String("outcome", string(result.Refusal.Outcome)))
 	}
-	n.log.Info("request of another node ended", fields...)
+	n.log.Info("request of another node ended", append(fields, r.Tracked.LogFields()...)...)
 }
 
 // endMessage returns the message for the end of a request.
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/crocusreel/crocusreel/drain"
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/entry"
 	"github.com/crocusreel/crocusreel/fleet"
@@ -78,7 +79,7 @@
 	relay          *relay.Relay
 	client         *h1.Client
 	engines        *platform.EngineClient
-	gate           *entry.Gate
+	gate           *drain.Gate
 	entry          *entry.Handler
 	bodyMemory     *entry.BodyMemory
 	// forwards are the requests that other nodes serve for this one, forwarded counts those that
@@ -129,7 +130,7 @@
 		registrationLost: make(chan struct{}, 1),
 		fleet:            fleet.New(s.DataCentre, boottime.Now),
 		client:           h1.NewClient(),
-		gate:             entry.NewGate(),
+		gate:             drain.NewGate(),
 		peerClient:       peer.NewHTTPClient(nil),
 		bodyMemory:       entry.NewBodyMemory(int64(requestBodiesShare * float64(s.MemoryMB) * (1 << 20))),
 	}
--- a/node/serve.go
+++ b/node/serve.go
@@ -271,5 +271,13 @@
 	for time.Now().Before(stopsAt) && !n.gate.CloseIfIdle() {
 		pause(ctx, leaveCheckInterval)
 	}
+	n.logCutRequests()
 	n.log.Info("node stopped", zap.Int("requests", n.gate.InFlight()))
 }
+
+// logCutRequests logs each request that is still in flight when the node stops.
+func (n *Node) logCutRequests() {
+	for _, r := range n.gate.Requests() {
+		n.log.Info("request in flight at the stop", append(r.LogFields(), zap.String("request", r.ID()))...)
+	}
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/drain"
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
@@ -281,6 +282,7 @@
 	defer a.closeExchange()
 	j.result.Status = a.resp.StatusCode
 	j.result.FirstEvent = time.Since(j.r.Received)
+	j.r.Tracked.Enter(drain.Answering)
 	header := j.Protocol.AnswerHeader(a.resp.Header)
 	if !a.hasMore {
 		header.Del("Content-Length")
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/crocusreel/crocusreel/drain"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/routing"
 )
@@ -53,6 +54,7 @@
 	}
 	for {
 		sink := j.forwardSink()
+		j.r.Tracked.Enter(drain.Sent)
 		got := j.Forwarder.Forward(ctx, j.r, sink)
 		if !got.Accepted {
 			j.declined = true
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/drain"
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
@@ -59,6 +60,8 @@
 	// is set.
 	LastEvent int64
 	Resumes   bool
+	// Tracked is the record of the request among those in flight. It is nil if there is none.
+	Tracked *drain.Request
 	// LostNodes are the addresses of the nodes that were lost while they served the request.
 	LostNodes []string
 }
@@ -355,6 +358,7 @@
 
 // place waits for a placement and checks that the request may still run.
 func (j *job) place(ctx context.Context) (*fleet.Placement, *crocusreel.Refusal) {
+	j.r.Tracked.Enter(drain.Waiting)
 	j.pauseBeforeFreeSend(ctx)
 	if refusal := j.awaitClaim(ctx); refusal != nil {
 		return nil, refusal
@@ -404,6 +408,7 @@
 	stopSilence := j.watchSilence(attempt.Instance)
 	defer stopSilence()
 	began := time.Now()
+	j.r.Tracked.Enter(drain.Sent)
 	resp, err := j.Client.Do(ctx, attempt.Instance.Address, &h1.Request{
 		Method:          j.r.Method,
 		Target:          j.r.Target,
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/crocusreel/crocusreel/drain"
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
@@ -180,6 +181,7 @@
 // forward sends the header of the answer and the events to the caller until the segment ends, and
 // then resumes the stream on another endpoint if the segment was cut.
 func (s *segment) forward(ctx context.Context, prog *progress) (segmentEnd, *segment) {
+	s.r.Tracked.Enter(drain.Answering)
 	if !s.sink.Begun() {
 		s.result.Status = s.resp.StatusCode
 		if err := s.sink.Begin(s.resp.StatusCode, s.Protocol.AnswerHeader(s.resp.Header)); err != nil {
