--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -42,29 +43,19 @@
 	MaxDenialAge time.Duration
 }
 
-// Delays after which refused callers may retry.
-const (
-	// notReadyRetryAfter applies to a node that has just started or was disconnected: other nodes
-	// serve.
-	notReadyRetryAfter = 200 * time.Millisecond
-	// leavingRetryAfter applies to a node that is about to stop.
-	leavingRetryAfter = 50 * time.Millisecond
-)
+// notReadyRetryAfter applies to a node that has just started or was disconnected: other nodes serve.
+const notReadyRetryAfter = 200 * time.Millisecond
 
 // defaultMaxBodyBytes bounds request bodies, in bytes, if the configuration does not.
 const defaultMaxBodyBytes = 4 << 20
 
-// ServeHTTP implements http.Handler. While the node is leaving, it closes each connection after the
-// answer, so that callers reconnect to another node.
+// ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
-	if h.Gate.Leaving() {
-		w.Header().Set("Connection", "close")
-	}
-	sink := &responseSink{w: w, rc: http.NewResponseController(w)}
-	tracked := h.Gate.Admit()
+	sink := &responseSink{w: w, rc: http.NewResponseController(w), gate: h.Gate}
+	ctx, tracked := h.Gate.Admit(r.Context())
 	if tracked == nil {
-		h.reject(sink, r, refuseNotRun(crocusreel.ReasonShuttingDown, leavingRetryAfter, "this node has stopped"))
+		h.reject(sink, r, drain.Refuse("this node has stopped"))
 		return
 	}
 	defer tracked.End()
@@ -72,14 +63,13 @@
 	metered := &meteredBody{Reader: r.Body, budget: h.BodyMemory}
 	defer metered.release()
 	r.Body = io.NopCloser(metered)
-	req, refusal := h.admit(w, r, received)
+	req, refusal := h.admit(ctx, sink, r, tracked, received)
 	if refusal != nil {
 		h.reject(sink, r, refusal)
 		return
 	}
-	req.Tracked = tracked
 	tracked.Enter(drain.Waiting)
-	result := h.Relay.Serve(r.Context(), req, sink)
+	result := h.Relay.Serve(ctx, req, sink)
 	if result.Refusal != nil && !result.Broken {
 		result.Status = statusOf(result.Refusal)
 		h.writeRefusal(sink, result.Refusal)
@@ -99,7 +89,7 @@
 }
 
 // admit checks a request and reads its body. It returns a refusal if the request cannot be served.
-func (h *Handler) admit(w http.ResponseWriter, r *http.Request, received time.Time) (*relay.Request, *crocusreel.Refusal) {
+func (h *Handler) admit(ctx context.Context, sink *responseSink, r *http.Request, tracked *drain.Request, received time.Time) (*relay.Request, *crocusreel.Refusal) {
 	snapshot, ages := h.Config.Current()
 	if snapshot.Table == nil {
 		return nil, refuseNotRun(crocusreel.ReasonNotReady, notReadyRetryAfter, "no configuration yet")
@@ -127,10 +117,12 @@
 	if service == nil {
 		return nil, refuseNotRun(crocusreel.ReasonNoEndpoint, notReadyRetryAfter, "route %s has no service", route.Name)
 	}
-	if refusal := h.RefuseLateStream(route, head.Size); refusal != nil {
+	timeout := requestTimeout(route, head.Timeout)
+	tracked.Bound(deadlineOf(received, timeout), relay.LongestRun(route, head.Size))
+	if refusal := tracked.RefuseLate(); refusal != nil {
 		return nil, refusal
 	}
-	body, refusal := readBody(w, r, snapshot.Table.Limits.MaxBodyBytes)
+	body, refusal := readBodyInTime(ctx, sink, r, tracked, snapshot.Table.Limits.MaxBodyBytes)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -150,7 +142,8 @@
 		Workspace:     ws,
 		ConfigVersion: snapshot.Table.Version,
 		Received:      received,
-		Deadline:      received.Add(requestTimeout(route, head.Timeout)),
+		Deadline:      received.Add(timeout),
+		Tracked:       tracked,
 		Size:          head.Size,
 		Fingerprint:   relay.NewFingerprint(workspace, r.RequestURI, body),
 		Parts:         head.Parts,
@@ -204,18 +197,6 @@
 		ages.Confirmed.Round(time.Millisecond), ages.Answered.Round(time.Millisecond))
 }
 
-// RefuseLateStream refuses a stream that may not end before this node stops. It assumes the longest
-// answer that the request allows.
-func (h *Handler) RefuseLateStream(route *routing.Route, size relay.Size) *crocusreel.Refusal {
-	if !h.Gate.Leaving() || route.Kind != routing.Streaming {
-		return nil
-	}
-	if relay.MaxGenerationTime(size) < h.Gate.Remaining() {
-		return nil
-	}
-	return refuseNotRun(crocusreel.ReasonShuttingDown, leavingRetryAfter, "this node is leaving; use another address")
-}
-
 // requestTimeout returns the shorter of the caller's and the route's timeout. A callerTimeout of 0
 // means that the caller sets none, and a route timeout of 0 that the route sets none.
 func requestTimeout(route *routing.Route, callerTimeout time.Duration) time.Duration {
@@ -225,6 +206,31 @@
 	return callerTimeout
 }
 
+// deadlineOf returns when a request ends at the latest, the zero time if it has no timeout.
+func deadlineOf(received time.Time, timeout time.Duration) time.Time {
+	if timeout <= 0 {
+		return time.Time{}
+	}
+	return received.Add(timeout)
+}
+
+// readBodyInTime reads the request body as readBody does. It gives up as soon as it is too late to send
+// the request: a caller that sends its body slowly would otherwise wait only to be refused.
+func readBodyInTime(ctx context.Context, sink *responseSink, r *http.Request, tracked *drain.Request, limit int64) ([]byte, *crocusreel.Refusal) {
+	if r.ContentLength == 0 {
+		return readBody(sink.w, r, limit)
+	}
+	ctx, done := tracked.WhileUnsent(ctx)
+	defer done()
+	stop := context.AfterFunc(ctx, func() { _ = sink.rc.SetReadDeadline(time.Now()) })
+	defer stop()
+	body, refusal := readBody(sink.w, r, limit)
+	if interrupted := drain.RefuseInterrupted(ctx); refusal != nil && interrupted != nil {
+		return nil, interrupted
+	}
+	return body, refusal
+}
+
 // readBody reads the request body, up to limit bytes, or defaultMaxBodyBytes if limit is not
 // positive.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *crocusreel.Refusal) {
@@ -276,6 +282,7 @@
 // writeRefusal writes a refusal as the answer.
 func (h *Handler) writeRefusal(s *responseSink, refusal *crocusreel.Refusal) {
 	metrics.CountRefusal(refusal.Reason)
+	s.closeIfLeaving()
 	header := s.w.Header()
 	header.Set("Content-Type", "application/json")
 	if refusal.RetryAfter > 0 {
@@ -355,15 +362,25 @@
 type responseSink struct {
 	w     http.ResponseWriter
 	rc    *http.ResponseController
+	gate  *drain.Gate
 	begun bool
 }
 
+// closeIfLeaving makes the connection close after the answer if the node is leaving, so that the caller
+// reconnects to another node.
+func (s *responseSink) closeIfLeaving() {
+	if s.gate.Leaving() {
+		s.w.Header().Set("Connection", "close")
+	}
+}
+
 // Begin implements relay.Sink.
 func (s *responseSink) Begin(status int, header http.Header) error {
 	target := s.w.Header()
 	for name, values := range header {
 		target[name] = values
 	}
+	s.closeIfLeaving()
 	if header.Get("Content-Type") == "" {
 		// A nil value keeps net/http from guessing a type that the endpoint did not send.
 		target["Content-Type"] = nil
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -99,6 +99,12 @@
 	}), Confirmation: knowledge.Confirmation{ConfirmedAt: s.now, AnsweredAt: s.now}})
 }
 
+// leave makes the node leave: it stops after the given time, and answers that name it are valid until then.
+func (s *fixture) leave(after time.Duration) {
+	now := time.Now()
+	s.gate.Leave(drain.Schedule{LeavesAt: now, AddressesExpire: now.Add(after), StopsAt: now.Add(after)})
+}
+
 type reply struct {
 	status int
 	header http.Header
@@ -231,7 +237,7 @@
 	It("refuses long streams while it is leaving and serves calls", func() {
 		s := newFixture()
 		s.configure()
-		s.gate.Leave(time.Now().Add(3 * time.Second))
+		s.leave(3 * time.Second)
 		draft := s.send("/drafts/1", "key", "")
 		Expect(draft.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(draft.body).To(ContainSubstring("shutting_down"))
@@ -246,7 +252,7 @@
 		s := newFixture()
 		s.configure()
 		s.hint = "40"
-		s.gate.Leave(time.Now().Add(3 * time.Second))
+		s.leave(3 * time.Second)
 		Expect(s.send("/drafts/1", "key", "").status).To(Equal(http.StatusServiceUnavailable))
 		s.usage = "100,48"
 		Expect(s.send("/drafts/1", "key", "").status).To(Equal(http.StatusOK))
@@ -256,7 +262,7 @@
 	It("starts no request once it is closed", func() {
 		s := newFixture()
 		s.configure()
-		r := s.gate.Admit()
+		_, r := s.gate.Admit(context.Background())
 		Expect(r).NotTo(BeNil())
 		Expect(s.gate.CloseIfIdle()).To(BeFalse())
 		r.End()
--- a/node/forward_server.go
+++ b/node/forward_server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,8 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/crocusreel/crocusreel"
+	"github.com/crocusreel/crocusreel/drain"
 	"github.com/crocusreel/crocusreel/exchange/exchangev1"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/quarantine"
@@ -59,12 +62,16 @@
 	if cause != "" {
 		return sink.decline(cause)
 	}
-	tracked := n.gate.Admit()
+	ctx, tracked := n.gate.Admit(ctx)
 	if tracked == nil {
 		return sink.decline("this node has stopped")
 	}
 	defer tracked.End()
 	tracked.Identify(r.ID)
+	tracked.Bound(r.Deadline, relay.LongestRun(r.Route, r.Size))
+	if refusal := tracked.RefuseLate(); refusal != nil {
+		return sink.decline(refusal.Message)
+	}
 	r.Tracked = tracked
 	if !n.forwarded.begin() {
 		return sink.decline("this node serves too many requests for others")
@@ -77,9 +84,23 @@
 	result := n.relay.Serve(ctx, r, sink)
 	metrics.Count("forwarded_served")
 	n.logForwarded(req.Msg.GetNode(), r, &result)
+	switch {
+	case refusedAsLeaving(&result) && !sink.begun:
+		// Another node can serve a request that has not run.
+		return sink.decline(result.Refusal.Message)
+	case errors.Is(context.Cause(ctx), drain.ErrStopped) && (result.Broken || result.Refusal != nil):
+		// The node that forwarded the request decides whether it may run again.
+		return connect.NewError(connect.CodeUnavailable, drain.ErrStopped)
+	}
 	return sink.send(&exchangev1.ForwardResponse{Part: &exchangev1.ForwardResponse_End{End: endMessage(&result)}})
 }
 
+// refusedAsLeaving reports whether a request has not run because this node is leaving.
+func refusedAsLeaving(result *relay.Result) bool {
+	r := result.Refusal
+	return r != nil && r.Reason == crocusreel.ReasonShuttingDown && r.Outcome == crocusreel.OutcomeNotRun
+}
+
 // readForwarded returns the request of a message, or why this node does not serve it.
 func (n *Node) readForwarded(ctx context.Context, m *exchangev1.ForwardRequest) (r *relay.Request, declined string) {
 	now := time.Now()
@@ -115,9 +136,6 @@
 		Resumes:       m.GetResumes(),
 		Parts:         quarantine.PartsOf(m.GetPromptParts()),
 	}
-	if refusal := n.entry.RefuseLateStream(r.Route, r.Size); refusal != nil {
-		return nil, refusal.Message
-	}
 	return r, ""
 }
 
--- a/node/serve.go
+++ b/node/serve.go
@@ -15,6 +15,7 @@
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
+	"github.com/crocusreel/crocusreel/drain"
 	"github.com/crocusreel/crocusreel/gossip"
 	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/platform"
@@ -263,21 +264,18 @@
 }
 
 func (n *Node) leave(ctx context.Context, s os.Signal) {
-	stopsAt := time.Now().Add(n.settings.ShutdownGrace - shutdownMargin)
-	n.gate.Leave(stopsAt)
+	now := time.Now()
+	stopsAt := now.Add(n.settings.ShutdownGrace - shutdownMargin)
+	n.gate.Leave(drain.Schedule{LeavesAt: now, AddressesExpire: now.Add(leaveAcceptPeriod), StopsAt: stopsAt})
 	n.announceReadiness()
 	n.log.Info("node leaving", zap.String("signal", s.String()), zap.Int("requests", n.gate.InFlight()))
 	pause(ctx, min(leaveAcceptPeriod, time.Until(stopsAt)))
 	for time.Now().Before(stopsAt) && !n.gate.CloseIfIdle() {
 		pause(ctx, leaveCheckInterval)
 	}
-	n.logCutRequests()
-	n.log.Info("node stopped", zap.Int("requests", n.gate.InFlight()))
-}
-
-// logCutRequests logs each request that is still in flight when the node stops.
-func (n *Node) logCutRequests() {
-	for _, r := range n.gate.Requests() {
-		n.log.Info("request in flight at the stop", append(r.LogFields(), zap.String("request", r.ID()))...)
+	ended := n.gate.Close()
+	for _, r := range ended {
+		n.log.Info("request ended by the stop", append(r.LogFields(), zap.String("request", r.ID()))...)
 	}
+	n.log.Info("node stopped", zap.Int("requests", len(ended)))
 }
--- a/relay/call.go
+++ b/relay/call.go
@@ -168,7 +168,7 @@
 		return j.deliver(ctx, errorAnswer)
 	}
 	if ctx.Err() != nil {
-		return j.end(j.deadlineRefusal(), j.result.Detail)
+		return j.end(j.contextRefusal(ctx), j.result.Detail)
 	}
 	return j.end(j.accurate(refusal), j.result.Detail)
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -52,6 +52,9 @@
 	if refusal := j.Admit(j.r); refusal != nil {
 		return j.end(j.accurate(refusal), "not forwarded"), true
 	}
+	if refusal := j.r.Tracked.RefuseLate(); refusal != nil && !j.ran {
+		return j.end(refusal, "not forwarded"), true
+	}
 	for {
 		sink := j.forwardSink()
 		j.r.Tracked.Enter(drain.Sent)
@@ -73,7 +76,7 @@
 		j.ran = true
 		j.result.Attempts++
 		if ctx.Err() != nil {
-			return j.end(j.deadlineRefusal(), "time over, or caller gone"), true
+			return j.end(j.contextRefusal(ctx), "time over, caller gone or node stopped"), true
 		}
 		j.Log.Warn("node lost that served a request", zap.String("request", j.r.ID), zap.String("node", got.Via),
 			zap.String("cause", cause), zap.Bool("begun", j.sink.Begun()))
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -377,6 +377,8 @@
 	result := j.end(nil, j.result.Detail)
 	result.Broken = true
 	switch {
+	case errors.Is(context.Cause(ctx), drain.ErrStopped):
+		result.Detail = "node stopped"
 	case end == segmentCallerGone || errors.Is(ctx.Err(), context.Canceled):
 		result.Detail = "caller gone"
 	case ctx.Err() != nil:
