--- a/node/caller_server.go
+++ b/node/caller_server.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/crocusreel/crocusreel/peer"
 	"github.com/crocusreel/crocusreel/routing"
 )
 
@@ -27,10 +29,13 @@
 	current routing.Limits
 	conns   *connListener
 	servers []*http.Server
+	// stopping is set once the server shuts down; stopped is closed at the end of it.
+	stopping bool
+	stopped  chan struct{}
 }
 
 func newCallerServer(handler http.Handler, listener net.Listener) *callerServer {
-	l := &callerServer{handler: handler, listener: listener}
+	l := &callerServer{handler: handler, listener: listener, stopped: make(chan struct{})}
 	l.apply(routing.Limits{})
 	return l
 }
@@ -39,7 +44,7 @@
 func (l *callerServer) apply(limits routing.Limits) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conns != nil && limits == l.current {
+	if l.stopping || l.conns != nil && limits == l.current {
 		return
 	}
 	if l.conns != nil {
@@ -67,11 +72,15 @@
 	return value
 }
 
-// serve accepts connections until the listener is closed, and returns the error of Accept.
+// serve accepts connections until the listener fails or the server has been closed, and returns the
+// error of Accept.
 func (l *callerServer) serve() error {
 	for {
 		conn, err := l.listener.Accept()
 		if err != nil {
+			if l.isStopping() {
+				<-l.stopped
+			}
 			return err
 		}
 		l.dispatch(conn)
@@ -81,8 +90,12 @@
 func (l *callerServer) dispatch(conn net.Conn) {
 	for {
 		l.mu.Lock()
-		conns := l.conns
+		conns, stopping := l.conns, l.stopping
 		l.mu.Unlock()
+		if stopping {
+			_ = conn.Close()
+			return
+		}
 		select {
 		case conns.conns <- conn:
 			return
@@ -91,13 +104,37 @@
 	}
 }
 
-// close closes all servers and their connections.
+// shutDown accepts no more connections and waits until the answers that are being written have been
+// sent, or until ctx ends. It leaves no connection open.
+func (l *callerServer) shutDown(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, s := range l.stop() {
+		all.Go(func() { peer.Shutdown(ctx, s) })
+	}
+	all.Wait()
+}
+
+// close closes all servers and their connections, and ends serve.
 func (l *callerServer) close() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, s := range l.servers {
+	for _, s := range l.stop() {
 		_ = s.Close()
 	}
+	close(l.stopped)
+}
+
+// stop closes the listener and returns the servers.
+func (l *callerServer) stop() []*http.Server {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopping = true
+	_ = l.listener.Close()
+	return l.servers
+}
+
+func (l *callerServer) isStopping() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stopping
 }
 
 // connListener is a net.Listener that accepts the connections sent to its channel.
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -218,3 +219,20 @@
 	known, _ := n.config.Current()
 	return known.Number()
 }
+
+// CallerServer is the server for callers.
+type CallerServer struct{ *callerServer }
+
+// NewCallerServer returns a server for callers on the listener.
+func NewCallerServer(handler http.Handler, l net.Listener) CallerServer {
+	return CallerServer{newCallerServer(handler, l)}
+}
+
+// Serve accepts connections until the server is closed.
+func (s CallerServer) Serve() error { return s.serve() }
+
+// ShutDown ends the server in order.
+func (s CallerServer) ShutDown(ctx context.Context) { s.shutDown(ctx) }
+
+// Close ends the server at once.
+func (s CallerServer) Close() { s.close() }
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -112,6 +113,8 @@
 	tableLimiter   tableLimiter
 	peerClient     *http.Client
 	callerServer   *callerServer
+	// servers are those of the other listeners.
+	servers []*http.Server
 }
 
 // New returns a node with the given settings. The mechanisms in disabled are switched off.
@@ -237,10 +240,7 @@
 	}
 	n.callerServer = newCallerServer(n.entry, callers)
 	var group run.Group
-	group.Add(n.callerServer.serve, func(error) {
-		_ = callers.Close()
-		n.callerServer.close()
-	})
+	group.Add(n.callerServer.serve, func(error) { n.callerServer.close() })
 	servers := []struct {
 		address string
 		handler http.Handler
@@ -254,13 +254,13 @@
 		if err != nil {
 			return eris.Wrap(err, "listen")
 		}
-		addServer(&group, &http.Server{Handler: s.handler, ReadHeaderTimeout: defaultHeaderTimeout}, l)
+		n.addServer(&group, &http.Server{Handler: s.handler, ReadHeaderTimeout: defaultHeaderTimeout}, l)
 	}
 	peers, err := net.Listen("tcp", n.settings.PeerAddress)
 	if err != nil {
 		return eris.Wrap(err, "listen on the peer address")
 	}
-	addServer(&group, peer.NewServer(n.peerHandler(), nil), peers)
+	n.addServer(&group, peer.NewServer(n.peerHandler(), nil), peers)
 	for _, task := range []func(context.Context) error{
 		n.configFeed.run, n.endpointFeed.run, n.gossip.Run, n.join, n.follow, n.housekeeping, n.checkHealth, n.watchReach, n.keepQuarantine, n.awaitSignal,
 	} {
@@ -273,10 +273,21 @@
 }
 
 // addServer adds a server to the group that serves the listener until the group ends. Requests in
-// flight are then aborted: the process has already drained, and waiting for peers would use up the
-// rest of the grace period.
-func addServer(g *run.Group, s *http.Server, l net.Listener) {
-	g.Add(func() error { return s.Serve(l) }, func(error) { _ = s.Close() })
+// flight are then aborted: if the process leaves in order, it has shut the server down before.
+func (n *Node) addServer(g *run.Group, s *http.Server, l net.Listener) {
+	n.servers = append(n.servers, s)
+	stopped := make(chan struct{})
+	g.Add(func() error {
+		err := s.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			// The group ends with the task that shuts the servers down, not before.
+			<-stopped
+		}
+		return err
+	}, func(error) {
+		_ = s.Close()
+		close(stopped)
+	})
 }
 
 // housekeepingInterval is the interval at which expired connections are closed and work that
--- a/node/serve.go
+++ b/node/serve.go
@@ -1,21 +1,15 @@
 package node
 
 import (
-	"context"
 	"expvar"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"slices"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"go.uber.org/zap"
 
-	"github.com/crocusreel/crocusreel/drain"
 	"github.com/crocusreel/crocusreel/gossip"
 	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/platform"
@@ -215,67 +209,3 @@
 	}
 	return known.Table.HostRegions(host)
 }
-
-const (
-	// shutdownMargin is the time from the end of the process until the platform would kill it.
-	shutdownMargin = 400 * time.Millisecond
-	// leaveAcceptPeriod is how long a leaving node continues to accept requests: until the answers
-	// that name it have expired, even at callers that cache them three times as long.
-	leaveAcceptPeriod = 3*addressTTL + 200*time.Millisecond
-	// leaveCheckInterval is the interval at which a leaving node checks for requests in flight.
-	leaveCheckInterval = 20 * time.Millisecond
-)
-
-// awaitSignal shuts the node down after SIGTERM or SIGINT: callers are sent elsewhere at once, and
-// requests in flight are completed within the grace period. SIGHUP reloads the settings.
-func (n *Node) awaitSignal(ctx context.Context) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				n.reload()
-				continue
-			}
-			n.leave(ctx, s)
-			return nil
-		}
-	}
-}
-
-// reload reads the settings again and adds new seeds. Addresses and bounds are fixed for the
-// lifetime of the process.
-func (n *Node) reload() {
-	s, err := platform.LoadNodeSettings()
-	if err != nil {
-		n.log.Error("settings not reloaded", zap.Error(err))
-		return
-	}
-	for _, seed := range s.Seeds {
-		if host, _, err := net.SplitHostPort(seed); err == nil {
-			n.gossip.Add(host)
-		}
-	}
-	n.log.Info("settings reloaded", zap.Strings("seeds", s.Seeds))
-}
-
-func (n *Node) leave(ctx context.Context, s os.Signal) {
-	now := time.Now()
-	stopsAt := now.Add(n.settings.ShutdownGrace - shutdownMargin)
-	n.gate.Leave(drain.Schedule{LeavesAt: now, AddressesExpire: now.Add(leaveAcceptPeriod), StopsAt: stopsAt})
-	n.announceReadiness()
-	n.log.Info("node leaving", zap.String("signal", s.String()), zap.Int("requests", n.gate.InFlight()))
-	pause(ctx, min(leaveAcceptPeriod, time.Until(stopsAt)))
-	for time.Now().Before(stopsAt) && !n.gate.CloseIfIdle() {
-		pause(ctx, leaveCheckInterval)
-	}
-	ended := n.gate.Close()
-	for _, r := range ended {
-		n.log.Info("request ended by the stop", append(r.LogFields(), zap.String("request", r.ID()))...)
-	}
-	n.log.Info("node stopped", zap.Int("requests", len(ended)))
-}
