--- a/node/leave.go
+++ b/node/leave.go
@@ -28,11 +28,17 @@
 	leaveCheckInterval = 20 * time.Millisecond
 )
 
+// watchSignals returns the signals that the process receives from now on. A signal that arrives while
+// the node is starting is kept until awaitSignal reads it.
+func watchSignals() chan os.Signal {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
 // awaitSignal shuts the node down after SIGTERM or SIGINT: callers are sent elsewhere at once, and
 // requests in flight are completed within the grace period. SIGHUP reloads the settings.
-func (n *Node) awaitSignal(ctx context.Context) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func (n *Node) awaitSignal(ctx context.Context, signals chan os.Signal) error {
 	defer signal.Stop(signals)
 	for {
 		select {
--- a/node/node.go
+++ b/node/node.go
@@ -234,6 +234,7 @@
 
 // Run serves until SIGTERM or SIGINT, or until a server or task fails.
 func (n *Node) Run() error {
+	signals := watchSignals()
 	callers, err := net.Listen("tcp", n.settings.CallerAddress)
 	if err != nil {
 		return eris.Wrap(err, "listen on the caller address")
@@ -262,7 +263,8 @@
 	}
 	n.addServer(&group, peer.NewServer(n.peerHandler(), nil), peers)
 	for _, task := range []func(context.Context) error{
-		n.configFeed.run, n.endpointFeed.run, n.gossip.Run, n.join, n.follow, n.housekeeping, n.checkHealth, n.watchReach, n.keepQuarantine, n.awaitSignal,
+		n.configFeed.run, n.endpointFeed.run, n.gossip.Run, n.join, n.follow, n.housekeeping, n.checkHealth, n.watchReach, n.keepQuarantine,
+		func(ctx context.Context) error { return n.awaitSignal(ctx, signals) },
 	} {
 		daemon.AddTask(&group, task)
 	}
