--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -74,13 +74,18 @@
 	g.callerServer.SetKeepAlivesEnabled(false)
 	retry.Sleep(ctx, leavePropagation+g.settings.addressTTL)
 	g.drain.stopAccepting()
-	for ctx.Err() == nil && g.running.total() > 0 {
-		retry.Sleep(ctx, drainPollInterval)
-	}
+	g.awaitIdle(ctx)
 	g.waitBackground(ctx)
 	g.log.Info("drain ended", zap.Int("running", g.running.total()))
 }
 
+// awaitIdle waits until no request is running, and then lets none start.
+func (g *Gateway) awaitIdle(ctx context.Context) {
+	for ctx.Err() == nil && !g.running.closeIfIdle() {
+		retry.Sleep(ctx, drainPollInterval)
+	}
+}
+
 // background runs f in a goroutine that Drain waits for.
 func (g *Gateway) background(f func()) {
 	g.backgroundTasks.Add(1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,11 +104,16 @@
 		return crocusreel.Refuse(crocusreel.ReasonNotReady, crocusreel.OutcomeNotRun, notReadyRetryAfter, "no configuration yet")
 	}
 	if g.drain.refusing() {
-		return crocusreel.Refuse(crocusreel.ReasonShuttingDown, crocusreel.OutcomeNotRun, leavingRetryAfter, "this gateway is leaving; use another address")
+		return refuseLeaving()
 	}
 	return nil
 }
 
+// refuseLeaving returns the refusal of a request that has not run because the gateway is leaving.
+func refuseLeaving() *crocusreel.Refusal {
+	return crocusreel.Refuse(crocusreel.ReasonShuttingDown, crocusreel.OutcomeNotRun, leavingRetryAfter, "this gateway is leaving; use another address")
+}
+
 // Workspace implements caller.Core.
 func (g *Gateway) Workspace(keyDigest string) (*config.WorkspaceSpec, bool) {
 	ws, ok := g.state.Load().workspaces[keyDigest]
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -18,21 +18,44 @@
 	mu           sync.Mutex
 	running      map[string]int
 	runningTotal int
+	// closed is set at the end of a drain; no further requests run then.
+	closed bool
 }
 
 func newConcurrency() *concurrency {
 	return &concurrency{running: make(map[string]int)}
 }
 
-func (c *concurrency) acquire(workspace string, limit int) bool {
+// acquire counts a request of the workspace as running, unless it returns a refusal.
+func (c *concurrency) acquire(workspace string, limit int) *crocusreel.Refusal {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if limit > 0 && c.running[workspace] >= limit {
-		return false
+	switch {
+	case c.closed:
+		return refuseLeaving()
+	case limit > 0 && c.running[workspace] >= limit:
+		return crocusreel.Refuse(crocusreel.ReasonStreamLimit, crocusreel.OutcomeNotRun, streamLimitRetryAfter,
+			"workspace has %d requests running at this gateway", limit)
 	}
 	c.running[workspace]++
 	c.runningTotal++
-	return true
+	return nil
+}
+
+// closeIfIdle lets no further requests run if none is running, and reports whether that is so. A request
+// whose body was still being read could otherwise start after the drain has ended.
+func (c *concurrency) closeIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = c.closed || c.runningTotal == 0
+	return c.closed
+}
+
+// close lets no further requests run.
+func (c *concurrency) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
 }
 
 func (c *concurrency) release(workspace string) {
@@ -52,9 +75,8 @@
 
 // AcquireSlot implements caller.Core.
 func (g *Gateway) AcquireSlot(ws *config.WorkspaceSpec) (func(), *crocusreel.Refusal) {
-	if !g.running.acquire(ws.Name, ws.MaxStreams) {
-		return nil, crocusreel.Refuse(crocusreel.ReasonStreamLimit, crocusreel.OutcomeNotRun, streamLimitRetryAfter,
-			"workspace has %d requests running at this gateway", ws.MaxStreams)
+	if refusal := g.running.acquire(ws.Name, ws.MaxStreams); refusal != nil {
+		return nil, refusal
 	}
 	return func() { g.running.release(ws.Name) }, nil
 }
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -28,6 +28,7 @@
 // abortRequests aborts the requests that are still running after a drain that was cut short. Each
 // caller gets a typed error and may resume its stream through another gateway.
 func (g *Gateway) abortRequests() {
+	g.running.close()
 	if g.running.total() == 0 {
 		return
 	}
