--- a/entry/entry.go
+++ b/entry/entry.go
@@ -117,8 +117,8 @@
 	if service == nil {
 		return nil, refuseNotRun(crocusreel.ReasonNoEndpoint, notReadyRetryAfter, "route %s has no service", route.Name)
 	}
-	timeout := requestTimeout(route, head.Timeout)
-	tracked.Bound(deadlineOf(received, timeout), relay.LongestRun(route, head.Size))
+	deadline := received.Add(requestTimeout(route, head.Timeout))
+	tracked.Bound(deadline, relay.LongestRun(route, head.Size))
 	if refusal := tracked.RefuseLate(); refusal != nil {
 		return nil, refusal
 	}
@@ -142,7 +142,7 @@
 		Workspace:     ws,
 		ConfigVersion: snapshot.Table.Version,
 		Received:      received,
-		Deadline:      received.Add(timeout),
+		Deadline:      deadline,
 		Tracked:       tracked,
 		Size:          head.Size,
 		Fingerprint:   relay.NewFingerprint(workspace, r.RequestURI, body),
@@ -197,21 +197,20 @@
 		ages.Confirmed.Round(time.Millisecond), ages.Answered.Round(time.Millisecond))
 }
 
-// requestTimeout returns the shorter of the caller's and the route's timeout. A callerTimeout of 0
-// means that the caller sets none, and a route timeout of 0 that the route sets none.
+// defaultTimeout ends requests for which neither the caller nor the route sets a timeout.
+const defaultTimeout = 10 * time.Minute
+
+// requestTimeout returns the shorter of the caller's and the route's timeout. A timeout of 0 means that
+// the caller or the route sets none.
 func requestTimeout(route *routing.Route, callerTimeout time.Duration) time.Duration {
-	if callerTimeout <= 0 || (route.Timeout > 0 && route.Timeout < callerTimeout) {
+	switch {
+	case callerTimeout <= 0 && route.Timeout <= 0:
+		return defaultTimeout
+	case callerTimeout <= 0 || route.Timeout > 0 && route.Timeout < callerTimeout:
 		return route.Timeout
+	default:
+		return callerTimeout
 	}
-	return callerTimeout
-}
-
-// deadlineOf returns when a request ends at the latest, the zero time if it has no timeout.
-func deadlineOf(received time.Time, timeout time.Duration) time.Time {
-	if timeout <= 0 {
-		return time.Time{}
-	}
-	return received.Add(timeout)
 }
 
 // readBodyInTime reads the request body as readBody does. It gives up as soon as it is too late to send
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -87,6 +88,7 @@
 		Routes: []routing.Route{
 			{Name: "calls", Host: "a.example", Prefix: "/calls/", Timeout: 2 * time.Second, MaxAttempts: 1, Backends: []routing.Backend{{Service: "app", Weight: 1}}},
 			{Name: "open", Host: "a.example", Prefix: "/open/", Timeout: 2 * time.Second, Public: true, MaxAttempts: 1, Backends: []routing.Backend{{Service: "app", Weight: 1}}},
+			{Name: "untimed", Host: "a.example", Prefix: "/untimed/", MaxAttempts: 1, Backends: []routing.Backend{{Service: "app", Weight: 1}}},
 			{Name: "drafts", Host: "a.example", Prefix: "/drafts/", Kind: routing.Streaming, Timeout: 9 * time.Second, MaxAttempts: 1, Backends: []routing.Backend{{Service: "pool", Weight: 1}}},
 		},
 		Services: map[string]*routing.Service{
@@ -128,7 +130,9 @@
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
-	req.Header.Set("Crocusreel-Deadline-Ms", "5000")
+	if !strings.HasPrefix(path, "/untimed/") {
+		req.Header.Set("Crocusreel-Deadline-Ms", "5000")
+	}
 	req.Header.Set("Crocusreel-Token-Usage", s.usage)
 	if s.hint != "" {
 		req.Header.Set("Crocusreel-Length-Hint", s.hint)
@@ -232,6 +236,19 @@
 		Expect(s.send("/calls/1", "key", "").status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against calls that fail at once because neither the caller nor the route sets a timeout.
+	It("serves a call without a timeout, also while it is leaving", func() {
+		s := newFixture()
+		s.configure()
+		Expect(s.send("/untimed/1", "key", "").status).To(Equal(http.StatusOK))
+		s.leave(3 * time.Second)
+		Expect(s.send("/untimed/1", "key", "").status).To(Equal(http.StatusOK))
+		s.leave(0)
+		late := s.send("/untimed/1", "key", "")
+		Expect(late.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(late.body).To(ContainSubstring("not_run"))
+	})
+
 	// Guards against cutting streams when a node stops: one that cannot end in time is refused at
 	// once, so that its caller uses another node. Calls are still served.
 	It("refuses long streams while it is leaving and serves calls", func() {
