--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 GENERATED := '\.pb\.go$$|\.connect\.go$$'
 
 # CONCURRENT are the packages that the race detector looks at.
-CONCURRENT := caller client controller endpoint entry fleet gateway gossip knowledge ledger node peer platform policy quarantine \
+CONCURRENT := caller client controller drain endpoint entry fleet gateway gossip knowledge ledger node peer platform policy quarantine \
   reach relay retry routing scheduler
 
 .PHONY: build run test race lint generate
