--- a/relay/relay.go
+++ b/relay/relay.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -357,53 +356,6 @@
 	return s.MaxOutput / 2
 }
 
-// place waits for a placement and checks that the request may still run.
-//
-// A request that has not run is refused as soon as it might outlast this node if it were sent now. A
-// request that may have run has nothing to lose by another attempt.
-func (j *job) place(ctx context.Context) (*fleet.Placement, *crocusreel.Refusal) {
-	j.r.Tracked.Enter(drain.Waiting)
-	if j.ran || j.sink.Begun() {
-		return j.placeNow(ctx)
-	}
-	waitCtx, done := j.r.Tracked.WhileUnsent(ctx)
-	defer done()
-	p, refusal := j.placeNow(waitCtx)
-	late := drain.RefuseInterrupted(waitCtx)
-	if late == nil && p != nil {
-		late = j.r.Tracked.RefuseLate()
-	}
-	if late == nil {
-		return p, refusal
-	}
-	if p != nil {
-		p.Release(fleet.Neutral)
-	}
-	metrics.Count("refused_late_at_stop")
-	return nil, late
-}
-
-func (j *job) placeNow(ctx context.Context) (*fleet.Placement, *crocusreel.Refusal) {
-	j.pauseBeforeFreeSend(ctx)
-	if refusal := j.awaitClaim(ctx); refusal != nil {
-		return nil, refusal
-	}
-	p, refusal := j.acquire(ctx)
-	if refusal != nil {
-		return nil, refusal
-	}
-	if predicted := p.Predicted; predicted.Step > 0 {
-		j.Log.Debug("engine chosen by its rate", zap.String("request", j.r.ID), zap.String("endpoint", p.Instance().ID),
-			zap.Bool("known", predicted.Known), zap.Duration("step", predicted.Step),
-			zap.Duration("first_event", predicted.FirstEvent), zap.Duration("pause", predicted.Pause))
-	}
-	if refusal := j.Admit(j.r); refusal != nil {
-		p.Release(fleet.Neutral)
-		return nil, refusal
-	}
-	return p, nil
-}
-
 const (
 	// maxWaitShare is the share of the remaining time that a request may wait for a placement. The
 	// rest is needed for the answer itself, or for another attempt after a refusal, for which
@@ -498,47 +450,3 @@
 	return crocusreel.Refuse(crocusreel.ReasonSuspectRequest, crocusreel.OutcomeNotRun,
 		j.Strikes.UntilBelow(j.r.Fingerprint, strikeLimit), "%d endpoints died while running this request", strikes)
 }
-
-// contextRefusal is the answer to a request whose context ended: the node stops, or the request reached
-// its deadline.
-func (j *job) contextRefusal(ctx context.Context) *crocusreel.Refusal {
-	if !errors.Is(context.Cause(ctx), drain.ErrStopped) {
-		return j.deadlineRefusal()
-	}
-	outcome := crocusreel.OutcomeNotRun
-	if j.ran {
-		outcome = crocusreel.OutcomeUnknown
-	}
-	return drain.RefuseWith(outcome, "this node has stopped")
-}
-
-// deadlineRefusal is the answer to a request that reached its deadline.
-func (j *job) deadlineRefusal() *crocusreel.Refusal {
-	outcome := crocusreel.OutcomeNotRun
-	if j.ran {
-		outcome = crocusreel.OutcomeUnknown
-	}
-	return crocusreel.Refuse(crocusreel.ReasonDeadlineUnreachable, outcome, lostRetryAfter, "the time is over")
-}
-
-const (
-	// maxFirstEventTime is the longest time until the first event on a crowded engine, where the
-	// prefill waits for that of other prompts. maxTimePerToken is the longest time for each token
-	// there.
-	maxFirstEventTime = 2 * time.Second
-	maxTimePerToken   = 12 * time.Millisecond
-)
-
-// LongestRun returns the longest time that a run of a request takes, 0 if it is not known.
-func LongestRun(route *routing.Route, s Size) time.Duration {
-	if route.Kind != routing.Streaming {
-		return 0
-	}
-	return MaxGenerationTime(s)
-}
-
-// MaxGenerationTime returns how long a generation may take. It is based on the maximum output
-// length, because callers' estimates are right at the median and often far too low.
-func MaxGenerationTime(s Size) time.Duration {
-	return maxFirstEventTime + time.Duration(s.MaxOutput)*maxTimePerToken
-}
