--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -42,6 +42,13 @@
 	loopbackOctet int
 )
 
+const (
+	// maxSites is the number of third octets of addresses that a run may use; the first site has the one
+	// after firstSiteOctet.
+	maxSites       = 254
+	firstSiteOctet = 100
+)
+
 // reserveLoopbackOctet reserves a second octet of loopback addresses (127.octet.0.0/16) that no
 // concurrent run of the suite uses, until reservation is closed. Process IDs alone are not enough,
 // since those of two runs may differ by a multiple of the number of octets.
@@ -294,7 +301,9 @@
 // launch starts count nodes without waiting for them.
 func (s *site) launch(count int) {
 	GinkgoHelper()
-	network := fmt.Sprintf("127.%d.%d", loopbackOctet, 100+startedSites.Add(1))
+	site := startedSites.Add(1)
+	Expect(site).To(BeNumerically("<=", maxSites), "no addresses are left for further specs in this run")
+	network := fmt.Sprintf("127.%d.%d", loopbackOctet, 1+(firstSiteOctet-1+site)%maxSites)
 	var seeds []string
 	for i := range count {
 		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", network, i+1, peerPort))
