Each further run of a request is logged with what is known of the run before

Logs could not tell the hypotheses of LOST and TWICE apart: 'request ended attempts=2' says neither where the first run was, when it was given up nor what showed that it was over. 'request runs again' now has the endpoint, connection and times of the run before, why this node gave it up, and the proof that it had ended; counters run_after_PROOF sum them up. No logic changes.

--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -50,7 +50,19 @@
 	// NewConnection reports that the connection could not be opened, or was opened for this
 	// exchange.
 	NewConnection bool
-	Cause         error
+	// Sending is when and over which connection the request was sent. It is zero if there was no
+	// connection.
+	Sending Sending
+	Cause   error
+}
+
+// Sending describes how a request was sent.
+type Sending struct {
+	// LocalAddress is the local IP:port of the connection.
+	LocalAddress string
+	// WrittenAt is the time at which the last byte of the request was written; zero if it was not, or
+	// if a long body is still being written.
+	WrittenAt time.Time
 }
 
 // Error implements the error interface.
@@ -125,9 +137,10 @@
 	resp := &Response{
 		client: c, conn: conn, address: address, stop: closeOnDone(conn, ctx, r.EndpointContext),
 		NewConnection: conn.usableUntil.IsZero(),
+		Sending:       Sending{LocalAddress: conn.LocalAddr().String()},
 	}
 	if err := resp.exchange(r); err != nil {
-		err.NewConnection = resp.NewConnection
+		err.NewConnection, err.Sending = resp.NewConnection, resp.Sending
 		resp.Close()
 		switch {
 		case ctx.Err() != nil:
@@ -278,6 +291,8 @@
 	*http.Response
 	// NewConnection reports that the connection was opened for this exchange.
 	NewConnection bool
+	// Sending is when and over which connection the request was sent.
+	Sending Sending
 
 	client  *Client
 	conn    *conn
@@ -318,6 +333,7 @@
 		if err != nil {
 			return &Error{Sent: n > 0, Cause: eris.Wrap(err, "send request")}
 		}
+		r.Sending.WrittenAt = time.Now()
 		return nil
 	}
 	r.writeResult = make(chan error, 1)
--- a/relay/call.go
+++ b/relay/call.go
@@ -76,6 +76,7 @@
 		}
 		got := j.sendOnce(ctx, p, j.r.Runs)
 		last = got
+		j.recordRunEnd(got.cause, endOf(p, got))
 		p.Release(got.health)
 		j.tried = append(j.tried, p.Instance().ID)
 		if got.answer != nil && !j.shouldRetryStatus(got.answer.resp.StatusCode) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -279,6 +279,8 @@
 	struck atomic.Bool
 	// ran is set once an endpoint may have executed the request.
 	ran bool
+	// lastRun is the latest sending of the request by this node, nil before the first.
+	lastRun *run
 	// declined is set once the request was to be forwarded and no other node accepted it.
 	declined bool
 	arrivals arrivals
@@ -382,6 +384,7 @@
 	}
 	j.result.Attempts++
 	j.result.Endpoint = attempt.Instance.ID
+	j.recordSending(attempt.Instance)
 	stopSilence := j.watchSilence(attempt.Instance)
 	defer stopSilence()
 	began := time.Now()
@@ -398,6 +401,7 @@
 	if err == nil {
 		j.recordNotice(attempt.Instance, resp)
 	}
+	j.recordSent(resp, err)
 	j.recordReach(attempt.Instance, resp, err)
 	j.recordArrival(p, time.Since(began), err)
 	return resp, err
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -123,6 +123,7 @@
 	if !got.notRun {
 		j.r.Runs++
 	}
+	j.recordRunEnd(got.cause, endOf(p, got))
 	if got.cause == "" {
 		return &segment{job: j, p: p, resp: resp, backup: backup, watch: watch, seam: j.newSeam()}, got
 	}
@@ -190,6 +191,7 @@
 		}
 	}
 	end, cause := s.forwardEvents(prog)
+	s.recordRunEnd(cause.Error(), segmentProof(s.p, end))
 	if end == segmentComplete && s.seam.endsTooEarly(prog) {
 		end = segmentCorrupt
 	}
@@ -226,6 +228,17 @@
 	return end, nil
 }
 
+// segmentProof returns what the end of a segment shows of the end of its run.
+func segmentProof(p *fleet.Placement, end segmentEnd) runEnd {
+	switch {
+	case end == segmentComplete:
+		return endAnswered
+	case p.EndpointContext().Err() != nil:
+		return endRestarted
+	}
+	return endUnproven
+}
+
 // healthAfterCut returns the health result for an endpoint whose stream was cut: a failure, unless
 // the endpoint was leaving or has restarted.
 func (s *segment) healthAfterCut(end segmentEnd) fleet.Result {
