Known red: endpoints that are silent for a second get their requests run elsewhere

Counted: requests that must run once and ran more often; runs that are active 400 ms after the next one of their request began elsewhere; answers 'not run' to requests that ran; requests that ran and have no answer or failed although they had time.

Idempotent calls run at two endpoints at a time, or are answered 502 because no endpoint is left. No request that must run once ran twice.

--- a/cmd/crocusreel-standin/commands.go
+++ b/cmd/crocusreel-standin/commands.go
@@ -1,13 +1,19 @@
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/crocusreel/crocusreel/internal/standin/engine"
 	"github.com/crocusreel/crocusreel/internal/standin/engine/model"
 	standin "github.com/crocusreel/crocusreel/internal/standin/platform"
 	"github.com/crocusreel/crocusreel/internal/standin/service"
+	"github.com/crocusreel/crocusreel/internal/standin/worker"
 	"github.com/crocusreel/crocusreel/platform"
 )
 
@@ -58,6 +64,32 @@
 	return serve(c.Name, c.Listen, s.Handler(), nil)
 }
 
+type workerCommand struct {
+	Listen          string `required:"" help:"IP:port to listen on."`
+	ID              string `required:"" help:"Instance ID."`
+	Events          int    `help:"Events of a stream; 0 for a plain service."`
+	EventIntervalMS int    `name:"event-interval-ms" help:"Time before each event, in milliseconds." default:"10"`
+	WorkMS          int    `name:"work-ms" help:"Time of each plain call, in milliseconds." default:"2"`
+	Slots           int    `help:"Requests that run at a time; 0 for no limit."`
+	QueueLength     int    `help:"Requests that may wait for a slot."`
+}
+
+// Run serves the endpoint until SIGINT or SIGTERM. Standard output is its run log.
+func (c *workerCommand) Run() error {
+	w, err := worker.Start(worker.Options{
+		ID: c.ID, Address: c.Listen, Events: c.Events, EventInterval: milliseconds(c.EventIntervalMS), WorkTime: milliseconds(c.WorkMS),
+		Slots: c.Slots, QueueLength: c.QueueLength, StopsOnClose: true, KVStore: worker.NewKVStore(), RunLog: os.Stdout,
+	})
+	if err != nil {
+		return eris.Wrap(err, "start endpoint")
+	}
+	defer w.Stop()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	<-ctx.Done()
+	return nil
+}
+
 type engineCommand struct {
 	Listen        string   `required:"" help:"IP:port to listen on."`
 	Name          string   `required:"" help:"Name of the engine."`
--- a/cmd/crocusreel-standin/main.go
+++ b/cmd/crocusreel-standin/main.go
@@ -27,6 +27,7 @@
 		Platform platformCommand `cmd:"" help:"Run a platform: tables, objects, VM list, weight store."`
 		Engine   engineCommand   `cmd:"" help:"Run an inference engine."`
 		Service  serviceCommand  `cmd:"" help:"Run a plain service."`
+		Worker   workerCommand   `cmd:"" help:"Run an endpoint of the platform, an engine or a plain service."`
 	}
 	parser := kong.Must(&commands, kong.Name("crocusreel-standin"), kong.Description(description))
 	ctx, err := parser.Parse(os.Args[1:])
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -116,6 +116,10 @@
 	// LostMoveAnswers is the number of move orders, from the first on, whose copy is made but
 	// whose connection is then closed without a response.
 	LostMoveAnswers int
+	// StopsOnClose makes plain calls end when their caller closes the connection, as streams do.
+	StopsOnClose bool
+	// RunLog gets a line at the begin and the end of each run (see ReadRunLog); nil for none.
+	RunLog io.Writer
 	// FaultOf returns the fault to inject into a request; nil injects none.
 	FaultOf func(r *Run) Fault
 }
@@ -139,6 +143,8 @@
 	pause string
 	// arrivals are the received requests, including refused ones.
 	arrivals []Arrival
+	// logMu is held while a line of the run log is written.
+	logMu sync.Mutex
 	// conns are the hijacked connections of streams, which the server does not close.
 	conns []net.Conn
 	// moveTargets are the target engines of move orders.
@@ -273,6 +279,8 @@
 	run.StartedAt = time.Now()
 	w.runs = append(w.runs, run)
 	w.mu.Unlock()
+	w.logRun(logBegan, run.ID)
+	defer w.logRun(logEnded, run.ID)
 	conn, _, err := rw.(http.Hijacker).Hijack()
 	if err != nil {
 		return
@@ -296,7 +304,10 @@
 // answer writes the response of a plain call, subject to the fault. The caller closes the
 // connection.
 func (w *Worker) answer(conn net.Conn, run Run, fault Fault) {
-	time.Sleep(w.options.WorkTime)
+	if !w.work(conn) {
+		w.recordClosed(run)
+		return
+	}
 	body := "answer to " + run.ID
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	text := w.responseHead(run, http.StatusOK, length) + body
--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -81,6 +82,10 @@
 	requestCount atomic.Int32
 	// extraSettings are further lines of the nodes' settings.
 	extraSettings string
+	// adjust changes the configuration that is written; nil changes nothing.
+	adjust func(document map[string]any)
+	// changes is held while the configuration is changed, where several goroutines do.
+	changes sync.Mutex
 	// dir holds the settings and logs of the nodes.
 	dir string
 	// storeAddress is the IP:port of the store.
@@ -153,7 +158,7 @@
 	if regions := s.allowedRegions["ws"]; regions != nil {
 		tenant["allowed_regions"] = regions
 	}
-	data, err := json.Marshal(map[string]any{
+	document := map[string]any{
 		"version": s.configVersion,
 		"routes":  routes,
 		"services": []map[string]any{
@@ -163,7 +168,11 @@
 			}},
 		},
 		"tenants": []map[string]any{tenant},
-	})
+	}
+	if s.adjust != nil {
+		s.adjust(document)
+	}
+	data, err := json.Marshal(document)
 	Expect(err).NotTo(HaveOccurred())
 	s.write(platform.Write{Table: platform.TableOperator, Key: platform.KeyConfiguration, Value: data})
 }
--- a/tests/node/suite_test.go
+++ b/tests/node/suite_test.go
@@ -15,7 +15,8 @@
 	"github.com/crocusreel/crocusreel/internal/rig"
 )
 
-var bin string
+// bin and standinBin are the paths of the programs that the specs run.
+var bin, standinBin string
 
 func TestSuite(t *testing.T) {
 	RegisterFailHandler(Fail)
@@ -31,5 +32,5 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(os.RemoveAll, dir)
 	Expect(rig.Build(context.Background(), "../..", dir)).To(Succeed())
-	bin = filepath.Join(dir, "crocusreel-node")
+	bin, standinBin = filepath.Join(dir, "crocusreel-node"), filepath.Join(dir, "crocusreel-standin")
 })
