A run that is silent is given up only once it is over

What callers saw: an idempotent call ran at two endpoints at a time, or was answered 502, when sound endpoints were silent for a second. Cause: 0.45 of the time that is left (0.27 s of 0.6 s), or half of the caller's patience, was taken for the end of a run. Its connection was closed and the next run began at once; an endpoint that is stopped notices neither and goes on when it wakes.

Now one rule, in relay/runs.go, that all new runs ask: the last run is over by its answer, by a later start of its endpoint, by a refused connection that is confirmed, or because its connection is closed and the endpoint, asked over a new connection, runs (package liveness, one probe at a time for each endpoint). An endpoint that answers only after a while was silent: its run goes on. After 1.5 s without a sign of life, or if this node reaches none of the service, work that may run again does. The retry is reserved before the run is given up; a run that cannot be replaced goes on.

--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -50,6 +50,8 @@
 	// NewConnection reports that the connection could not be opened, or was opened for this
 	// exchange.
 	NewConnection bool
+	// Heard reports that the endpoint sent something, although no answer.
+	Heard bool
 	// Sending is when and over which connection the request was sent. It is zero if there was no
 	// connection.
 	Sending Sending
@@ -71,14 +73,15 @@
 // Unwrap returns the cause of the error.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// ToleratedSilence is how long an endpoint may be silent, without even acknowledging data, before its
+// connections are closed: sound endpoints are, for a second or so.
+const ToleratedSilence = 1500 * time.Millisecond
+
 // Timeouts and sizes of connections to endpoints.
 const (
 	// dialTimeout limits the time to establish a connection. A handshake takes a few milliseconds,
 	// and an endpoint whose machine is down does not answer at all.
 	dialTimeout = 400 * time.Millisecond
-	// toleratedSilence is how long an endpoint may be silent, without even acknowledging data, before
-	// its connections are closed: sound endpoints are, for a second or so.
-	toleratedSilence = 1500 * time.Millisecond
 	// defaultReuseTime is the time for which an unused connection is kept if the endpoint states no
 	// timeout. Timeouts are stated in whole seconds, so an endpoint that states none may have one
 	// below a second.
@@ -122,7 +125,7 @@
 		idle:   make(map[string][]*conn),
 		OnOpen: func() {},
 	}
-	sockopt.DetectDeadPeer(&c.dialer, toleratedSilence)
+	sockopt.DetectDeadPeer(&c.dialer, ToleratedSilence)
 	return c
 }
 
@@ -313,7 +316,7 @@
 	for range maxForeignAnswers + 1 {
 		resp, err := r.conn.readFinal(method)
 		if err != nil {
-			return &Error{Sent: true, Cause: eris.Wrap(err, "read answer")}
+			return &Error{Sent: true, Heard: r.conn.limiter.left < maxHeadBytes, Cause: eris.Wrap(err, "read answer")}
 		}
 		if req.MatchAnswer == nil || req.MatchAnswer(resp.Header) {
 			r.Response = resp
@@ -323,7 +326,7 @@
 			break
 		}
 	}
-	return &Error{Sent: true, Cause: eris.New("answer belongs to another request")}
+	return &Error{Sent: true, Heard: true, Cause: eris.New("answer belongs to another request")}
 }
 
 func (r *Response) send(req *Request) *Error {
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/crocusreel/crocusreel/internal/daemon"
 	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/knowledge"
+	"github.com/crocusreel/crocusreel/liveness"
 	"github.com/crocusreel/crocusreel/peer"
 	"github.com/crocusreel/crocusreel/platform"
 	"github.com/crocusreel/crocusreel/reach"
@@ -182,6 +183,7 @@
 
 		Forwarder: n.forwards,
 		Witness:   n.askWitness,
+		Liveness:  liveness.NewProber(h1.ToleratedSilence, n.askWhetherRunning),
 	}
 	n.quarantineRows = newQuarantineRows()
 	n.relay.Quarantine = n.newQuarantine()
--- a/relay/call.go
+++ b/relay/call.go
@@ -50,6 +50,8 @@
 	final bool
 	// approved reports that another run has been taken from the retry budget already.
 	approved bool
+	// end is the evidence that the run is over if this node gave it up, empty otherwise.
+	end runEnd
 }
 
 // broken reports whether the connection ended before the answer was complete, as it does when the
@@ -66,6 +68,9 @@
 				return result
 			}
 		}
+		if !j.awaitLastRunEnd(ctx) {
+			return j.exhausted(ctx, errorAnswer, j.failureRefusal(last))
+		}
 		p, refusal := j.place(ctx)
 		if refusal != nil {
 			return j.exhausted(ctx, errorAnswer, refusal)
@@ -98,7 +103,7 @@
 		if got.broken() {
 			j.strikeIfDead(ctx, p, j.prog.count)
 		}
-		if ctx.Err() != nil || !j.mayContinue(ctx, got, j.r.Runs) || j.strikeLimitReached() {
+		if ctx.Err() != nil || j.strikeLimitReached() || !got.approved && !j.mayContinue(ctx, got, j.r.Runs) {
 			return j.exhausted(ctx, errorAnswer, j.failureRefusal(got))
 		}
 		j.result.Detail = got.cause
@@ -192,21 +197,34 @@
 
 // sendOnce sends the request to one endpoint and buffers its answer.
 func (j *job) sendOnce(ctx context.Context, p *fleet.Placement, runs int) attemptResult {
-	ctx, cancel := context.WithTimeout(ctx, j.attemptTimeout(runs))
-	resp, err := j.send(ctx, p, nil, nil)
+	watch := j.watchHang(ctx, p, runs+1, j.attemptTimeout())
+	watch.onSilent = func() { p.RecordResult(fleet.Silent) }
+	watch.arm()
+	resp, err := j.send(watch.ctx, p, nil, nil)
+	got := j.receive(resp, err, watch)
+	watch.disarm()
+	if got.answer == nil {
+		watch.end()
+	}
+	if got.answer == nil && !got.notRun && watch.hung() {
+		return watch.result()
+	}
+	return got
+}
+
+// receive returns the result of an attempt whose request was sent, or the error in sending it.
+func (j *job) receive(resp *h1.Response, err error, watch *hangWatch) attemptResult {
 	if err != nil {
-		cancel()
 		return sendErrorResult(err)
 	}
 	if got, refused := j.refusedResult(resp); refused {
-		cancel()
 		return got
 	}
-	return j.readAnswer(ctx, p, resp, cancel)
+	return j.readAnswer(watch.ctx, watch.p, resp, watch.end)
 }
 
 // readAnswer reads the body of an answer, up to maxBufferedAnswerBytes.
-func (j *job) readAnswer(ctx context.Context, p *fleet.Placement, resp *h1.Response, cancel context.CancelFunc) attemptResult {
+func (j *job) readAnswer(ctx context.Context, p *fleet.Placement, resp *h1.Response, cancel func()) attemptResult {
 	release := func() {
 		resp.Close()
 		cancel()
@@ -234,17 +252,13 @@
 	return a.resp.Framed() || !j.endpointGone(ctx, a.placement)
 }
 
-// attemptTimeShare is the share of the remaining time after which repeatable work is retried on
-// another endpoint, as long as the route allows a further attempt. Without it, an endpoint that
-// hangs would use up all of the remaining time.
+// attemptTimeShare is the share of the remaining time after which an endpoint that has not answered is
+// suspected to hang. Without it, one that hangs would use up all of the remaining time.
 const attemptTimeShare = 0.45
 
-func (j *job) attemptTimeout(runs int) time.Duration {
-	remaining := time.Until(j.r.Deadline)
-	if j.repeatable() && runs+1 < j.r.Route.MaxAttempts {
-		return time.Duration(attemptTimeShare * float64(remaining))
-	}
-	return remaining
+// attemptTimeout returns the time after which an endpoint that has not answered is suspected to hang.
+func (j *job) attemptTimeout() time.Duration {
+	return time.Duration(attemptTimeShare * float64(time.Until(j.r.Deadline)))
 }
 
 func sendErrorResult(err error) attemptResult {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/liveness"
 	"github.com/crocusreel/crocusreel/notice"
 	"github.com/crocusreel/crocusreel/quarantine"
 	"github.com/crocusreel/crocusreel/reach"
@@ -207,6 +208,8 @@
 	// Witness reports whether the endpoint also refuses connections of another node. known is false if
 	// no other node could be asked. It is nil if there are no other nodes.
 	Witness func(ctx context.Context, in fleet.Instance) (refuses, known bool)
+	// Liveness asks endpoints that are silent whether they run.
+	Liveness *liveness.Prober
 	// Forwarder has requests served by other nodes; nil if there are none.
 	Forwarder Forwarder
 
@@ -384,7 +387,7 @@
 	}
 	j.result.Attempts++
 	j.result.Endpoint = attempt.Instance.ID
-	j.recordSending(attempt.Instance)
+	j.recordSending(p)
 	stopSilence := j.watchSilence(attempt.Instance)
 	defer stopSilence()
 	began := time.Now()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/boottime"
 	"github.com/crocusreel/crocusreel/internal/standin/worker"
+	"github.com/crocusreel/crocusreel/liveness"
 	"github.com/crocusreel/crocusreel/platform"
 	"github.com/crocusreel/crocusreel/quarantine"
 	"github.com/crocusreel/crocusreel/relay"
@@ -36,16 +37,18 @@
 
 func newTestRelay() *testRelay {
 	client := h1.NewClient()
+	engines := platform.NewEngineClient(client)
 	r := &testRelay{memory: worker.NewKVStore()}
 	r.Relay = &relay.Relay{
 		Fleet:      fleet.New("dc1", boottime.Now),
 		Client:     client,
 		Protocol:   platform.Protocol{},
-		Mover:      platform.NewEngineClient(client),
+		Mover:      engines,
 		Budgets:    retry.NewLocal(0.2, 100, 10*time.Second, boottime.Now),
 		Strikes:    relay.NewStrikes(boottime.Now),
 		Claims:     relay.NewClaims(),
 		Quarantine: quarantine.New(boottime.Now),
+		Liveness:   liveness.NewProber(h1.ToleratedSilence, func(ctx context.Context, in fleet.Instance) error { return engines.Running(ctx, in.Address, platform.PathReport) }),
 		Vacated:    relay.NewVacatedRuns(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
 		Log:        zap.NewNop(),
 		Admit:      func(*relay.Request) *crocusreel.Refusal { return nil },
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -159,43 +159,72 @@
 
 var errHung = eris.New("the endpoint sends nothing")
 
-// hangWatch closes the connection to an endpoint that sends nothing for too long, if the request may
-// run again elsewhere. It does nothing for other requests.
+// hangWatch closes the connection to an endpoint that sends nothing for too long, if the request may run
+// again elsewhere and the run is over then. It does nothing for other requests.
 type hangWatch struct {
+	p *fleet.Placement
 	// ctx is the context of the exchange with the endpoint.
 	ctx       context.Context
 	cancel    context.CancelFunc
 	timer     *time.Timer
 	threshold time.Duration
-	fired     atomic.Bool
+	// onSilent is called once the endpoint has been silent for the threshold; nil for nothing.
+	onSilent func()
+	// armed is the number of the current wait, 0 while there is none; waits counts them.
+	armed atomic.Int64
+	waits int64
+	// outcome is why the run was given up. It is nil if it was not.
+	outcome atomic.Pointer[attemptResult]
 }
 
 // watchHang returns a watch, not armed, for a run which is the given one of the request, counted from
 // 1. The budget is asked when the endpoint hangs, before the run is given up: a run that cannot be
 // replaced goes on.
-func (j *job) watchHang(ctx context.Context, run int) *hangWatch {
-	w := &hangWatch{threshold: hangThreshold(j.r.Route)}
+func (j *job) watchHang(ctx context.Context, p *fleet.Placement, run int, threshold time.Duration) *hangWatch {
+	w := &hangWatch{p: p, threshold: threshold}
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	sends := j.paidAttempts() + 1
 	if !j.repeatable() || run >= j.r.Route.MaxAttempts || sends >= maxSends || j.Fleet.Disabled[fleet.Retries] {
 		return w
 	}
-	tried := slices.Clone(j.tried)
-	w.timer = time.AfterFunc(w.threshold, func() {
-		if !j.Fleet.HasOther(j.r.Service.Name, tried) || !j.reserveRetry(w.ctx) {
-			metrics.Count("retry_denied")
-			return
-		}
-		w.fired.Store(true)
-		w.cancel()
-	})
+	tried := append(slices.Clone(j.tried), p.Instance().ID)
+	w.timer = time.AfterFunc(w.threshold, func() { j.giveUpIfOver(w, tried) })
 	w.timer.Stop()
 	return w
 }
 
+// giveUpIfOver gives a silent run up once it is over without its connection, unless it goes on or cannot be
+// replaced.
+func (j *job) giveUpIfOver(w *hangWatch, tried []string) {
+	wait := w.armed.Load()
+	if wait == 0 || !j.Fleet.HasOther(j.r.Service.Name, tried) {
+		return
+	}
+	if w.onSilent != nil {
+		w.onSilent()
+	}
+	goesOn := func() bool { return w.armed.Load() != wait || w.ctx.Err() != nil }
+	end := j.awaitRunEnd(w.ctx, w.p, time.Now().Add(-w.threshold), func() bool { return false })
+	if end == endUnproven || goesOn() {
+		return
+	}
+	if !j.Fleet.HasOther(j.r.Service.Name, tried) || !j.reserveRetry(w.ctx) {
+		metrics.Count("retry_denied")
+		return
+	}
+	if goesOn() {
+		return
+	}
+	metrics.CountRetry(causeHung)
+	w.outcome.Store(&attemptResult{health: fleet.Neutral, cause: causeHung, approved: true, end: end})
+	w.cancel()
+}
+
 // arm starts to wait for the endpoint.
 func (w *hangWatch) arm() {
 	if w.timer != nil {
+		w.waits++
+		w.armed.Store(w.waits)
 		w.timer.Reset(w.threshold)
 	}
 }
@@ -203,12 +232,21 @@
 // disarm ends the wait.
 func (w *hangWatch) disarm() {
 	if w.timer != nil {
+		w.armed.Store(0)
 		w.timer.Stop()
 	}
 }
 
 // hung reports whether the connection was closed because the endpoint sent nothing.
-func (w *hangWatch) hung() bool { return w.fired.Load() }
+func (w *hangWatch) hung() bool { return w.outcome.Load() != nil }
+
+// result returns the result of a run that was given up, a zero one if it was not.
+func (w *hangWatch) result() attemptResult {
+	if got := w.outcome.Load(); got != nil {
+		return *got
+	}
+	return attemptResult{}
+}
 
 // end releases the watch after the run.
 func (w *hangWatch) end() {
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -9,8 +10,14 @@
 	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/liveness"
+	"github.com/crocusreel/crocusreel/retry"
 )
 
+// A request runs again only once its last run is over. Neither silence nor a closed connection nor a
+// connection that cannot be opened shows that: an endpoint that is stopped for a moment goes on with
+// the run afterwards, and notices only then that its connection was closed.
+
 // runEnd is the evidence that a run is over.
 type runEnd string
 
@@ -22,15 +29,35 @@
 	endNotRun runEnd = "not_run"
 	// endAnswered means that the endpoint answered.
 	endAnswered runEnd = "answered"
-	// endRestarted means that the endpoint has started anew since.
+	// endClosed means that the connection is closed and that the endpoint, which stops work whose
+	// connection is closed, is known to be running.
+	endClosed runEnd = "closed"
+	// endRestarted means that the endpoint has started anew since, endGone that no process listens at
+	// its address any more.
 	endRestarted runEnd = "restarted"
+	endGone      runEnd = "gone"
+	// endLost means that the endpoint was silent for longer than a sound one is, endCutOff that this node
+	// reaches none of the service. Work that may run again does then, although the run may go on.
+	endLost   runEnd = "lost"
+	endCutOff runEnd = "cut_off"
+)
+
+const (
+	// promptProbe is the time within which an endpoint that is running answers a probe.
+	promptProbe = 100 * time.Millisecond
+	// recoveryTime is what a run gets for its answer after its endpoint was silent.
+	recoveryTime = 300 * time.Millisecond
+	// probePause is the pause between two probes without an answer.
+	probePause = 50 * time.Millisecond
 )
 
 // run is one sending of the request to an endpoint.
 type run struct {
-	in      fleet.Instance
+	p       *fleet.Placement
 	sending h1.Sending
 	beganAt time.Time
+	// heardAt is when the endpoint last sent a part of the answer, or beganAt.
+	heardAt time.Time
 	// endedAt is the time at which this node got the answer or gave the run up, cause why.
 	endedAt time.Time
 	cause   string
@@ -38,17 +65,18 @@
 }
 
 // recordSending records the run that begins, and logs it if the request may have run before.
-func (j *job) recordSending(in fleet.Instance) {
+func (j *job) recordSending(p *fleet.Placement) {
 	if before := j.lastRun; before != nil && before.end != endNotRun {
 		metrics.Count("run_after_" + string(before.end))
 		j.Log.Info("request runs again", zap.String("request", j.r.ID), zap.String("route", j.r.Route.Name),
-			zap.String("endpoint", in.ID), zap.Duration("left", time.Until(j.r.Deadline)),
-			zap.String("before", before.in.ID), zap.String("before_connection", before.sending.LocalAddress),
+			zap.String("endpoint", p.Instance().ID), zap.Duration("left", time.Until(j.r.Deadline)),
+			zap.String("before", before.p.Instance().ID), zap.String("before_connection", before.sending.LocalAddress),
 			zap.Duration("before_began", time.Since(before.beganAt)), zap.Duration("before_written", sinceOrZero(before.sending.WrittenAt)),
-			zap.Duration("before_ended", sinceOrZero(before.endedAt)), zap.String("cause", before.cause),
-			zap.String("proof", string(before.end)))
+			zap.Duration("before_heard", time.Since(before.heardAt)), zap.Duration("before_ended", sinceOrZero(before.endedAt)),
+			zap.String("cause", before.cause), zap.String("proof", string(before.end)))
 	}
-	j.lastRun = &run{in: in, beganAt: time.Now(), end: endUnproven}
+	now := time.Now()
+	j.lastRun = &run{p: p, beganAt: now, heardAt: now, end: endUnproven}
 }
 
 // sinceOrZero returns the time since t, 0 if t is zero.
@@ -64,7 +92,7 @@
 	var failed *h1.Error
 	switch {
 	case err == nil:
-		j.lastRun.sending = resp.Sending
+		j.lastRun.sending, j.lastRun.heardAt = resp.Sending, time.Now()
 	case errors.As(err, &failed):
 		j.lastRun.sending = failed.Sending
 	}
@@ -84,8 +112,77 @@
 		return endNotRun
 	case got.answer != nil || got.cause == causeFailed:
 		return endAnswered
+	case got.end != "":
+		return got.end
 	case p.EndpointContext().Err() != nil:
 		return endRestarted
 	}
 	return endUnproven
 }
+
+// awaitLastRunEnd waits until the last run is over, before the request runs again. It returns false if the
+// request's time ends first.
+func (j *job) awaitLastRunEnd(ctx context.Context) bool {
+	r := j.lastRun
+	if r == nil || r.end != endUnproven {
+		return true
+	}
+	began := time.Now()
+	r.end = j.awaitRunEnd(ctx, r.p, r.heardAt, func() bool { return true })
+	if waited := time.Since(began); waited > promptProbe {
+		metrics.Observe("run_end_wait_ms", waited)
+	}
+	return r.end != endUnproven
+}
+
+// awaitRunEnd waits for evidence that a run is over, or will be once its connection is closed. The endpoint
+// was last heard at heardAt. closed reports whether the connection is closed already; while it is open, an
+// endpoint that was silent gets recoveryTime to answer. The result is endUnproven if ctx ends first.
+func (j *job) awaitRunEnd(ctx context.Context, p *fleet.Placement, heardAt time.Time, closed func() bool) runEnd {
+	lostAt := heardAt.Add(h1.ToleratedSilence)
+	for {
+		probeCtx, cancel := context.WithDeadline(ctx, lostAt)
+		got := j.askEndpoint(probeCtx, p)
+		cancel()
+		switch {
+		case ctx.Err() != nil:
+			return endUnproven
+		case p.EndpointContext().Err() != nil:
+			return endRestarted
+		case got.Err == nil && (closed() || got.Took <= promptProbe):
+			return endClosed
+		case got.Err == nil:
+			lostAt = time.Now().Add(h1.ToleratedSilence)
+			retry.Sleep(ctx, recoveryTime)
+			continue
+		case h1.Refused(got.Err) && closed():
+			if end := j.judgeRefusal(ctx, p); end != endUnproven {
+				return end
+			}
+		}
+		if !time.Now().Before(lostAt) {
+			return endLost
+		}
+		retry.Sleep(ctx, min(probePause, time.Until(lostAt)))
+	}
+}
+
+// askEndpoint probes the endpoint of a run. A restart of the endpoint ends the wait.
+func (j *job) askEndpoint(ctx context.Context, p *fleet.Placement) liveness.Answer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(p.EndpointContext(), cancel)()
+	return j.Liveness.Ask(ctx, p.Instance())
+}
+
+// judgeRefusal returns what a refused connection shows of a run whose connection has broken.
+func (j *job) judgeRefusal(ctx context.Context, p *fleet.Placement) runEnd {
+	others := j.Fleet.OtherEndpoints(p.Instance(), maxComparedEndpoints)
+	switch {
+	case j.outOfReach() || len(others) > 0 && !j.connectsToAny(ctx, others):
+		return endCutOff
+	case j.acceptsOthers(ctx, p.Instance()):
+		return endUnproven
+	}
+	return endGone
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -79,6 +79,9 @@
 				return nil, result
 			}
 		}
+		if !j.awaitLastRunEnd(ctx) {
+			return nil, j.exhausted(ctx, nil, j.failureRefusal(last))
+		}
 		p, refusal := j.place(ctx)
 		if refusal != nil {
 			return nil, j.exhausted(ctx, nil, refusal)
@@ -115,7 +118,7 @@
 	defer silenceTimer.Stop()
 	j.tried = append(j.tried, p.Instance().ID)
 	j.result.ResumedAt = j.prog.after()
-	watch := j.watchHang(ctx, j.r.Runs+1)
+	watch := j.watchHang(ctx, p, j.r.Runs+1, hangThreshold(j.r.Route))
 	watch.arm()
 	resp, err := j.send(watch.ctx, p, nil, backup)
 	watch.disarm()
@@ -138,7 +141,7 @@
 func (j *job) startResult(ctx context.Context, resp *h1.Response, err error, watch *hangWatch) attemptResult {
 	switch {
 	case err != nil && watch.hung():
-		return attemptResult{health: fleet.Silent, cause: causeHung, approved: true}
+		return watch.result()
 	case err != nil:
 		return sendErrorResult(err)
 	}
@@ -191,7 +194,7 @@
 		}
 	}
 	end, cause := s.forwardEvents(prog)
-	s.recordRunEnd(cause.Error(), segmentProof(s.p, end))
+	s.recordRunEnd(cause.Error(), s.proof(end))
 	if end == segmentComplete && s.seam.endsTooEarly(prog) {
 		end = segmentCorrupt
 	}
@@ -228,12 +231,14 @@
 	return end, nil
 }
 
-// segmentProof returns what the end of a segment shows of the end of its run.
-func segmentProof(p *fleet.Placement, end segmentEnd) runEnd {
+// proof returns what the end of the segment shows of the end of its run.
+func (s *segment) proof(end segmentEnd) runEnd {
 	switch {
 	case end == segmentComplete:
 		return endAnswered
-	case p.EndpointContext().Err() != nil:
+	case end == segmentHung:
+		return s.watch.result().end
+	case s.p.EndpointContext().Err() != nil:
 		return endRestarted
 	}
 	return endUnproven
@@ -268,6 +273,9 @@
 		s.watch.arm()
 		batch, err := s.events.next()
 		s.watch.disarm()
+		if len(batch) > 0 {
+			s.lastRun.heardAt = time.Now()
+		}
 		if len(batch) > 0 {
 			fresh, ok := s.newEvents(batch, prog)
 			if len(fresh) > 0 {
@@ -361,7 +369,7 @@
 // the engine does not accept it.
 func (s *segment) resume(ctx context.Context, placement *fleet.Placement, resume *Resume, prog *progress) *segment {
 	backup := s.reserveBackup(placement, s.p.Instance().ID)
-	watch := s.watchHang(ctx, s.r.Runs)
+	watch := s.watchHang(ctx, placement, s.r.Runs, hangThreshold(s.r.Route))
 	resp, err := s.send(watch.ctx, placement, resume, backup)
 	if err == nil {
 		_, refused := s.refusedResult(resp)
