An engine that cannot be reached for a moment does not count as stopped

What callers saw: a stream that broke off while its engine could not be reached went on from its backup while the engine still worked on it. Cause: two connects without an answer, 0.8 s, or one refused connect counted as proof that the run had ended.

--- a/relay/copies.go
+++ b/relay/copies.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,11 +27,13 @@
 )
 
 const (
-	// stopTimeout limits the attempts to make sure that a run has ended after its answer broke off.
-	// It allows for two connection attempts without an answer and for the remaining calls.
+	// stopTimeout limits the attempts to make sure that a run has ended after its answer broke off,
+	// once its engine has been silent for longer than a sound one is. It allows for two connection
+	// attempts without an answer and for the remaining calls.
 	stopTimeout = time.Second
 	// maxUnreachable is the number of connection attempts without an answer after which an engine
-	// counts as gone. One is not enough, because its first packet may be lost.
+	// that has been silent for that long counts as gone. One is not enough, because its first packet
+	// may be lost.
 	maxUnreachable = 2
 	// stopRetryPause is the pause between two attempts to stop a run.
 	stopRetryPause = 5 * time.Millisecond
@@ -180,7 +181,8 @@
 	if s.p.EndpointContext().Err() != nil {
 		return true, ""
 	}
-	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	lostAt := s.lastRun.heardAt.Add(h1.ToleratedSilence)
+	ctx, cancel := context.WithTimeout(ctx, max(time.Until(lostAt), 0)+stopTimeout)
 	defer cancel()
 	source := s.p.Instance()
 	unreached := 0
@@ -198,11 +200,16 @@
 		if errors.As(err, &failed) && !failed.Sent {
 			unreached++
 		}
-		if unreached >= maxUnreachable || errors.Is(err, syscall.ECONNREFUSED) {
+		gone := h1.Refused(err) && s.judgeRefusal(ctx, s.p) != endUnproven
+		if gone || unreached >= maxUnreachable && time.Now().After(lostAt) {
 			// Keeps new requests and backups off the endpoint until its entry is removed.
 			s.p.RecordResult(fleet.Unreachable)
 			return true, ""
 		}
+		if h1.Refused(err) {
+			retry.Sleep(ctx, probePause)
+			continue
+		}
 		// A pooled connection to an engine that has died ends without an answer. The next
 		// connection attempt is refused.
 		retry.Sleep(ctx, stopRetryPause)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -48,10 +48,12 @@
 		Strikes:    relay.NewStrikes(boottime.Now),
 		Claims:     relay.NewClaims(),
 		Quarantine: quarantine.New(boottime.Now),
-		Liveness:   liveness.NewProber(h1.ToleratedSilence, func(ctx context.Context, in fleet.Instance) error { return engines.Running(ctx, in.Address, platform.PathReport) }),
-		Vacated:    relay.NewVacatedRuns(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
-		Log:        zap.NewNop(),
-		Admit:      func(*relay.Request) *crocusreel.Refusal { return nil },
+		Liveness: liveness.NewProber(h1.ToleratedSilence, func(ctx context.Context, in fleet.Instance) error {
+			return engines.Running(ctx, in.Address, platform.PathReport)
+		}),
+		Vacated: relay.NewVacatedRuns(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
+		Log:     zap.NewNop(),
+		Admit:   func(*relay.Request) *crocusreel.Refusal { return nil },
 	}
 	return r
 }
