A serving node that is silent for a second keeps the requests that it serves for another

What callers saw: streams that a cut-off node has served by another one ran again elsewhere, and calls that must run once were answered 502, when the serving node was stopped for a second. Cause: the forwarding node breaks off once it has heard no datagram for 0.9 s; the runs at the endpoints go on meanwhile. Now the node has 0.6 s more to be heard again; a process that ends breaks the connection by itself, as before. Test: a node that serves streams for another one is stopped for 1.2 s; they ran twice before, once now.

--- a/node/forward.go
+++ b/node/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
@@ -38,6 +39,10 @@
 	// maxForwardersPerHelper is the number of nodes of one data centre that may depend on each node
 	// there. If there are more, they also ask nodes of other data centres.
 	maxForwardersPerHelper = 2
+	// lostNodeGrace is what a node has to go on with the requests that it serves for this one after it
+	// counts as lost: a node that is stopped for a second or so goes on, and so do the runs that it has at
+	// endpoints.
+	lostNodeGrace = 600 * time.Millisecond
 	// forwardMargin is the time before the deadline of a forwarded request at which the other node
 	// ends it, so that its result arrives in time; forwardMarginShare is the same as a share of the
 	// remaining time, if that is less.
@@ -292,14 +297,30 @@
 	f.excludedUntil[address] = now.Add(length)
 }
 
-// abort ends the requests that the node at the address serves for this one, because it is no longer
-// live.
+// abort ends the requests that the node at the address serves for this one, unless the node is live again
+// within lostNodeGrace.
 func (f *forwards) abort(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for r := range f.open[address] {
-		r.cancel(errForwardNodeLost)
+	requests := slices.Collect(maps.Keys(f.open[address]))
+	if len(requests) == 0 {
+		return
 	}
+	time.AfterFunc(lostNodeGrace, func() {
+		if f.live(address) {
+			metrics.Count("forward_node_silent")
+			f.n.log.Info("serving node was silent and goes on", zap.String("node", address), zap.Int("requests", len(requests)))
+			return
+		}
+		for _, r := range requests {
+			r.cancel(errForwardNodeLost)
+		}
+	})
+}
+
+// live reports whether the node at the address counts as live.
+func (f *forwards) live(address string) bool {
+	return slices.ContainsFunc(f.n.gossip.Live(), func(p gossip.Peer) bool { return p.Address == address })
 }
 
 // forwardRequest returns the message for a request that the given node has admitted.
--- a/tests/node/silence_soak_test.go
+++ b/tests/node/silence_soak_test.go
@@ -89,7 +89,7 @@
 			s, apps, engines := newSilenceSite(silenceNodes(), true)
 			const length = 14 * time.Second
 			done := make(chan []silenceRequest)
-			go func() { done <- s.sendLoads(silenceLoads, 60*time.Millisecond, length) }()
+			go func() { done <- s.sendLoads(s.nodes, silenceLoads, 60*time.Millisecond, length) }()
 			s.playSilences(random, apps, engines, length)
 			sent := <-done
 			time.Sleep(200 * time.Millisecond)
--- a/tests/node/silence_test.go
+++ b/tests/node/silence_test.go
@@ -109,9 +109,12 @@
 func (l silenceLoad) once() bool { return l.path == "/bookings/1" || l.path == "/drafts/1" }
 
 var silenceLoads = []silenceLoad{
-	{"/calls/1", 600 * time.Millisecond}, {"/calls/1", 2500 * time.Millisecond},
-	{"/bookings/1", 600 * time.Millisecond}, {"/bookings/1", 2500 * time.Millisecond},
-	{"/drafts/1", 12 * time.Second}, {"/notes/1", 12 * time.Second},
+	{"/calls/1", 600 * time.Millisecond},
+	{"/calls/1", 2500 * time.Millisecond},
+	{"/bookings/1", 600 * time.Millisecond},
+	{"/bookings/1", 2500 * time.Millisecond},
+	{"/drafts/1", 12 * time.Second},
+	{"/notes/1", 12 * time.Second},
 }
 
 // silenceRequest is a request of a load and its reply.
@@ -123,9 +126,9 @@
 	took time.Duration
 }
 
-// sendLoads sends each kind of request to each node that accepts connections, at the given interval, over
+// sendLoads sends each kind of request to each of the nodes that accepts connections, at the given interval, over
 // kept connections, until the time is over.
-func (s *site) sendLoads(loads []silenceLoad, interval, length time.Duration) []silenceRequest {
+func (s *site) sendLoads(nodes []*nodeProcess, loads []silenceLoad, interval, length time.Duration) []silenceRequest {
 	var mu sync.Mutex
 	var sent []silenceRequest
 	var open sync.WaitGroup
@@ -133,7 +136,7 @@
 	defer transport.CloseIdleConnections()
 	over := &http.Client{Timeout: 15 * time.Second, Transport: transport}
 	for began := time.Now(); time.Since(began) < length; time.Sleep(interval) {
-		for i, n := range s.nodes {
+		for i, n := range nodes {
 			for _, l := range loads {
 				open.Go(func() {
 					at := time.Now()
@@ -158,6 +161,21 @@
 	twice, overlapping, falselyNotRun, cut, lost []string
 }
 
+// repeatedRuns returns how many requests ran more than once.
+func repeatedRuns(endpoints []*endpointProcess) (repeated int) {
+	GinkgoHelper()
+	runs := make(map[string]int)
+	for _, e := range endpoints {
+		for _, run := range e.runs() {
+			runs[run.ID]++
+			if runs[run.ID] == 2 {
+				repeated++
+			}
+		}
+	}
+	return repeated
+}
+
 // examine compares the runs of the endpoints with what the callers got.
 func examine(sent []silenceRequest, endpoints []*endpointProcess) silenceFindings {
 	GinkgoHelper()
@@ -267,7 +285,7 @@
 		It(fmt.Sprintf("get no request that runs elsewhere, %d of 5 %s, %s changes", c.share, c.kind, c.change), func() {
 			s, apps, engines := newSilenceSite(3, c.kind == unheard)
 			done := make(chan []silenceRequest)
-			go func() { done <- s.sendLoads(silenceLoads, 25*time.Millisecond, 5*time.Second) }()
+			go func() { done <- s.sendLoads(s.nodes, silenceLoads, 25*time.Millisecond, 5*time.Second) }()
 			time.Sleep(time.Second)
 			s.changeConfiguration(c.change)
 			time.Sleep(600 * time.Millisecond)
@@ -277,4 +295,24 @@
 			examine(sent, append(apps, engines...)).expectNone()
 		})
 	}
+
+	// Guards against streams that run again through another node while the one that serves them for a node that
+	// is cut off is stopped for a second.
+	It("keep the streams of a node that is stopped while it serves for another one", func() {
+		s, apps, engines := newSilenceSite(3, true)
+		s.cutOff(s.nodes[0], rig.CutReset)
+		cut := &reachSite{site: s}
+		cut.awaitLoss("app")
+		cut.awaitLoss("pool")
+		loads := []silenceLoad{{"/notes/1", 12 * time.Second}}
+		done := make(chan []silenceRequest)
+		go func() { done <- s.sendLoads(s.nodes[:1], loads, 40*time.Millisecond, 3*time.Second) }()
+		time.Sleep(time.Second)
+		s.nodes[1].Freeze()
+		time.Sleep(1200 * time.Millisecond)
+		s.nodes[1].Thaw()
+		sent := <-done
+		examine(sent, append(apps, engines...)).expectNone()
+		Expect(repeatedRuns(engines)).To(BeZero())
+	})
 })
