What is known of the end of a run is kept when a stream is resumed; slow endpoints

An order to stop a run, and an attempt to resume one, record what they show, so that 'request runs again' names the proof there too (it said none after a run that its engine had stopped). An endpoint that answers probes, but slowly, no longer keeps a run until its deadline: the time within which it counts as running doubles with each answer.

--- a/relay/copies.go
+++ b/relay/copies.go
@@ -178,8 +178,17 @@
 // if the engine is gone or does not know the run. ensureStopped returns false if the run may still
 // be active.
 func (s *segment) ensureStopped(ctx context.Context, target fleet.Instance) (ended bool, handle string) {
+	end, handle := s.stopRun(ctx, target)
+	if end != endUnproven {
+		s.lastRun.end = end
+	}
+	return end != endUnproven, handle
+}
+
+// stopRun orders the engine to stop the run, until there is evidence that the run is over.
+func (s *segment) stopRun(ctx context.Context, target fleet.Instance) (end runEnd, handle string) {
 	if s.p.EndpointContext().Err() != nil {
-		return true, ""
+		return endRestarted, ""
 	}
 	lostAt := s.lastRun.heardAt.Add(h1.ToleratedSilence)
 	ctx, cancel := context.WithTimeout(ctx, max(time.Until(lostAt), 0)+stopTimeout)
@@ -190,29 +199,45 @@
 		got, err := s.Mover.Move(ctx, source.Address, s.r.ID, target.Address, true)
 		s.Log.Info("stream broke off", zap.String("request", s.r.ID), zap.String("endpoint", source.ID),
 			zap.String("copy_at", target.ID), zap.Bool("stopped", err == nil), zap.NamedError("cause", err))
-		if err == nil {
-			return got.Handle != "" && !got.Refused, got.Handle
-		}
-		if errors.Is(err, ErrNoRun) {
-			return true, ""
+		switch {
+		case err == nil && got.Handle != "" && !got.Refused:
+			return endStopped, got.Handle
+		case err == nil:
+			return endUnproven, got.Handle
+		case errors.Is(err, ErrNoRun):
+			return endStopped, ""
 		}
 		var failed *h1.Error
 		if errors.As(err, &failed) && !failed.Sent {
 			unreached++
 		}
-		gone := h1.Refused(err) && s.judgeRefusal(ctx, s.p) != endUnproven
-		if gone || unreached >= maxUnreachable && time.Now().After(lostAt) {
+		if end = s.judgeUnreached(ctx, err, unreached, lostAt); end != endUnproven {
 			// Keeps new requests and backups off the endpoint until its entry is removed.
 			s.p.RecordResult(fleet.Unreachable)
-			return true, ""
-		}
-		if h1.Refused(err) {
-			retry.Sleep(ctx, probePause)
-			continue
+			return end, ""
 		}
 		// A pooled connection to an engine that has died ends without an answer. The next
 		// connection attempt is refused.
-		retry.Sleep(ctx, stopRetryPause)
+		pause := stopRetryPause
+		if h1.Refused(err) {
+			pause = probePause
+		}
+		retry.Sleep(ctx, pause)
+	}
+	return endUnproven, ""
+}
+
+// judgeUnreached returns what failed orders to stop a run show of it. unreached is the number of connections
+// that could not be opened, lostAt the time from which the engine has been silent for longer than a sound
+// one is.
+func (s *segment) judgeUnreached(ctx context.Context, err error, unreached int, lostAt time.Time) runEnd {
+	if h1.Refused(err) {
+		if end := s.judgeRefusal(ctx, s.p); end != endUnproven {
+			return end
+		}
+	}
+	if unreached >= maxUnreachable && time.Now().After(lostAt) {
+		return endLost
 	}
-	return false, ""
+	return endUnproven
 }
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -204,7 +204,7 @@
 		w.onSilent()
 	}
 	goesOn := func() bool { return w.armed.Load() != wait || w.ctx.Err() != nil }
-	end := j.awaitRunEnd(w.ctx, w.p, time.Now().Add(-w.threshold), func() bool { return false })
+	end := j.awaitRunEnd(w.ctx, w.p, time.Now().Add(-w.threshold), false)
 	if end == endUnproven || goesOn() {
 		return
 	}
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -32,6 +32,8 @@
 	// endClosed means that the connection is closed and that the endpoint, which stops work whose
 	// connection is closed, is known to be running.
 	endClosed runEnd = "closed"
+	// endStopped means that the endpoint has stopped the run on order, or does not know it.
+	endStopped runEnd = "stopped"
 	// endRestarted means that the endpoint has started anew since, endGone that no process listens at
 	// its address any more.
 	endRestarted runEnd = "restarted"
@@ -43,7 +45,8 @@
 )
 
 const (
-	// promptProbe is the time within which an endpoint that is running answers a probe.
+	// promptProbe is the time within which an endpoint that is running answers a probe. It doubles with
+	// each answer that comes later: an endpoint that is slow, not silent, must not keep a run for ever.
 	promptProbe = 100 * time.Millisecond
 	// recoveryTime is what a run gets for its answer after its endpoint was silent.
 	recoveryTime = 300 * time.Millisecond
@@ -128,7 +131,7 @@
 		return true
 	}
 	began := time.Now()
-	r.end = j.awaitRunEnd(ctx, r.p, r.heardAt, func() bool { return true })
+	r.end = j.awaitRunEnd(ctx, r.p, r.heardAt, true)
 	if waited := time.Since(began); waited > promptProbe {
 		metrics.Observe("run_end_wait_ms", waited)
 	}
@@ -136,10 +139,10 @@
 }
 
 // awaitRunEnd waits for evidence that a run is over, or will be once its connection is closed. The endpoint
-// was last heard at heardAt. closed reports whether the connection is closed already; while it is open, an
+// was last heard at heardAt. closed is set if the connection is closed already; while it is open, an
 // endpoint that was silent gets recoveryTime to answer. The result is endUnproven if ctx ends first.
-func (j *job) awaitRunEnd(ctx context.Context, p *fleet.Placement, heardAt time.Time, closed func() bool) runEnd {
-	lostAt := heardAt.Add(h1.ToleratedSilence)
+func (j *job) awaitRunEnd(ctx context.Context, p *fleet.Placement, heardAt time.Time, closed bool) runEnd {
+	lostAt, prompt := heardAt.Add(h1.ToleratedSilence), promptProbe
 	for {
 		probeCtx, cancel := context.WithDeadline(ctx, lostAt)
 		got := j.askEndpoint(probeCtx, p)
@@ -149,13 +152,13 @@
 			return endUnproven
 		case p.EndpointContext().Err() != nil:
 			return endRestarted
-		case got.Err == nil && (closed() || got.Took <= promptProbe):
+		case got.Err == nil && (closed || got.Took <= prompt):
 			return endClosed
 		case got.Err == nil:
-			lostAt = time.Now().Add(h1.ToleratedSilence)
+			lostAt, prompt = time.Now().Add(h1.ToleratedSilence), 2*prompt
 			retry.Sleep(ctx, recoveryTime)
 			continue
-		case h1.Refused(got.Err) && closed():
+		case h1.Refused(got.Err) && closed:
 			if end := j.judgeRefusal(ctx, p); end != endUnproven {
 				return end
 			}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -371,25 +371,37 @@
 	backup := s.reserveBackup(placement, s.p.Instance().ID)
 	watch := s.watchHang(ctx, placement, s.r.Runs, hangThreshold(s.r.Route))
 	resp, err := s.send(watch.ctx, placement, resume, backup)
-	if err == nil {
-		_, refused := s.refusedResult(resp)
-		if !refused && resp.StatusCode == http.StatusOK {
-			s.result.Moves++
-			metrics.Count("stream_moved")
-			s.Log.Info("stream goes on", zap.String("request", s.r.ID), zap.String("endpoint", placement.Instance().ID),
-				zap.Int64("last_event", prog.last), zap.Duration("pause", time.Since(prog.lastAt)))
-			s.tried = append(s.tried, placement.Instance().ID)
-			return &segment{job: s.job, p: placement, resp: resp, backup: backup, watch: watch, seam: s.newSeam()}
-		}
-		resp.Close()
+	got := s.resumeResult(resp, err)
+	if got.cause == "" {
+		s.result.Moves++
+		metrics.Count("stream_moved")
+		s.Log.Info("stream goes on", zap.String("request", s.r.ID), zap.String("endpoint", placement.Instance().ID),
+			zap.Int64("last_event", prog.last), zap.Duration("pause", time.Since(prog.lastAt)))
+		s.tried = append(s.tried, placement.Instance().ID)
+		return &segment{job: s.job, p: placement, resp: resp, backup: backup, watch: watch, seam: s.newSeam()}
 	}
 	watch.end()
+	s.recordRunEnd(got.cause, endOf(placement, got))
 	s.releaseBackup(backup, false)
 	s.Log.Warn("stream not resumed", zap.String("request", s.r.ID), zap.String("endpoint", placement.Instance().ID),
 		zap.NamedError("cause", err))
 	return nil
 }
 
+// resumeResult returns the result of an attempt to resume a run, and closes its answer if the engine did not
+// accept it. The result has no cause if it did.
+func (s *segment) resumeResult(resp *h1.Response, err error) attemptResult {
+	if err != nil {
+		return sendErrorResult(err)
+	}
+	got, refused := s.refusedResult(resp)
+	if !refused && resp.StatusCode != http.StatusOK {
+		resp.Close()
+		got.cause = causeFailed
+	}
+	return got
+}
+
 // streamEnded returns the outcome of a stream.
 func (j *job) streamEnded(ctx context.Context, end segmentEnd) Result {
 	if end == segmentComplete {
