--- a/relay/call.go
+++ b/relay/call.go
@@ -198,7 +198,6 @@
 // sendOnce sends the request to one endpoint and buffers its answer.
 func (j *job) sendOnce(ctx context.Context, p *fleet.Placement, runs int) attemptResult {
 	watch := j.watchHang(ctx, p, runs+1, j.attemptTimeout())
-	watch.onSilent = func() { p.RecordResult(fleet.Silent) }
 	watch.arm()
 	resp, err := j.send(watch.ctx, p, nil, nil)
 	got := j.receive(resp, err, watch)
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -168,8 +168,6 @@
 	cancel    context.CancelFunc
 	timer     *time.Timer
 	threshold time.Duration
-	// onSilent is called once the endpoint has been silent for the threshold; nil for nothing.
-	onSilent func()
 	// armed is the number of the current wait, 0 while there is none; waits counts them.
 	armed atomic.Int64
 	waits int64
@@ -200,9 +198,7 @@
 	if wait == 0 || !j.Fleet.HasOther(j.r.Service.Name, tried) {
 		return
 	}
-	if w.onSilent != nil {
-		w.onSilent()
-	}
+	w.p.RecordResult(fleet.Silent)
 	goesOn := func() bool { return w.armed.Load() != wait || w.ctx.Err() != nil }
 	end := j.awaitRunEnd(w.ctx, w.p, time.Now().Add(-w.threshold), false)
 	if end == endUnproven || goesOn() {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -245,12 +245,10 @@
 }
 
 // healthAfterCut returns the health result for an endpoint whose stream was cut: a failure, unless
-// the endpoint was leaving or has restarted.
+// the endpoint was leaving, has restarted or hangs.
 func (s *segment) healthAfterCut(end segmentEnd) fleet.Result {
-	if end == segmentHung {
-		return fleet.Silent
-	}
-	if s.p.EndpointContext().Err() != nil || leaving(s.p) {
+	// The watch has recorded an endpoint that hangs.
+	if end == segmentHung || s.p.EndpointContext().Err() != nil || leaving(s.p) {
 		return fleet.Neutral
 	}
 	return fleet.Failed
--- a/tests/node/silence_test.go
+++ b/tests/node/silence_test.go
@@ -155,10 +155,16 @@
 
 // silenceFindings are the requests that met a fault.
 type silenceFindings struct {
-	// twice are requests that must run once and ran more often, overlapping those that ran at two endpoints
-	// at a time, falselyNotRun those that were answered as not run and ran, cut those that ran and ended
-	// without an answer, lost those that failed although their time was longer than the silence.
-	twice, overlapping, falselyNotRun, cut, lost []string
+	// twice must run once and ran more often.
+	twice []string
+	// overlapping ran at two endpoints at a time.
+	overlapping []string
+	// falselyNotRun were answered as not run and ran.
+	falselyNotRun []string
+	// cut ran and ended without an answer.
+	cut []string
+	// lost failed although their time was longer than the silence.
+	lost []string
 }
 
 // repeatedRuns returns how many requests ran more than once.
