Probes of silent endpoints keep the limits that the endpoints have set

A probe is a request too. Those that find out whether a silent endpoint runs asked nobody; an endpoint that names a limit, wants a pause or is brittle could have got more than it allows.

--- a/fleet/pause_test.go
+++ b/fleet/pause_test.go
@@ -45,6 +45,18 @@
 	}
 }
 
+// Guards against probes of a silent endpoint during a pause that it requested.
+func TestPausedEndpointGetsNoProbes(t *testing.T) {
+	l := newPausedEndpoint()
+	if l.TakeProbe(l.in.Incarnation()) {
+		t.Error("the endpoint got a probe during its pause")
+	}
+	l.now += testPause
+	if !l.TakeProbe(l.in.Incarnation()) {
+		t.Error("the endpoint got no probe after its pause")
+	}
+}
+
 // Guards against a restarted endpoint that gets no work because of a pause of its previous
 // incarnation.
 func TestNextIncarnationIsNotPaused(t *testing.T) {
--- a/fleet/unhealthy.go
+++ b/fleet/unhealthy.go
@@ -25,10 +25,23 @@
 	return busy
 }
 
+// TakeProbe reports whether a probe may be sent to the endpoint now, also if it is leaving, and counts the
+// probe against the endpoint's request limit. One that is no longer known has no limits.
+func (f *Fleet) TakeProbe(id Incarnation) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.byID[id.ID]
+	return e == nil || e.Incarnation() != id || f.takeProbeLocked(e, f.now())
+}
+
 // takeHealthCheckLocked reports whether a health check may be sent to the endpoint now, and counts
 // the check against the endpoint's request limit, because a check is a request too.
 func (f *Fleet) takeHealthCheckLocked(e *Endpoint, now time.Duration) bool {
-	if e.isLeaving || f.pausedLocked(e) || !f.limitAllowsLocked(e, now) || !f.brittleAllowsLocked(e, now) {
+	return !e.isLeaving && f.takeProbeLocked(e, now)
+}
+
+func (f *Fleet) takeProbeLocked(e *Endpoint, now time.Duration) bool {
+	if f.pausedLocked(e) || !f.limitAllowsLocked(e, now) || !f.brittleAllowsLocked(e, now) {
 		return false
 	}
 	f.useSlotLocked(e, now)
