A change of the controller's state is reported once it is visible

What operators saw: nothing so far; two specs failed beside load, in 1 of 100 runs: an engine got no order. Found by printing the reconciler's state in a failing run: version 0, no engines.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -45,7 +45,7 @@
 	reconciler *reconciler
 
 	// ops are the functions for the goroutine that owns the state.
-	ops      chan func(*state)
+	ops      chan stateOp
 	stopped  chan struct{}
 	snapshot atomic.Pointer[Snapshot]
 	// pushSignal wakes pushLoop. Its capacity of one merges signals.
@@ -67,7 +67,7 @@
 		opts:       opts,
 		log:        opts.Log,
 		now:        opts.Now,
-		ops:        make(chan func(*state), opQueueSize),
+		ops:        make(chan stateOp, opQueueSize),
 		stopped:    make(chan struct{}),
 		pushSignal: make(chan struct{}, 1),
 		fetchSlot:  make(chan struct{}, 1),
@@ -123,29 +123,33 @@
 	for {
 		select {
 		case op := <-c.ops:
-			op(s)
+			op.apply(s)
 			c.publish(s)
+			close(op.done)
 		case <-c.stopped:
 			return
 		}
 	}
 }
 
-// withState runs f in the goroutine that owns the state and waits for it. It returns false if the
-// controller has stopped; f may not have run then.
+// stateOp is a function for the goroutine that owns the state. done is closed once its changes are
+// visible in the snapshot.
+type stateOp struct {
+	apply func(*state)
+	done  chan struct{}
+}
+
+// withState runs f in the goroutine that owns the state and waits until its changes are visible in the
+// snapshot. It returns false if the controller has stopped; f may not have run then.
 func (c *Controller) withState(f func(*state)) bool {
-	done := make(chan struct{})
-	op := func(s *state) {
-		f(s)
-		close(done)
-	}
+	op := stateOp{apply: f, done: make(chan struct{})}
 	select {
 	case c.ops <- op:
 	case <-c.stopped:
 		return false
 	}
 	select {
-	case <-done:
+	case <-op.done:
 		return true
 	case <-c.stopped:
 		return false
