Second sendings and skipped answers are logged with their connection

'request sent again' names why the first sending counted as not run: cause, status, the ID that the answer bore, and the connection with its age and earlier exchanges. 'answer skipped' does the same for each answer that is not taken for that of the request. No change of logic; tests of endpoint/h1, platform, relay and node pass.

--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -62,6 +62,10 @@
 type Sending struct {
 	// LocalAddress is the local IP:port of the connection.
 	LocalAddress string
+	// Exchanges is the number of earlier exchanges on the connection, ConnectionAge the time since it
+	// was opened.
+	Exchanges     int
+	ConnectionAge time.Duration
 	// WrittenAt is the time at which the last byte of the request was written; zero if it was not, or
 	// if a long body is still being written.
 	WrittenAt time.Time
@@ -116,6 +120,21 @@
 	idle map[string][]*conn
 	// OnOpen is called for each new connection.
 	OnOpen func()
+	// OnSkipped is called for each answer that is not taken for that of the request. It must not block.
+	OnSkipped func(SkippedAnswer)
+}
+
+// SkippedAnswer is an answer that is not taken for that of the request that was sent last on its
+// connection.
+type SkippedAnswer struct {
+	// Address is the IP:port of the endpoint.
+	Address string
+	// Request is the request that was sent last.
+	Request *Request
+	// Sending is when and over which connection the request was sent.
+	Sending Sending
+	Status  int
+	Header  http.Header
 }
 
 // NewClient returns a client without open connections.
@@ -123,7 +142,7 @@
 	c := &Client{
 		dialer: net.Dialer{Timeout: dialTimeout},
 		idle:   make(map[string][]*conn),
-		OnOpen: func() {},
+		OnOpen: func() {}, OnSkipped: func(SkippedAnswer) {},
 	}
 	sockopt.DetectDeadPeer(&c.dialer, ToleratedSilence)
 	return c
@@ -139,8 +158,8 @@
 	}
 	resp := &Response{
 		client: c, conn: conn, address: address, stop: closeOnDone(conn, ctx, r.EndpointContext),
-		NewConnection: conn.usableUntil.IsZero(),
-		Sending:       Sending{LocalAddress: conn.LocalAddr().String()},
+		NewConnection: conn.exchanges == 0,
+		Sending:       conn.describe(),
 	}
 	if err := resp.exchange(r); err != nil {
 		err.NewConnection, err.Sending = resp.NewConnection, resp.Sending
@@ -258,12 +277,20 @@
 type conn struct {
 	net.Conn
 	// reader reads through limiter.
-	reader  *bufio.Reader
-	limiter *headLimiter
+	reader   *bufio.Reader
+	limiter  *headLimiter
+	openedAt time.Time
+	// exchanges is the number of exchanges that have ended.
+	exchanges int
 	// usableUntil is the end of the reuse time; zero until the first exchange has ended.
 	usableUntil time.Time
 }
 
+// describe returns what is known of the connection before a request is sent.
+func (c *conn) describe() Sending {
+	return Sending{LocalAddress: c.LocalAddr().String(), Exchanges: c.exchanges, ConnectionAge: time.Since(c.openedAt)}
+}
+
 // openAndEmpty reports whether the connection is open and has no unread bytes. Bytes that arrive
 // while no request is pending belong to no request.
 func (c *conn) openAndEmpty() bool {
@@ -322,6 +349,9 @@
 			r.Response = resp
 			return nil
 		}
+		r.client.OnSkipped(SkippedAnswer{
+			Address: r.address, Request: req, Sending: r.Sending, Status: resp.StatusCode, Header: resp.Header,
+		})
 		if !r.conn.discard(resp.Body, maxForeignBodyBytes) || resp.Close {
 			break
 		}
@@ -399,6 +429,7 @@
 		_ = r.conn.Close()
 		return
 	}
+	r.conn.exchanges++
 	r.conn.usableUntil = time.Now().Add(reuseTime(r.Header.Get("Keep-Alive")))
 	r.client.putIdle(r.address, r.conn)
 }
--- a/endpoint/h1/head.go
+++ b/endpoint/h1/head.go
@@ -96,5 +96,5 @@
 // newConn returns a connection to an endpoint that has not been used yet.
 func newConn(raw net.Conn) *conn {
 	limiter := &headLimiter{Conn: raw}
-	return &conn{Conn: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	return &conn{Conn: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), openedAt: time.Now()}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -168,6 +168,7 @@
 	n.fleet.OnRates = n.logRatesChange
 	n.fleet.OnShares = n.logSharesChange
 	n.engines.OnNotice = n.fleet.RecordNoticeByAddress
+	n.client.OnSkipped = n.logSkippedAnswer
 	n.fleet.ScheduleTick = func(after time.Duration) { time.AfterFunc(after, n.fleet.Tick) }
 	n.relay = &relay.Relay{
 		Fleet:    n.fleet,
--- a/node/notices.go
+++ b/node/notices.go
@@ -5,9 +5,11 @@
 
 	"go.uber.org/zap"
 
+	"github.com/crocusreel/crocusreel/endpoint/h1"
 	"github.com/crocusreel/crocusreel/exchange/exchangev1"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
+	"github.com/crocusreel/crocusreel/platform"
 )
 
 // logNoticeChange logs a change in what an endpoint reports about itself.
@@ -95,3 +97,13 @@
 	}
 	n.fleet.RecordRemoteLeaving(s.GetAddress(), keys)
 }
+
+// logSkippedAnswer logs an answer that is not taken for that of the request that was sent last on its
+// connection.
+func (n *Node) logSkippedAnswer(a h1.SkippedAnswer) {
+	metrics.Count("answers_skipped")
+	n.log.Info("answer skipped", zap.String("request", platform.IDOf(a.Request.Header)), zap.String("path", a.Request.Target),
+		zap.String("address", a.Address), zap.Int("status", a.Status), zap.String("answer_to", platform.IDOf(a.Header)),
+		zap.String("connection", a.Sending.LocalAddress), zap.Int("exchanges", a.Sending.Exchanges),
+		zap.Duration("connection_age", a.Sending.ConnectionAge))
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -284,6 +284,7 @@
 	if !reply.NotRun {
 		return attemptResult{}, false
 	}
+	j.lastRun.status, j.lastRun.answerTo = resp.StatusCode, reply.AnswerTo
 	resp.Discard()
 	if reply.Misdirected {
 		return attemptResult{notRun: true, health: fleet.Unreachable, cause: "endpoint_replaced"}, true
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -102,6 +102,8 @@
 
 // Reply is the parsed header of an endpoint's answer.
 type Reply struct {
+	// AnswerTo is the ID of the request that the answer belongs to, empty if the answer does not state it.
+	AnswerTo string
 	// NotRun reports that the endpoint definitely did not execute the request.
 	NotRun bool
 	// Misdirected reports that another instance uses the endpoint's address.
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -65,15 +65,29 @@
 	endedAt time.Time
 	cause   string
 	end     runEnd
+	// status is the status of the answer by which the endpoint refused the request, 0 if there was none.
+	// answerTo is the ID that the answer bore.
+	status   int
+	answerTo string
 }
 
-// recordSending records the run that begins, and logs it if the request may have run before.
+// recordSending records the run that begins, and logs it if the request was sent before.
 func (j *job) recordSending(p *fleet.Placement) {
-	if before := j.lastRun; before != nil && before.end != endNotRun {
+	switch before := j.lastRun; {
+	case before == nil:
+	case before.end == endNotRun:
+		j.Log.Info("request sent again", zap.String("request", j.r.ID), zap.String("route", j.r.Route.Name),
+			zap.String("endpoint", p.Instance().ID), zap.Duration("left", time.Until(j.r.Deadline)),
+			zap.String("before", before.p.Instance().ID), zap.String("before_connection", before.sending.LocalAddress),
+			zap.Int("before_exchanges", before.sending.Exchanges), zap.Duration("before_connection_age", before.sending.ConnectionAge),
+			zap.Duration("before_began", time.Since(before.beganAt)), zap.Duration("before_written", sinceOrZero(before.sending.WrittenAt)),
+			zap.String("cause", before.cause), zap.Int("status", before.status), zap.String("answer_to", before.answerTo))
+	default:
 		metrics.Count("run_after_" + string(before.end))
 		j.Log.Info("request runs again", zap.String("request", j.r.ID), zap.String("route", j.r.Route.Name),
 			zap.String("endpoint", p.Instance().ID), zap.Duration("left", time.Until(j.r.Deadline)),
 			zap.String("before", before.p.Instance().ID), zap.String("before_connection", before.sending.LocalAddress),
+			zap.Int("before_exchanges", before.sending.Exchanges), zap.Duration("before_connection_age", before.sending.ConnectionAge),
 			zap.Duration("before_began", time.Since(before.beganAt)), zap.Duration("before_written", sinceOrZero(before.sending.WrittenAt)),
 			zap.Duration("before_heard", time.Since(before.heardAt)), zap.Duration("before_ended", sinceOrZero(before.endedAt)),
 			zap.String("cause", before.cause), zap.String("proof", string(before.end)))
