Known red: endpoints that keep their connections and answer late

The stand-in of the endpoints closed its connection after each run, so that nothing was ever left on a kept one, and no test could see an answer that is taken for that of the next request.

It now keeps its connections unless a fault needs the raw one, in all suites, and can send a further answer where the next one is expected: a refusal, a 400 or a 421 without an ID, an answer to a health check, a success without an ID, one with another ID, a copy of a refusal with its ID, or a reset; its command refuses, fails and sends these for a share of the requests.

--- a/cmd/crocusreel-standin/commands.go
+++ b/cmd/crocusreel-standin/commands.go
@@ -72,11 +72,19 @@
 	WorkMS          int    `name:"work-ms" help:"Time of each plain call, in milliseconds." default:"2"`
 	Slots           int    `help:"Requests that run at a time; 0 for no limit."`
 	QueueLength     int    `help:"Requests that may wait for a slot."`
+
+	RefuseShare    float64 `help:"Share of requests that are refused, from 0 to 1."`
+	RefusalsBearID bool    `name:"refusals-bear-id" help:"Refusals bear the ID of their request."`
+	FailShare      float64 `help:"Share of requests that are answered with status 500, from 0 to 1."`
+	LateShare      float64 `help:"Share of answers after which a further answer, without a request, comes late, from 0 to 1."`
+	Seed           uint64  `help:"Seed of what is refused, fails and comes late."`
 }
 
 // Run serves the endpoint until SIGINT or SIGTERM. Standard output is its run log.
 func (c *workerCommand) Run() error {
+	faults := worker.NewRandomFaults(c.Seed, c.RefuseShare, c.FailShare, c.LateShare)
 	w, err := worker.Start(worker.Options{
+		FaultOf: faults.FaultOf, LateOf: faults.LateOf, RefusalsBearID: c.RefusalsBearID,
 		ID: c.ID, Address: c.Listen, Events: c.Events, EventInterval: milliseconds(c.EventIntervalMS), WorkTime: milliseconds(c.WorkMS),
 		Slots: c.Slots, QueueLength: c.QueueLength, StopsOnClose: true, KVStore: worker.NewKVStore(), RunLog: os.Stdout,
 	})
--- a/internal/standin/worker/runlog.go
+++ b/internal/standin/worker/runlog.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"strings"
 	"time"
 )
@@ -60,18 +59,13 @@
 
 // work waits until a plain call is done. It returns false if the caller closed the connection before,
 // and the worker notices that.
-func (w *Worker) work(conn net.Conn) bool {
+func (w *Worker) work(out *output) bool {
 	if !w.options.StopsOnClose {
 		time.Sleep(w.options.WorkTime)
 		return true
 	}
-	closed := make(chan struct{})
-	go func() {
-		_, _ = conn.Read(make([]byte, 1))
-		close(closed)
-	}()
 	select {
-	case <-closed:
+	case <-out.closed:
 		return false
 	case <-time.After(w.options.WorkTime):
 		return true
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -122,6 +122,11 @@
 	RunLog io.Writer
 	// FaultOf returns the fault to inject into a request; nil injects none.
 	FaultOf func(r *Run) Fault
+	// LateOf returns the answer that is sent on the request's connection where the answer to the next
+	// request there is expected; nil sends none. refused is set if the request did not run.
+	LateOf func(r *Run, refused bool) LateAnswer
+	// RefusalsBearID makes refusals bear the ID of their request.
+	RefusalsBearID bool
 }
 
 // Worker is a running stand-in for an endpoint.
@@ -145,7 +150,7 @@
 	arrivals []Arrival
 	// logMu is held while a line of the run log is written.
 	logMu sync.Mutex
-	// conns are the hijacked connections of streams, which the server does not close.
+	// conns are the connections of streams.
 	conns []net.Conn
 	// moveTargets are the target engines of move orders.
 	moveTargets []string
@@ -177,7 +182,7 @@
 	mux.HandleFunc("GET /report", w.report)
 	mux.HandleFunc("GET /healthz", w.health)
 	mux.HandleFunc("/", w.serve)
-	w.server = &http.Server{Handler: w.withNotices(mux)}
+	w.server = &http.Server{Handler: w.withNotices(mux), ConnContext: withConnection}
 	go func() { _ = w.server.Serve(listener) }()
 	return w, nil
 }
@@ -247,6 +252,7 @@
 func Seal(instance, id string) string { return "seal." + instance + "." + id }
 
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
+	connectionOf(r).sendLate()
 	if want := r.Header.Get("Crocusreel-Expect-Instance"); want != "" && want != w.options.ID {
 		rw.Header().Set("Crocusreel-Instance-Id", w.options.ID)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -264,14 +270,12 @@
 		fault = w.options.FaultOf(&run)
 	}
 	if w.setRetryAfterIfPaused(rw.Header()) || fault == Shed {
-		rw.Header().Set("Crocusreel-Not-Executed", "1")
-		rw.WriteHeader(http.StatusServiceUnavailable)
+		w.refuse(rw, r, &run)
 		return
 	}
 	first, ok := w.firstEvent(r, fault)
 	if !ok || !w.enter(r) {
-		rw.Header().Set("Crocusreel-Not-Executed", "1")
-		rw.WriteHeader(http.StatusServiceUnavailable)
+		w.refuse(rw, r, &run)
 		return
 	}
 	defer w.leave()
@@ -281,16 +285,21 @@
 	w.mu.Unlock()
 	w.logRun(logBegan, run.ID)
 	defer w.logRun(logEnded, run.ID)
+	if w.keepsConnection(fault) {
+		w.serveKept(rw, r, first, run, fault)
+		return
+	}
 	conn, _, err := rw.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	if w.options.Events > 0 && fault != Fail && fault != LoseAnswer {
-		w.stream(conn, first, run, fault)
+	out := &output{conn: conn, closed: closedByCaller(conn)}
+	if w.options.Events > 0 && fault != LoseAnswer {
+		w.stream(out, first, run, fault)
 		return
 	}
-	w.answer(conn, run, fault)
+	w.answer(out, run, fault)
 }
 
 func (w *Worker) responseHead(run Run, status int, framing string) string {
@@ -303,17 +312,16 @@
 
 // answer writes the response of a plain call, subject to the fault. The caller closes the
 // connection.
-func (w *Worker) answer(conn net.Conn, run Run, fault Fault) {
-	if !w.work(conn) {
+func (w *Worker) answer(out *output, run Run, fault Fault) {
+	if !w.work(out) {
 		w.recordClosed(run)
 		return
 	}
+	conn := out.conn
 	body := "answer to " + run.ID
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	text := w.responseHead(run, http.StatusOK, length) + body
 	switch fault {
-	case Fail:
-		text = w.responseHead(run, http.StatusInternalServerError, length) + body
 	case LoseAnswer:
 		return
 	case Truncate:
@@ -363,28 +371,26 @@
 }
 
 // stream writes events from first on until the last event, until the run is moved to another engine
-// or until the caller closes the connection.
-func (w *Worker) stream(conn net.Conn, first int64, run Run, fault Fault) {
+// or until the caller closes the connection. It returns false if the stream has not reached its end.
+func (w *Worker) stream(out *output, first int64, run Run, fault Fault) bool {
+	conn, closedByCaller := out.conn, out.closed
 	backedUp := run.Header.Get("Crocusreel-Kv-Backup") != ""
 	s := &stream{lastEvent: first - 1, stop: make(chan struct{})}
 	w.mu.Lock()
 	w.streams[run.ID] = s
 	w.mu.Unlock()
-	closedByCaller := make(chan struct{})
-	go func() {
-		_, _ = conn.Read(make([]byte, 1))
-		close(closedByCaller)
-	}()
 	if fault == Hang {
 		w.hang(run, closedByCaller)
-		return
+		return false
 	}
 	framing, chunk, lastChunk := "Transfer-Encoding: chunked\r\n", "%x\r\n%s\r\n", "0\r\n\r\n"
 	if fault == Unframed || w.options.Framing == UntilClose {
 		framing, chunk, lastChunk = "", "%[2]s", ""
 	}
-	if _, err := io.WriteString(conn, w.responseHead(run, http.StatusOK, framing)); err != nil {
-		return
+	if out.rw != nil {
+		w.beginKept(out.rw, run, http.StatusOK)
+	} else if _, err := io.WriteString(conn, w.responseHead(run, http.StatusOK, framing)); err != nil {
+		return false
 	}
 	w.mu.Lock()
 	w.conns = append(w.conns, conn)
@@ -392,7 +398,7 @@
 	if fault == CrashAtStart {
 		time.Sleep(w.options.EventInterval)
 		w.Stop()
-		return
+		return false
 	}
 	last := int64(w.options.Events)
 	if fault == StopShort {
@@ -401,10 +407,10 @@
 	for id := first; id <= last; id++ {
 		select {
 		case <-s.stop:
-			return
+			return false
 		case <-closedByCaller:
 			w.recordClosed(run)
-			return
+			return false
 		case <-time.After(w.options.EventInterval):
 		}
 		event := fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", id, id, run.ID)
@@ -417,27 +423,27 @@
 		switch {
 		case fault == HangMidway && id == int64(w.options.Events)/2:
 			w.hang(run, closedByCaller)
-			return
+			return false
 		case fault == SkipFirst && id == first:
 			continue
 		case fault == Truncate && id == int64(w.options.Events)/2:
 			_, _ = fmt.Fprintf(conn, "%x\r\n%s", len(event), event[:len(event)/2])
-			return
+			return false
 		case (fault == CutInEvent || fault == CutBeforeBlankLine) && id == int64(w.options.Events)/2:
 			part := event[:len(event)/2]
 			if fault == CutBeforeBlankLine {
 				part = strings.TrimRight(event, "\r\n") + w.lineEnd()
 			}
 			_, _ = fmt.Fprintf(conn, chunk+lastChunk, len(part), part)
-			return
+			return false
 		case fault == Crash && id == int64(w.options.Events)/2:
 			w.Stop()
-			return
+			return false
 		case fault == SkipEvent && id == int64(w.options.Events)/2:
 			continue
 		}
-		if _, err := fmt.Fprintf(conn, chunk, len(event), event); err != nil {
-			return
+		if err := out.writeEvent(chunk, event); err != nil {
+			return false
 		}
 		w.mu.Lock()
 		s.lastEvent = id
@@ -447,7 +453,10 @@
 		}
 	}
 	w.options.KVStore.remove(run.ID)
-	_, _ = io.WriteString(conn, lastChunk)
+	if out.rw == nil {
+		_, _ = io.WriteString(conn, lastChunk)
+	}
+	return true
 }
 
 func (w *Worker) lineEnd() string {
--- a/tests/node/silence_soak_test.go
+++ b/tests/node/silence_soak_test.go
@@ -86,7 +86,7 @@
 		// endpoints are silent again and again while the configuration changes and nodes leave.
 		It(fmt.Sprintf("runs no request twice with seed %d", seed), func() {
 			random := rand.New(rand.NewPCG(uint64(seed), 11))
-			s, apps, engines := newSilenceSite(silenceNodes(), true)
+			s, apps, engines := newSilenceSite(silenceNodes(), true, nil)
 			const length = 14 * time.Second
 			done := make(chan []silenceRequest)
 			go func() { done <- s.sendLoads(s.nodes, silenceLoads, 60*time.Millisecond, length) }()
--- a/tests/node/silence_test.go
+++ b/tests/node/silence_test.go
@@ -27,6 +27,8 @@
 type endpointProcess struct {
 	*rig.Process
 	id string
+	// address is the IP:port on which it listens.
+	address string
 	// link is the proxy in front of the endpoint, nil if there is none.
 	link *rig.ProcessLink
 }
@@ -47,8 +49,28 @@
 	GinkgoHelper()
 	address, err := rig.FreeAddress()
 	Expect(err).NotTo(HaveOccurred())
+	e := s.launchEndpoint(id, address, args...)
+	s.addresses[id] = s.exposeEndpoint(id, address)
+	if s.perProcess {
+		e.link = s.endpointLinks[len(s.endpointLinks)-1]
+	}
+	s.register(id, service, s.addresses[id], "ready")
+	return e
+}
+
+// restartAs starts an endpoint at the address of another one that has ended, behind the same proxy.
+func (s *site) restartAs(old *endpointProcess, id string, args ...string) *endpointProcess {
+	GinkgoHelper()
+	e := s.launchEndpoint(id, old.address, append(args, "--work-ms", "60")...)
+	e.link = old.link
+	return e
+}
+
+// launchEndpoint starts an endpoint process and waits until it accepts connections.
+func (s *site) launchEndpoint(id, address string, args ...string) *endpointProcess {
+	GinkgoHelper()
 	args = append([]string{"worker", "--listen", address, "--id", id}, args...)
-	e := &endpointProcess{id: id, Process: rig.NewProcess(id, filepath.Join(s.dir, id+".log"), standinBin, nil, args...)}
+	e := &endpointProcess{id: id, address: address, Process: rig.NewProcess(id, filepath.Join(s.dir, id+".log"), standinBin, nil, args...)}
 	Expect(e.Start()).To(Succeed())
 	DeferCleanup(e.Kill)
 	Eventually(func() error {
@@ -58,11 +80,6 @@
 		}
 		return err
 	}, 5*time.Second, 10*time.Millisecond).Should(Succeed())
-	s.addresses[id] = s.exposeEndpoint(id, address)
-	if s.perProcess {
-		e.link = s.endpointLinks[len(s.endpointLinks)-1]
-	}
-	s.register(id, service, s.addresses[id], "ready")
 	return e
 }
 
@@ -263,15 +280,19 @@
 	s.configure()
 }
 
-// newSilenceSite starts nodes, five plain endpoints and five engines, each a process of its own.
-func newSilenceSite(nodes int, linked bool) (s *site, apps, engines []*endpointProcess) {
+// newSilenceSite starts nodes, five plain endpoints and five engines, each a process of its own. args returns
+// further arguments of each endpoint's command; nil for none.
+func newSilenceSite(nodes int, linked bool, args func() []string) (s *site, apps, engines []*endpointProcess) {
 	GinkgoHelper()
 	s = newSite()
 	s.perProcess = linked
+	if args == nil {
+		args = func() []string { return nil }
+	}
 	for i := range 5 {
 		name := strconv.Itoa(i)
-		apps = append(apps, s.startEndpointProcess("app-"+name, "app", "--work-ms", "60"))
-		engines = append(engines, s.startEndpointProcess("engine-"+name, "pool", "--events", "60"))
+		apps = append(apps, s.startEndpointProcess("app-"+name, "app", append(args(), "--work-ms", "60")...))
+		engines = append(engines, s.startEndpointProcess("engine-"+name, "pool", append(args(), "--events", "60")...))
 	}
 	apps = append(apps, s.startEndpointProcess("app2-0", "app2", "--work-ms", "60"))
 	s.start(nodes)
@@ -289,7 +310,7 @@
 		// Guards against requests that go on at another endpoint while the one before still works on them, and
 		// against lost answers, when sound endpoints are silent for 1.2 s while the configuration changes.
 		It(fmt.Sprintf("get no request that runs elsewhere, %d of 5 %s, %s changes", c.share, c.kind, c.change), func() {
-			s, apps, engines := newSilenceSite(3, c.kind == unheard)
+			s, apps, engines := newSilenceSite(3, c.kind == unheard, nil)
 			done := make(chan []silenceRequest)
 			go func() { done <- s.sendLoads(s.nodes, silenceLoads, 25*time.Millisecond, 5*time.Second) }()
 			time.Sleep(time.Second)
@@ -305,7 +326,7 @@
 	// Guards against streams that run again through another node while the one that serves them for a node that
 	// is cut off is stopped for a second.
 	It("keep the streams of a node that is stopped while it serves for another one", func() {
-		s, apps, engines := newSilenceSite(3, true)
+		s, apps, engines := newSilenceSite(3, true, nil)
 		s.cutOff(s.nodes[0], rig.CutReset)
 		cut := &reachSite{site: s}
 		cut.awaitLoss("app")
