An answer counts only if it is known whose it is

What callers saw: requests that must run once ran twice, and requests were refused as not run although they ran; successes without an ID reached callers that had not asked for them.

Cause: MatchAnswer accepted an answer without an ID for any request. A refusal that is late, doubled, or an answer to the rest of a body that an endpoint did not read, was taken on a kept connection for the refusal of the request after it, which counted as not run and was sent again.

Change, in endpoint/h1/ownership.go: an answer is that of the request by its ID, or without one if it is the first on a new connection. Otherwise a barrier is sent on the connection, a request that expects no instance of the service and that every endpoint refuses with 421 without running it: answers come in order, so that the only answer without an ID before that of the barrier is the request's. What stays unidentified shows nothing: the outcome is unknown. No connection is used again after an answer without an ID, a skipped one, or an error answer to a request with a body. A success without an ID is no answer. Orders, reports and health checks, whose answers bear no ID, get connections of their own.

--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -30,16 +30,17 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// MatchAnswer reports whether an answer with the given header belongs to the request. Faulty
-	// endpoints send answers to earlier requests late; these are skipped. If MatchAnswer is nil,
-	// every answer is accepted.
-	MatchAnswer func(http.Header) bool
+	// OwnerOf returns what an answer with the given status and header states of the request that it
+	// belongs to. Faulty endpoints send answers to earlier requests late; these are skipped. If OwnerOf
+	// is nil, the answers bear no IDs, and the request gets a connection of its own.
+	OwnerOf func(status int, h http.Header) Ownership
+	// Barrier is sent after an answer without an ID that may belong to another request; nil if there is
+	// none. The outcome of the request is unknown then.
+	Barrier *Barrier
 	// EndpointContext is cancelled when the endpoint is known to have died, which ends the
 	// exchange. Without it, a connection to an endpoint that has died may stay silent until it
 	// times out. EndpointContext is nil if the death of the endpoint cannot be detected.
 	EndpointContext context.Context
-	// NewConnection makes Do open a connection for the request instead of using an idle one.
-	NewConnection bool
 }
 
 // Error is the error of a failed exchange.
@@ -99,8 +100,8 @@
 	maxIdle = 4
 	// readBufferBytes is the size of a connection's read buffer in bytes: two events of a stream.
 	readBufferBytes = 2048
-	// maxForeignAnswers is the number of answers to other requests that are skipped on one
-	// connection, maxForeignBodyBytes the maximum size of their bodies in bytes.
+	// maxForeignAnswers is the number of answers that are skipped before that of a request,
+	// maxForeignBodyBytes the maximum size of their bodies in bytes.
 	maxForeignAnswers   = 2
 	maxForeignBodyBytes = 64 << 10
 	// maxDiscardBytes is the size up to which a body of no interest is read so that its connection can
@@ -152,7 +153,7 @@
 // not been read yet. Every error is an *Error. When ctx is done, the connection is closed so that
 // the endpoint stops working on the request.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	conn, err := c.getConn(ctx, address, r.NewConnection)
+	conn, err := c.getConn(ctx, address, r.OwnerOf == nil)
 	if err != nil {
 		return nil, &Error{Cause: err, NewConnection: true}
 	}
@@ -331,36 +332,16 @@
 	// writeResult receives the result of writing the request if it is written concurrently with
 	// reading the answer; nil otherwise.
 	writeResult chan error
-	closed      bool
-}
-
-func (r *Response) exchange(req *Request) *Error {
-	if err := r.send(req); err != nil {
-		return err
-	}
-	method := &http.Request{Method: req.Method}
-	r.conn.limiter.left = maxHeadBytes
-	for range maxForeignAnswers + 1 {
-		resp, err := r.conn.readFinal(method)
-		if err != nil {
-			return &Error{Sent: true, Heard: r.conn.limiter.left < maxHeadBytes, Cause: eris.Wrap(err, "read answer")}
-		}
-		if req.MatchAnswer == nil || req.MatchAnswer(resp.Header) {
-			r.Response = resp
-			return nil
-		}
-		r.client.OnSkipped(SkippedAnswer{
-			Address: r.address, Request: req, Sending: r.Sending, Status: resp.StatusCode, Header: resp.Header,
-		})
-		if !r.conn.discard(resp.Body, maxForeignBodyBytes) || resp.Close {
-			break
-		}
-	}
-	return &Error{Sent: true, Heard: true, Cause: eris.New("answer belongs to another request")}
+	// sentBody is set if the request had a body, identified if the answer bears its ID. skipped is the number
+	// of answers that were skipped before.
+	sentBody, identified bool
+	skipped              int
+	closed               bool
 }
 
 func (r *Response) send(req *Request) *Error {
 	head := req.head()
+	r.sentBody = len(req.Body) > 0
 	if len(req.Body) < minConcurrentWriteBytes {
 		n, err := r.conn.Write(append(head, req.Body...))
 		if err != nil {
@@ -401,19 +382,19 @@
 // Discard ends an exchange whose body is of no interest. The connection is kept if the rest of the body
 // is short and arrives soon, and closed otherwise.
 func (r *Response) Discard() {
-	if !r.closed && r.conn.discard(r.Body, maxDiscardBytes) {
+	if !r.closed && r.clean() && r.conn.readShort(io.Discard, r.Body, maxDiscardBytes) {
 		r.Finish()
 		return
 	}
 	r.Close()
 }
 
-// discard reads a body to its end. It returns false if the body is longer than the given number of
+// readShort reads a body to its end. It returns false if the body is longer than the given number of
 // bytes, or takes longer than maxDiscardTime.
-func (c *conn) discard(body io.Reader, limit int64) bool {
+func (c *conn) readShort(to io.Writer, body io.Reader, limit int64) bool {
 	_ = c.SetReadDeadline(time.Now().Add(maxDiscardTime))
 	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
-	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	n, err := io.Copy(to, io.LimitReader(body, limit+1))
 	return err == nil && n <= limit
 }
 
@@ -435,7 +416,7 @@
 }
 
 func (r *Response) reusable() bool {
-	if r.Response == nil || r.Response.Close || !r.Framed() || r.conn.reader.Buffered() > 0 {
+	if r.Response == nil || r.Response.Close || !r.Framed() || r.conn.reader.Buffered() > 0 || !r.clean() {
 		return false
 	}
 	if r.writeResult == nil {
@@ -449,6 +430,13 @@
 	}
 }
 
+// clean reports whether nothing that belongs to this exchange is expected on the connection any more. An
+// endpoint may send answers to other requests more than once. One that has answered with an error may not have
+// read the body of the request, and takes the rest of it for another request.
+func (r *Response) clean() bool {
+	return r.identified && r.skipped == 0 && (!r.sentBody || r.StatusCode < http.StatusBadRequest)
+}
+
 // Close closes the connection, which makes the endpoint stop work that has not ended.
 func (r *Response) Close() {
 	if r.closed {
--- a/endpoint/h1/endless_test.go
+++ b/endpoint/h1/endless_test.go
@@ -81,7 +81,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 		defer cancel()
 		before, began := allocated(), time.Now()
-		other := &h1.Request{Method: get.Method, Target: get.Target, Host: get.Host, MatchAnswer: func(http.Header) bool { return false }}
+		other := &h1.Request{Method: get.Method, Target: get.Target, Host: get.Host, OwnerOf: func(int, http.Header) h1.Ownership { return h1.Foreign }}
 		_, err := h1.NewClient().Do(ctx, e.Addr().String(), other)
 		Expect(err).To(HaveOccurred())
 		Expect(err.(*h1.Error).Sent).To(BeTrue())
--- a/relay/call.go
+++ b/relay/call.go
@@ -118,6 +118,8 @@
 	causeUnreachable = "endpoint_unreachable"
 	// causeFailed means that the endpoint answered with an error status.
 	causeFailed = "endpoint_failed"
+	// causeUnidentified means that the only answer may belong to another request.
+	causeUnidentified = "answer_unidentified"
 )
 
 // shouldRetryStatus reports whether a request whose answer has this status should be sent to
@@ -265,6 +267,9 @@
 	if errors.As(err, &failed) && !failed.Sent {
 		return attemptResult{notRun: true, health: fleet.Unreachable, cause: causeUnreachable}
 	}
+	if errors.Is(err, h1.ErrUnidentified) {
+		return attemptResult{health: fleet.Neutral, cause: causeUnidentified}
+	}
 	if errors.Is(err, fleet.ErrRestarted) {
 		return attemptResult{health: fleet.Neutral, cause: causeLost}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -116,8 +116,10 @@
 type Protocol interface {
 	// AttemptHeader returns the request headers of one attempt.
 	AttemptHeader(r *Request, a *Attempt) http.Header
-	// MatchAnswer reports whether an answer with the header h belongs to the request.
-	MatchAnswer(r *Request, h http.Header) bool
+	// OwnerOf returns what an answer with the status and header states of the request that it belongs to.
+	OwnerOf(r *Request, status int, h http.Header) h1.Ownership
+	// Barrier returns the request that shows that an attempt has been answered.
+	Barrier(r *Request, a *Attempt) *h1.Barrier
 	// Reply parses the status and header of an answer.
 	Reply(status int, h http.Header) Reply
 	// AnswerHeader returns the headers that are passed on to the caller.
@@ -400,7 +402,8 @@
 		Host:            j.r.Host,
 		Header:          j.Protocol.AttemptHeader(j.r, &attempt),
 		Body:            j.r.Body,
-		MatchAnswer:     func(h http.Header) bool { return j.Protocol.MatchAnswer(j.r, h) },
+		OwnerOf:         func(status int, h http.Header) h1.Ownership { return j.Protocol.OwnerOf(j.r, status, h) },
+		Barrier:         j.Protocol.Barrier(j.r, &attempt),
 		EndpointContext: p.EndpointContext(),
 	})
 	if err == nil {
--- a/tests/node/late_answers_soak_test.go
+++ b/tests/node/late_answers_soak_test.go
@@ -30,6 +30,7 @@
 		i := random.IntN(len(endpoints))
 		old := endpoints[i]
 		old.Kill()
+		old.killedAt = time.Now()
 		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
 		e := s.restartAs(old, fmt.Sprintf("%s-%d", old.id, len(started)), args()...)
 		endpoints[i] = e
--- a/tests/node/silence_test.go
+++ b/tests/node/silence_test.go
@@ -29,11 +29,13 @@
 	id string
 	// address is the IP:port on which it listens.
 	address string
+	// killedAt is when it was killed, zero if it was not.
+	killedAt time.Time
 	// link is the proxy in front of the endpoint, nil if there is none.
 	link *rig.ProcessLink
 }
 
-// runs returns the runs that the endpoint has logged.
+// runs returns the runs that the endpoint has logged. Those of an endpoint that was killed ended then.
 func (e *endpointProcess) runs() []*worker.RunSpan {
 	GinkgoHelper()
 	log, err := os.Open(e.LogPath)
@@ -41,6 +43,11 @@
 	defer func() { _ = log.Close() }()
 	runs, err := worker.ReadRunLog(e.id, log)
 	Expect(err).NotTo(HaveOccurred())
+	for _, run := range runs {
+		if run.EndedAt.IsZero() {
+			run.EndedAt = e.killedAt
+		}
+	}
 	return runs
 }
 
