Own API: a call counts as not run only if it is known whose the answer is

Change: each call bears an ID of its exchange (Crocusreel-Exchange) that answers repeat. An answer with another one belongs to another call, and the outcome is unknown; one without any shows that a call has not run only if nothing else was sent on its connection. The stand-ins repeat the ID. Endpoints that do not keep working, but for refusals on kept connections, whose outcome is unknown.

--- a/endpoint/http.go
+++ b/endpoint/http.go
@@ -75,13 +75,16 @@
 
 // send sends a request and returns the answer, whatever its status. Reading the body fails if no
 // byte is received within the stall timeout.
-func (w *httpClient) send(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, *Error) {
+func (w *httpClient) send(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, *exchange, *Error) {
 	ctx, cancel := context.WithCancelCause(ctx)
+	sending := newExchange()
+	ctx = sending.trace(ctx)
 	req, err := httponce.NewRequest(ctx, method, w.base+path, body)
 	if err != nil {
 		cancel(nil)
-		return nil, notRunError(KindProtocol, err)
+		return nil, nil, notRunError(KindProtocol, err)
 	}
+	req.Header.Set(HeaderExchange, sending.id)
 	for name, values := range header {
 		req.Header[name] = values
 	}
@@ -91,13 +94,18 @@
 	wd.disarm()
 	if err != nil {
 		defer cancel(nil)
-		return nil, sendError(ctx, sent, err)
+		return nil, nil, sendError(ctx, sent, err)
+	}
+	if sending.foreign(resp.Header) {
+		cancel(nil) // Closes the connection.
+		_ = resp.Body.Close()
+		return nil, nil, unknownOutcomeError(KindProtocol, eris.Errorf("the answer with status %d belongs to another request", resp.StatusCode))
 	}
 	if w.options.OnNotice != nil {
 		w.options.OnNotice(parseNotice(resp.StatusCode, resp.Header))
 	}
 	resp.Body = &watchedBody{body: resp.Body, watchdog: wd, ctx: ctx, cancel: cancel}
-	return resp, nil
+	return resp, sending, nil
 }
 
 // sendError classifies the failure of a request without an answer. Only if no byte of the request
@@ -156,7 +164,7 @@
 		}
 		header.Set("Content-Type", "application/json")
 	}
-	resp, fail := w.send(ctx, method, path, header, data)
+	resp, sending, fail := w.send(ctx, method, path, header, data)
 	if fail != nil {
 		return nil, fail
 	}
@@ -164,7 +172,7 @@
 		return resp, nil
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return nil, statusError(resp)
+	return nil, sending.believe(resp.Header, statusError(resp))
 }
 
 // statusError converts an answer with a status other than 200 to an error. Only the endpoint's own
--- a/endpoint/service.go
+++ b/endpoint/service.go
@@ -21,7 +21,7 @@
 
 // Do implements Service.
 func (s *serviceClient) Do(ctx context.Context, c Call) (Reply, error) {
-	resp, fail := s.send(ctx, c.Method, callPath(c), callHeader(c), c.Body)
+	resp, sending, fail := s.send(ctx, c.Method, callPath(c), callHeader(c), c.Body)
 	if fail != nil {
 		return Reply{}, fail
 	}
@@ -31,14 +31,14 @@
 		return Reply{}, fail
 	}
 	if resp.Header.Get(HeaderOutcome) == string(crocusreel.OutcomeNotRun) {
-		return Reply{}, notRunError(KindRefused, eris.Errorf("status %d", resp.StatusCode))
+		return Reply{}, sending.believe(resp.Header, notRunError(KindRefused, eris.Errorf("status %d", resp.StatusCode)))
 	}
 	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
 // Ready implements Service.
 func (s *serviceClient) Ready(ctx context.Context) error {
-	resp, fail := s.send(ctx, http.MethodGet, PathHealth, nil, nil)
+	resp, _, fail := s.send(ctx, http.MethodGet, PathHealth, nil, nil)
 	if fail != nil {
 		return fail
 	}
--- a/endpoint/wire.go
+++ b/endpoint/wire.go
@@ -20,6 +20,9 @@
 	HeaderRequestID      = "X-Request-Id"
 	HeaderWorkspace      = "Crocusreel-Workspace"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderExchange identifies one request on one connection, in all calls to engines and plain services.
+	// Answers bear the same value. One without it shows only on a new connection that the work has not run.
+	HeaderExchange = "Crocusreel-Exchange"
 	// HeaderOutcome with the value "not_run" in an answer of a plain service states that the
 	// service did not start the call.
 	HeaderOutcome = "Crocusreel-Outcome"
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -37,6 +37,7 @@
 func (e *Engine) setNoticeHeaders(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		e.currentFaults().SetHeaders(c.Response().Header())
+		c.Response().Header().Set(endpoint.HeaderExchange, c.Request().Header.Get(endpoint.HeaderExchange))
 		return next(c)
 	}
 }
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -99,6 +99,7 @@
 func (s *Server) setNoticeHeaders(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		s.currentFaults().SetHeaders(c.Response().Header())
+		c.Response().Header().Set(endpoint.HeaderExchange, c.Request().Header.Get(endpoint.HeaderExchange))
 		return next(c)
 	}
 }
