Long requests get connections of their own, on which a refusal without an ID counts

The request now opens a connection. By reading; the spec fails without the change (the second request goes over the kept connection).

--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -153,7 +153,7 @@
 // not been read yet. Every error is an *Error. When ctx is done, the connection is closed so that
 // the endpoint stops working on the request.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	conn, err := c.getConn(ctx, address, r.OwnerOf == nil)
+	conn, err := c.getConn(ctx, address, r.needsNewConnection())
 	if err != nil {
 		return nil, &Error{Cause: err, NewConnection: true}
 	}
@@ -176,6 +176,12 @@
 	return resp, nil
 }
 
+// needsNewConnection reports whether the request gets a connection on which nothing else was sent. A long body may
+// still be being written when its answer arrives, so that no barrier can follow it.
+func (r *Request) needsNewConnection() bool {
+	return r.OwnerOf == nil || len(r.Body) >= minConcurrentWriteBytes
+}
+
 // closeOnDone closes the connection when one of the contexts is done, unless stop is called before.
 // stop returns false if the connection was closed or is about to be closed.
 func closeOnDone(c *conn, ctx, endpointCtx context.Context) (stop func() bool) {
--- a/endpoint/h1/ownership_test.go
+++ b/endpoint/h1/ownership_test.go
@@ -155,6 +155,18 @@
 		Entry("if one before it was skipped", scripted(ok, "0")+scripted(ok, "1"), none),
 	)
 
+	// Guards against a refusal of a long request, sent before its body was read, that does not count.
+	It("is believed without an ID after a long body", func() {
+		e := startScripted(scripted(ok, "1"), scripted(refused, none))
+		client := h1.NewClient()
+		for i, body := range []string{"", strings.Repeat("x", 64<<10)} {
+			resp, err := client.Do(context.Background(), e.Addr().String(), identified("1", body))
+			Expect(err).NotTo(HaveOccurred())
+			resp.Discard()
+			Expect(e.opened.Load()).To(BeNumerically("==", i+1))
+		}
+	})
+
 	// Guards against orders and health checks that take a late answer for theirs.
 	It("without IDs is read on connections of its own only", func() {
 		e := startScripted(scripted(ok, "1"), scripted(ok, "1"))
