--- a/tests/node/silence_test.go
+++ b/tests/node/silence_test.go
@@ -100,11 +100,13 @@
 	unheard silenceKind = "unheard"
 )
 
-// silence makes the endpoints silent for the given time.
+// silence makes the endpoints silent for the given time, and records how long they were.
 func (s *site) silence(kind silenceKind, length time.Duration, endpoints ...*endpointProcess) {
 	var each sync.WaitGroup
 	for _, e := range endpoints {
 		each.Go(func() {
+			began := time.Now()
+			defer func() { s.recordSilence(time.Since(began)) }()
 			if kind == stopped {
 				e.Freeze()
 				time.Sleep(length)
@@ -123,6 +125,15 @@
 	each.Wait()
 }
 
+func (s *site) recordSilence(length time.Duration) {
+	for {
+		longest := s.longestSilence.Load()
+		if int64(length) <= longest || s.longestSilence.CompareAndSwap(longest, int64(length)) {
+			return
+		}
+	}
+}
+
 // silenceLoad is a kind of request that callers send while endpoints fall silent.
 type silenceLoad struct {
 	path     string
--- a/tests/node/site_test.go
+++ b/tests/node/site_test.go
@@ -80,6 +80,8 @@
 	storeCalls atomic.Int64
 	// requestCount counts the requests; it makes their IDs unique.
 	requestCount atomic.Int32
+	// longestSilence is the longest time for which endpoints were silent, in nanoseconds.
+	longestSilence atomic.Int64
 	// extraSettings are further lines of the nodes' settings.
 	extraSettings string
 	// adjust changes the configuration that is written; nil changes nothing.
