--- a/tests/node/late_answers_soak_test.go
+++ b/tests/node/late_answers_soak_test.go
@@ -46,9 +46,7 @@
 
 var _ = Describe("a random run with endpoints that answer late", func() {
 	for _, seed := range lateSeeds() {
-		// Guards against requests that must run once and run again, or are refused although they ran, when
-		// endpoints that keep their connections refuse, fail, answer late, fall silent, die and come back at
-		// the same address under another ID.
+		// Guards against work that runs twice, or is refused and ran, when endpoints answer late, fall silent and are replaced.
 		It(fmt.Sprintf("believes no answer of another request with seed %d", seed), func() {
 			random := rand.New(rand.NewPCG(uint64(seed), 67))
 			args := func() []string {
