--- a/review/lab2.py
+++ b/review/lab2.py
@@ -538,6 +538,25 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+# The settings in which a small machine of coopnor-porta-grown differs from one of postwerk-muc.
+COOPNOR = """limits.cpu_fraction=0.144
+limits.memory_mb=120
+limits.max_fds=3075
+limits.link_mbps=10
+bounds.contact_ms=4000
+bounds.ack_timeout_ms=6000
+bounds.catch_up_s=6
+bounds.drain_ms=3000
+bounds.config_apply_ms=3000
+bounds.partition_max_ms=6000
+bounds.retry_slack=206
+bounds.recover_s=15
+bounds.event_delay_ms=200
+platform.writes_per_s=1200
+platform.reads_per_s=6000
+"""
+
+
 class NotRun(Exception):
     """The case could not be run."""
 
