review/9: a node that restarts while the store comes back from a copy accepts a key that was taken away

Rule CONFIG, revoke_strict: a request sent later than revoke_ms after the acknowledgement runs. Cause: the first era that a process sees counts as no restoration, and the node with the lowest address asks no other node, so it confirms the copied configuration at once although the other nodes know a newer one.

--- a/review/lab2.py
+++ b/review/lab2.py
@@ -147,6 +147,19 @@
             self.put(table, key, base64.b64encode(json.dumps(document).encode()).decode())
             self.changed.notify_all()
 
+    def copy(self):
+        """Takes the copy from which the store may come back."""
+        with self.changed:
+            return dict(self.rows), list(self.log), self.version
+
+    def restore(self, copy):
+        """Comes back from a copy: what was acknowledged since is gone, and versions are given out again."""
+        with self.changed:
+            self.rows, self.log, self.version = dict(copy[0]), list(copy[1]), copy[2]
+            self.era += 1
+            self.away = False
+            self.changed.notify_all()
+
     def remove(self, table, key):
         self.transact({"remove": [{"table_name": table, "key": key}]})
 
@@ -318,6 +331,10 @@
     def address(self, port):
         return "%s:%d" % (self.ip, self.site.ports[port])
 
+    def get(self, target, request_id, key="key-1", deadline_ms=1500):
+        """Sends a GET as a requester does."""
+        return exchange(self.address("frontend"), "GET", target, request_header(request_id, deadline_ms, key), timeout=3)
+
     def start(self, max_fds=None):
         limit = (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (max_fds, max_fds))) if max_fds else None
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
@@ -503,8 +520,9 @@
         })
         self.record("desired state %d acknowledged, keys %s" % (self.version, self.keys))
 
-    def add_worker(self, name, service, run):
-        worker = Worker(name, run, self)
+    def add_worker(self, name, service, run, owners=True):
+        """Starts a worker and registers it. Without `owners` it does not look up which node has connected."""
+        worker = Worker(name, run, self if owners else None)
         self.workers.append(worker)
         self.store.write("servers", name, {
             "service": service, "address": worker.address, "zone": "muc-nord", "version": "v1", "batch_size": 24, "phase": "ready",
@@ -578,9 +596,14 @@
     "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_ttl_s": 5.0, "model_list": [{"name": "m"}]}}
 
 
+def out_of_time(*_):
+    raise NotRun("out of time")
+
+
 def main(folder, play):
     """Plays a case: `play` gets the record's folder, returns the broken promises, and closes what it started."""
     code = NOT_RUN
+    signal.signal(signal.SIGTERM, out_of_time)
     try:
         if not os.path.exists(os.path.join(ROOT, NODE_PROGRAM)):
             raise NotRun("%s is not built" % NODE_PROGRAM)
