--- a/review/lab2.py
+++ b/review/lab2.py
@@ -174,14 +174,18 @@
     return None
 
 
+def socket_name(address):
+    """Returns an address as /proc/net/tcp writes it."""
+    host, port = address
+    return "%08X:%04X" % (struct.unpack("<I", socket.inet_aton(host))[0], port)
+
+
 def find_owner(connection, nodes):
-    host, port = connection.getpeername()
-    wanted = "%08X:%04X" % (struct.unpack("<I", socket.inet_aton(host))[0], port)
-    inode = None
+    ends, inode = [socket_name(connection.getpeername()), socket_name(connection.getsockname())], None
     with open("/proc/net/tcp", encoding="ascii") as table:
         for line in table:
             fields = line.split()
-            if fields[1] == wanted:
+            if fields[1:3] == ends and fields[9] != "0":
                 inode = "socket:[%s]" % fields[9]
                 break
     for node in nodes:
