--- a/review/7/run.py
+++ b/review/7/run.py
@@ -20,8 +20,8 @@
 DEADLINE_MS = 39000
 
 
-def play(folder):
-    site = lab2.Site(folder, 2, lab2.COOPNOR)
+def play(record_path):
+    site = lab2.Site(record_path, 2, lab2.COOPNOR)
     record = site.record
 
     def run(worker, connection, request):
@@ -98,4 +98,4 @@
         site.close()
 
 
-lab2.main(HERE, play)
+lab2.main(os.path.join(HERE, "record.txt"), play)
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -30,11 +30,11 @@
 
 
 class Record:
-    """The record of a run, record.txt in the folder of the case."""
+    """The record of a run."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.lock = threading.Lock()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def __call__(self, text):
         with self.lock:
@@ -462,8 +462,8 @@
 class Site:
     """A small deployment of `count` machines in one zone, with the settings of postwerk-muc."""
 
-    def __init__(self, folder, count, extra=""):
-        self.record = Record(folder)
+    def __init__(self, record, count, extra=""):
+        self.record = Record(record)
         self.folder = tempfile.mkdtemp(prefix="crocusreel-review-")
         self.store, self.nodes, self.workers, self.version = Store(), [], [], 0
         self.keys = ["key-1"]
@@ -604,14 +604,14 @@
     raise NotRun("out of time")
 
 
-def main(folder, play):
-    """Plays a case: `play` gets the record's folder, returns the broken promises, and closes what it started."""
+def main(record, play):
+    """Plays a case: `play` gets the path of the record, returns the broken promises, and closes what it started."""
     code = NOT_RUN
     signal.signal(signal.SIGTERM, out_of_time)
     try:
         if not os.path.exists(os.path.join(ROOT, NODE_PROGRAM)):
             raise NotRun("%s is not built" % NODE_PROGRAM)
-        broken = play(folder)
+        broken = play(record)
         code = BROKEN if broken else HELD
         print("%s: %s" % ("BROKEN" if broken else "held", "; ".join(broken) or "no rule broken"))
     except NotRun as cause:
