A leaving node learns how long runs take, and passes on only what it completes

Cause: the longest run of a stream was 2 s and 12 ms a token, whatever engines and targets were; calls and streams without a size had no bound of their own, only the time for which addresses are valid.

Evidence: the lines "request ended by the stop" of show phase sent or answering, sent 3.6 to 4.7 s after the signal with 2.9 to 4.0 s left, for runs of 4 s: all were admitted and sent by these constants, none had waited. So the bound is at fault, not queues, slow bodies, retries or the hop.

Change: package runtimes learns from the runs of a service and route how long whole runs, first events and gaps take, also from those in flight, over a minute. With fewer than five runs seen it is not known, and only a request whose deadline lies before the stop is sent. The bound is asked again when the request is passed on, at this node and at one that serves it for another. Lines of requests that end while the node leaves have longest_run and longest_run_known.

--- a/drain/request.go
+++ b/drain/request.go
@@ -57,9 +57,10 @@
 	r.id, r.phase = id, Receiving
 }
 
-// Bound sets when the request ends at the latest and the longest time that a run of it takes. A zero
-// deadline means that it has none, a longest time of 0 that it is not known.
-func (r *Request) Bound(deadline time.Time, longest time.Duration) {
+// Bound sets when the request ends at the latest, and an estimate of how long a run of it takes, which is
+// asked each time that the request might be sent. A zero deadline means that it has none. longest must
+// not block.
+func (r *Request) Bound(deadline time.Time, longest func() LongestRun) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.bounds, r.bounded = bounds{deadline: deadline, longest: longest}, true
@@ -92,7 +93,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if at, limited := r.latestStartLocked(); limited && !time.Now().Before(at) {
-		return Refuse("this node is leaving; use another address")
+		return Refuse("this node is leaving and the request might outlast it; use another address")
 	}
 	return nil
 }
@@ -138,12 +139,19 @@
 	if !limited || r.endWait == nil || r.startTimer != nil {
 		return
 	}
-	endWait := r.endWait
 	if wait := time.Until(at); wait > 0 {
-		r.startTimer = time.AfterFunc(wait, func() { endWait(errTooLate) })
+		r.startTimer = time.AfterFunc(wait, r.reconsiderStart)
 		return
 	}
-	endWait(errTooLate)
+	r.endWait(errTooLate)
+}
+
+// reconsiderStart asks again for the latest start, which may have changed during the wait.
+func (r *Request) reconsiderStart() {
+	r.mu.Lock()
+	r.startTimer = nil
+	r.mu.Unlock()
+	r.watchStart()
 }
 
 // RefuseInterrupted returns the refusal of a request that has not run and whose wait was ended by the
@@ -171,6 +179,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fields := []zap.Field{zap.String("phase", string(r.phase))}
+	if r.bounded {
+		longest := r.bounds.longest()
+		fields = append(fields, zap.Duration("longest_run", longest.Time), zap.Bool("longest_run_known", longest.Known))
+	}
 	for _, step := range []struct {
 		name string
 		at   time.Time
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,7 +118,7 @@
 		return nil, refuseNotRun(crocusreel.ReasonNoEndpoint, notReadyRetryAfter, "route %s has no service", route.Name)
 	}
 	deadline := received.Add(requestTimeout(route, head.Timeout))
-	tracked.Bound(deadline, relay.LongestRun(route, head.Size))
+	tracked.Bound(deadline, func() drain.LongestRun { return h.Relay.LongestRun(service, route, head.Size) })
 	if refusal := tracked.RefuseLate(); refusal != nil {
 		return nil, refusal
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -26,16 +26,17 @@
 	"github.com/crocusreel/crocusreel/relay"
 	"github.com/crocusreel/crocusreel/retry"
 	"github.com/crocusreel/crocusreel/routing"
+	"github.com/crocusreel/crocusreel/runtimes"
 )
 
 // fixture is an entry.Handler with one service for plain calls and one engine behind it.
 type fixture struct {
-	now    time.Duration
-	config *knowledge.ConfigurationTracker
-	gate   *drain.Gate
-	app    *worker.Worker
-	url    string
-	logs   *observer.ObservedLogs
+	now         time.Duration
+	config      *knowledge.ConfigurationTracker
+	gate        *drain.Gate
+	app, engine *worker.Worker
+	url         string
+	logs        *observer.ObservedLogs
 	// usage and hint are the header values in which callers state token counts and the expected
 	// length.
 	usage, hint string
@@ -54,6 +55,7 @@
 	engine, err := worker.Start(worker.Options{ID: "e1", Events: 40, EventInterval: 10 * time.Millisecond, KVStore: worker.NewKVStore()})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(engine.Stop)
+	s.engine = engine
 	endpoints.Update(fleet.Instance{ID: "i1", Service: "app", Address: app.Address(), DataCentre: "dc1", Slots: 6})
 	endpoints.Update(fleet.Instance{ID: "e1", Service: "pool", Address: engine.Address(), DataCentre: "dc1", Slots: 24})
 	core, logs := observer.New(zap.InfoLevel)
@@ -71,7 +73,8 @@
 			Fleet: endpoints, Client: client, Protocol: platform.Protocol{}, Mover: platform.NewEngineClient(client), Log: zap.NewNop(),
 			Budgets: retry.NewLocal(0.2, 50, 10*time.Second, boottime.Now),
 			Strikes: relay.NewStrikes(boottime.Now), Quarantine: quarantine.New(boottime.Now),
-			Vacated: relay.NewVacatedRuns(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
+			Vacated:  relay.NewVacatedRuns(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
+			Runtimes: runtimes.NewTracker(boottime.Now),
 		},
 	}
 	h.Relay.Admit = h.Recheck
@@ -107,6 +110,14 @@
 	s.gate.Leave(drain.Schedule{LeavesAt: now, AddressesExpire: now.Add(after), StopsAt: now.Add(after)})
 }
 
+// observe sends requests until it is known how long they take.
+func (s *fixture) observe(path string) {
+	GinkgoHelper()
+	for range 5 {
+		Expect(s.send(path, "key", "").status).To(Equal(http.StatusOK))
+	}
+}
+
 type reply struct {
 	status int
 	header http.Header
@@ -240,7 +251,7 @@
 	It("serves a call without a timeout, also while it is leaving", func() {
 		s := newFixture()
 		s.configure()
-		Expect(s.send("/untimed/1", "key", "").status).To(Equal(http.StatusOK))
+		s.observe("/untimed/1")
 		s.leave(3 * time.Second)
 		Expect(s.send("/untimed/1", "key", "").status).To(Equal(http.StatusOK))
 		s.leave(0)
@@ -254,6 +265,7 @@
 	It("refuses long streams while it is leaving and serves calls", func() {
 		s := newFixture()
 		s.configure()
+		s.observe("/drafts/1")
 		s.leave(3 * time.Second)
 		draft := s.send("/drafts/1", "key", "")
 		Expect(draft.status).To(Equal(http.StatusServiceUnavailable))
@@ -269,12 +281,27 @@
 		s := newFixture()
 		s.configure()
 		s.hint = "40"
+		s.observe("/drafts/1")
 		s.leave(3 * time.Second)
 		Expect(s.send("/drafts/1", "key", "").status).To(Equal(http.StatusServiceUnavailable))
 		s.usage = "100,48"
 		Expect(s.send("/drafts/1", "key", "").status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against requests that are cut off by a node which has seen too few runs to bound them.
+	It("refuses requests of unknown length while it is leaving", func() {
+		s := newFixture()
+		s.configure()
+		s.usage = "100,48"
+		s.leave(3 * time.Second)
+		for _, path := range []string{"/untimed/1", "/drafts/1"} {
+			refused := s.send(path, "key", "")
+			Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+			Expect(refused.body).To(And(ContainSubstring("shutting_down"), ContainSubstring("not_run")))
+		}
+		Expect(s.engine.Runs()).To(BeEmpty())
+	})
+
 	// Guards against starting a request that arrives on an open connection while the process exits.
 	It("starts no request once it is closed", func() {
 		s := newFixture()
--- a/node/forward_server.go
+++ b/node/forward_server.go
@@ -68,7 +68,7 @@
 	}
 	defer tracked.End()
 	tracked.Identify(r.ID)
-	tracked.Bound(r.Deadline, relay.LongestRun(r.Route, r.Size))
+	tracked.Bound(r.Deadline, func() drain.LongestRun { return n.relay.LongestRun(r.Service, r.Route, r.Size) })
 	if refusal := tracked.RefuseLate(); refusal != nil {
 		return sink.decline(refusal.Message)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 	"github.com/crocusreel/crocusreel/platform"
 	"github.com/crocusreel/crocusreel/reach"
 	"github.com/crocusreel/crocusreel/relay"
+	"github.com/crocusreel/crocusreel/runtimes"
 )
 
 var errNoConfiguration = eris.New("no configuration yet")
@@ -183,6 +184,7 @@
 		Reach:    reachRecorder{n},
 
 		Forwarder: n.forwards,
+		Runtimes:  runtimes.NewTracker(boottime.Now),
 		Witness:   n.askWitness,
 		Liveness:  liveness.NewProber(h1.ToleratedSilence, n.askWhetherRunning),
 	}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -58,6 +58,7 @@
 	for {
 		sink := j.forwardSink()
 		j.r.Tracked.Enter(drain.Sent)
+		j.beginRun()
 		got := j.Forwarder.Forward(ctx, j.r, sink)
 		if !got.Accepted {
 			j.declined = true
--- a/relay/forwarded_stream.go
+++ b/relay/forwarded_stream.go
@@ -74,6 +74,7 @@
 				s.job.result.FirstEvent = time.Since(s.job.r.Received)
 			}
 			s.job.prog.record(id)
+			s.job.timing.Event()
 		}
 		fresh = append(fresh, event...)
 	}
--- a/relay/place.go
+++ b/relay/place.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -11,7 +10,6 @@
 	"github.com/crocusreel/crocusreel/drain"
 	"github.com/crocusreel/crocusreel/fleet"
 	"github.com/crocusreel/crocusreel/internal/metrics"
-	"github.com/crocusreel/crocusreel/routing"
 )
 
 // What ends a request before an endpoint answers it: its deadline, and the stop of this node.
@@ -84,25 +82,3 @@
 	}
 	return crocusreel.OutcomeNotRun
 }
-
-const (
-	// maxFirstEventTime is the longest time until the first event on a crowded engine, where the
-	// prefill waits for that of other prompts. maxTimePerToken is the longest time for each token
-	// there.
-	maxFirstEventTime = 2 * time.Second
-	maxTimePerToken   = 12 * time.Millisecond
-)
-
-// LongestRun returns the longest time that a run of a request takes, 0 if it is not known.
-func LongestRun(route *routing.Route, s Size) time.Duration {
-	if route.Kind != routing.Streaming {
-		return 0
-	}
-	return MaxGenerationTime(s)
-}
-
-// MaxGenerationTime returns how long a generation may take. It is based on the maximum output
-// length, because callers' estimates are right at the median and often far too low.
-func MaxGenerationTime(s Size) time.Duration {
-	return maxFirstEventTime + time.Duration(s.MaxOutput)*maxTimePerToken
-}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/crocusreel/crocusreel/reach"
 	"github.com/crocusreel/crocusreel/retry"
 	"github.com/crocusreel/crocusreel/routing"
+	"github.com/crocusreel/crocusreel/runtimes"
 )
 
 // Request is one attempt of a caller.
@@ -216,6 +217,9 @@
 	Liveness *liveness.Prober
 	// Forwarder has requests served by other nodes; nil if there are none.
 	Forwarder Forwarder
+	// Runtimes learns how long runs take. Without it, a node that leaves sends only requests whose
+	// deadline lies before its stop.
+	Runtimes *runtimes.Tracker
 
 	migrations migrations
 }
@@ -243,6 +247,7 @@
 		metrics.Count("stream_resumed_by_caller")
 	}
 	result := job.serve(ctx)
+	job.endRun(result.Refusal == nil && !result.Broken && result.Status < http.StatusInternalServerError)
 	if job.struck.Load() && (result.Broken || result.Refusal != nil) {
 		job.announceDeath(ctx)
 	}
@@ -291,6 +296,8 @@
 	// declined is set once the request was to be forwarded and no other node accepted it.
 	declined bool
 	arrivals arrivals
+	// timing measures the run in flight, nil if there is none.
+	timing *runtimes.Run
 	// retryReserved is the time at which the next attempt was reserved as a retry, in nanoseconds; 0 if
 	// it needs no reservation.
 	retryReserved atomic.Int64
@@ -396,6 +403,7 @@
 	defer stopSilence()
 	began := time.Now()
 	j.r.Tracked.Enter(drain.Sent)
+	j.beginRun()
 	resp, err := j.Client.Do(ctx, attempt.Instance.Address, &h1.Request{
 		Method:          j.r.Method,
 		Target:          j.r.Target,
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -346,6 +346,7 @@
 		s.result.FirstEvent = time.Since(s.r.Received)
 	}
 	prog.record(id)
+	s.timing.Event()
 	if prog.count == provenEvents {
 		s.proveParts()
 		s.p.EndIsolation()
