A connection that broke is no end of an answer, whichever call got its error

Callers saw: an endpoint that answers a long upload at once with a 200 without a length, sends part of its body and resets the connection, or closes it with the upload unread; the part was delivered as a whole answer (MIXED).

Cause: a socket reports an error once. The write of the request, which runs beside the reading of the answer, took the reset, and the read that followed saw a plain end of the connection, which ends an answer without a length.

Change: package internal/tcpend. At the end of a connection a read waits for writes in progress, and returns an error if one failed or if the kernel has closed the connection without the peer's orderly end (TCP_INFO), so that it does not matter whether a write, a peek or a barrier got the error, nor which error it was. The connections of endpoint/h1 (calls, streams, resumed runs, refusals, orders, reports, health checks), of httponce (store, own engines and services) and of client use it. The latter two write long bodies in parts: an answer without a length is broken there also if the request was not taken whole. Answers with a length or in chunks are as valid as before. The hop is HTTP/2, whose streams have an end of their own.

--- a/client/client.go
+++ b/client/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/crocusreel/crocusreel/internal/tcpend"
 	"github.com/crocusreel/crocusreel/retry"
 )
 
@@ -137,7 +138,7 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         tcpend.Dialer(dialer),
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     30 * time.Second,
 
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -1,7 +1,6 @@
 package client
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -15,6 +14,7 @@
 
 	"github.com/crocusreel/crocusreel"
 	"github.com/crocusreel/crocusreel/api"
+	"github.com/crocusreel/crocusreel/internal/httponce"
 )
 
 // maxErrorBytes limits the size of an error body.
@@ -38,23 +38,21 @@
 // Unwrap returns the cause.
 func (e *GatewayLostError) Unwrap() error { return e.Cause }
 
-// send makes one HTTP exchange. It leaves GetBody unset so that net/http never resends the request
-// on its own. net/http treats a request with an Idempotency-Key header as safe to resend, and the
+// send makes one HTTP exchange. Its request has no GetBody, so that net/http never resends it on its own. net/http treats a request with an Idempotency-Key header as safe to resend, and the
 // copy would carry the same Crocusreel-Attempt number, such as 1, although the original may have
 // run. A gateway could then answer not_run for work that did run.
 func (c *Client) send(ctx context.Context, method, url string, header http.Header, body []byte) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, method, url, io.NopCloser(bytes.NewReader(body)))
+	req, err := httponce.NewRequest(ctx, method, url, body)
 	if err != nil {
 		return nil, eris.Wrap(err, "client: build request")
 	}
-	req.ContentLength = int64(len(body))
-	req.GetBody = nil
 	req.Header = header
 	req.Header.Set("Authorization", "Bearer "+c.opts.Key)
 	res, err := c.http.Do(req)
 	if err != nil {
 		return nil, &GatewayLostError{Outcome: outcomeOfSendError(err), Gateway: req.URL.Host, Cause: err}
 	}
+	httponce.GuardEnd(req, res)
 	return res, nil
 }
 
--- a/endpoint/h1/client.go
+++ b/endpoint/h1/client.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/crocusreel/crocusreel/internal/sockopt"
+	"github.com/crocusreel/crocusreel/internal/tcpend"
 )
 
 // Request is a request to an endpoint.
@@ -282,7 +283,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*tcpend.Conn
 	// reader reads through limiter.
 	reader   *bufio.Reader
 	limiter  *headLimiter
@@ -304,11 +305,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/endpoint/h1/head.go
+++ b/endpoint/h1/head.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/crocusreel/crocusreel/internal/tcpend"
 )
 
 // Bounds of the head of an answer. Endpoints in trouble send bytes without end that are no answer;
@@ -95,6 +97,7 @@
 
 // newConn returns a connection to an endpoint that has not been used yet.
 func newConn(raw net.Conn) *conn {
-	limiter := &headLimiter{Conn: raw}
-	return &conn{Conn: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), openedAt: time.Now()}
+	connection := tcpend.Wrap(raw)
+	limiter := &headLimiter{Conn: connection}
+	return &conn{Conn: connection, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), openedAt: time.Now()}
 }
--- a/internal/httponce/client.go
+++ b/internal/httponce/client.go
@@ -3,9 +3,7 @@
 package httponce
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -79,16 +77,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "build request")
 	}
-	req.Body = io.NopCloser(&opaqueReader{bytes.NewReader(body)})
+	req.Body = newOpaqueBody(body)
 	req.ContentLength = int64(len(body))
 	return req, nil
 }
 
-// opaqueReader hides the concrete reader type from net/http.
-type opaqueReader struct{ r io.Reader }
-
-func (o *opaqueReader) Read(p []byte) (int, error) { return o.r.Read(p) }
-
 // Do sends a request made by NewRequest. It does not follow redirects. If it returns an error and
 // sent is false, no byte of the request has left or will leave this process.
 func (c *Client) Do(req *http.Request) (resp *http.Response, sent bool, err error) {
@@ -101,6 +94,7 @@
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	resp, err = c.transport.RoundTrip(req)
 	if err == nil {
+		GuardEnd(req, resp)
 		return resp, true, nil
 	}
 	for _, use := range uses {
--- a/internal/httponce/conn.go
+++ b/internal/httponce/conn.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/crocusreel/crocusreel/internal/tcpend"
 )
 
 var (
@@ -30,7 +32,7 @@
 		_ = conn.Close()
 		return nil, errSelfConnect
 	}
-	return &trackedConn{Conn: conn}, nil
+	return &trackedConn{Conn: tcpend.Wrap(conn)}, nil
 }
 
 // trackedConn counts writes and can be closed in a way that rejects every further write.
