A head that is none in HTTP is no answer

Callers saw (MIXED): of an answer with status 000 or 099, whose body holds the text of an answer, that text as the answer; 600 and 999 as they came; of an answer with "Transfer-Encoding : chunked" the sizes of the chunks as a part of a whole 200; of "Content-Length : 5" a body that was cut short as a whole one.

Cause: each status below 200 was skipped as informational, also 101, which nobody asked for, and what followed was read as the next head. net/http accepts field names with blanks and then does not know the field, which decides where the body ends; it ignores chunks in HTTP/1.0, and the body of informational answers.

Change: package internal/httphead.

Folded lines that do not frame, trailers and chunk extensions are accepted. tests/node: four heads, calls and streams, at the node and over the hop.

--- a/client/exchange.go
+++ b/client/exchange.go
@@ -52,7 +52,9 @@
 	if err != nil {
 		return nil, &GatewayLostError{Outcome: outcomeOfSendError(err), Gateway: req.URL.Host, Cause: err}
 	}
-	httponce.GuardEnd(req, res)
+	if err := httponce.Check(req, res); err != nil {
+		return nil, &GatewayLostError{Outcome: crocusreel.OutcomeUnknown, Gateway: req.URL.Host, Cause: err}
+	}
 	return res, nil
 }
 
--- a/endpoint/h1/head.go
+++ b/endpoint/h1/head.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/crocusreel/crocusreel/internal/httphead"
 	"github.com/crocusreel/crocusreel/internal/tcpend"
 )
 
@@ -35,6 +36,8 @@
 	inHead, started bool
 	// left is the number of bytes that may still be read.
 	left int
+	// received is what was received since the head began.
+	received []byte
 }
 
 // Read implements io.Reader.
@@ -47,6 +50,7 @@
 	}
 	n, err := l.Conn.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	l.received = append(l.received, p[:n]...)
 	if n > 0 {
 		l.start()
 	}
@@ -61,17 +65,18 @@
 	}
 }
 
-// begin begins a head, of which the given number of bytes have been read already.
-func (l *headLimiter) begin(buffered int) {
+// begin begins a head, of which the given bytes have been read already.
+func (l *headLimiter) begin(buffered []byte) {
 	l.inHead, l.started = true, false
-	if buffered > 0 {
+	l.received = append(l.received, buffered...)
+	if len(buffered) > 0 {
 		l.start()
 	}
 }
 
 // end ends the head.
 func (l *headLimiter) end() {
-	l.inHead = false
+	l.inHead, l.received = false, nil
 	if l.started {
 		_ = l.SetReadDeadline(time.Time{})
 	}
@@ -79,9 +84,21 @@
 
 // readHead reads the head of the next answer.
 func (c *conn) readHead(method *http.Request) (*http.Response, error) {
-	c.limiter.begin(c.reader.Buffered())
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, eris.Wrap(err, "read what is buffered")
+	}
+	c.limiter.begin(buffered)
 	defer c.limiter.end()
-	return http.ReadResponse(c.reader, method)
+	resp, err := http.ReadResponse(c.reader, method)
+	if err != nil {
+		return nil, err
+	}
+	if err := httphead.Check(resp); err != nil {
+		return nil, err
+	}
+	received := c.limiter.received
+	return resp, httphead.CheckFraming(resp, received[:len(received)-c.reader.Buffered()])
 }
 
 // readFinal reads the head of an answer and skips informational ones.
--- a/internal/httponce/answer.go
+++ b/internal/httponce/answer.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/crocusreel/crocusreel/internal/httphead"
 )
 
 // opaqueBody is the body of a request. It hides the type of its reader from net/http.
@@ -36,13 +38,19 @@
 
 var errEndedEarly = eris.New("the server ended its answer before the request was sent")
 
-// GuardEnd makes the body of the answer to a request of NewRequest fail at its end if the answer has no length
-// and the request was not sent whole: the connection may then have broken.
-func GuardEnd(req *http.Request, resp *http.Response) {
+// Check returns an error, and closes the body, if the head of the answer to a request of NewRequest is none in
+// HTTP. It makes the body fail at its end if the answer has no length and the request was not sent whole: the
+// connection may then have broken.
+func Check(req *http.Request, resp *http.Response) error {
+	if err := httphead.Check(resp); err != nil {
+		_ = resp.Body.Close()
+		return err
+	}
 	sent, ok := req.Body.(*opaqueBody)
 	if ok && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		resp.Body = &unframedBody{ReadCloser: resp.Body, sent: sent}
 	}
+	return nil
 }
 
 // unframedBody is the body of an answer that ends with its connection.
--- a/internal/httponce/answer_test.go
+++ b/internal/httponce/answer_test.go
@@ -14,23 +14,36 @@
 	"github.com/crocusreel/crocusreel/internal/standin/early"
 )
 
-var _ = Describe("an answer whose connection ends while the request is being written", func() {
-	exchange := func(text string, end func(conn *net.TCPConn)) error {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		defer func() { _ = listener.Close() }()
-		go early.Serve(listener, text, end)
-		req, err := NewRequest(context.Background(), http.MethodPost, "http://"+listener.Addr().String()+"/", bytes.Repeat([]byte{'b'}, 8<<20))
-		Expect(err).NotTo(HaveOccurred())
-		resp, _, err := New(Options{}).Do(req)
-		if err != nil {
-			return err
-		}
-		defer func() { _ = resp.Body.Close() }()
-		_, err = io.ReadAll(resp.Body)
+// exchange sends a long request to an endpoint that answers with the text, and reads the whole answer.
+func exchange(text string, end func(conn *net.TCPConn)) error {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	go early.Serve(listener, text, end)
+	req, err := NewRequest(context.Background(), http.MethodPost, "http://"+listener.Addr().String()+"/", bytes.Repeat([]byte{'b'}, 8<<20))
+	Expect(err).NotTo(HaveOccurred())
+	resp, sent, err := New(Options{}).Do(req)
+	Expect(sent).To(BeTrue())
+	if err != nil {
 		return err
 	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.ReadAll(resp.Body)
+	return err
+}
 
+// Guards against heads that are none in HTTP and become answers, by which a request counts as run or refused.
+var _ = DescribeTable("a head that is none in HTTP is no answer", func(head string) {
+	Expect(exchange(head+"Content-Length: 5\r\n\r\nwhole", early.CloseRead)).To(HaveOccurred())
+},
+	Entry("status 000", "HTTP/1.1 000 x\r\n"),
+	Entry("status 600", "HTTP/1.1 600 x\r\n"),
+	Entry("a blank before a colon", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n"),
+	Entry("a control byte in a value", "HTTP/1.1 200 OK\r\nX: a\x01b\r\n"),
+)
+
+var _ = Describe("an answer whose connection ends while the request is being written", func() {
 	// Guards against an answer without a length that looks whole because the transport's write took the error
 	// of the connection.
 	DescribeTable("is broken if it has no length", func(end func(conn *net.TCPConn)) {
--- a/internal/httponce/client.go
+++ b/internal/httponce/client.go
@@ -94,7 +94,9 @@
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	resp, err = c.transport.RoundTrip(req)
 	if err == nil {
-		GuardEnd(req, resp)
+		if err = Check(req, resp); err != nil {
+			return nil, true, err
+		}
 		return resp, true, nil
 	}
 	for _, use := range uses {
--- a/tests/node/odd_answers_test.go
+++ b/tests/node/odd_answers_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/crocusreel/crocusreel/internal/rig"
 	"github.com/crocusreel/crocusreel/internal/standin/early"
 )
 
@@ -71,3 +73,52 @@
 		Entry("when it is a stream", "/drafts/1", "Content-Type: text/event-stream\r\n", "id: 1\ndata: a\n\n", early.Reset(5*time.Millisecond)),
 	)
 })
+
+// oddHeads are heads that are none in HTTP, with what follows them.
+var oddHeads = map[string]func(id string) string{
+	"status 000 with an answer in its body": func(id string) string {
+		return "HTTP/1.1 000 x\r\nCrocusreel-Attempt-Id: " + id + "\r\n\r\n" + cutHead(id) + "Content-Length: 4\r\n\r\nbody"
+	},
+	"status 999": func(id string) string {
+		return strings.Replace(cutHead(id), " 200 ", " 999 ", 1) + "Content-Length: 4\r\n\r\nbody"
+	},
+	"a blank before the colon": func(id string) string {
+		return cutHead(id) + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	},
+	"chunks in HTTP/1.0": func(id string) string {
+		return strings.Replace(cutHead(id), "HTTP/1.1", "HTTP/1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	},
+}
+
+var _ = Describe("an answer whose head is none in HTTP", func() {
+	// Guards against such an answer that is delivered, in part or with a body that is not the endpoint's, and
+	// against a statement that the request has not run.
+	DescribeTable("is not delivered", func(forwarded bool) {
+		s := &reachSite{site: newSite()}
+		s.perProcess = forwarded
+		var text atomic.Pointer[func(id string) string]
+		address := startOdd(func(id string) string { return (*text.Load())(id) }, early.CloseUnread)
+		for _, service := range []string{"app", "pool"} {
+			id := "odd-" + service
+			s.addresses[id] = s.exposeEndpoint(id, address)
+			s.register(id, service, s.addresses[id], "ready")
+		}
+		if !forwarded {
+			s.start(1)
+		} else {
+			s.start(3)
+			s.cutOff(s.nodes[0], rig.CutReset)
+			s.awaitLoss("app")
+		}
+		for name, head := range oddHeads {
+			text.Store(&head)
+			for _, path := range []string{"/bookings/1", "/drafts/1"} {
+				got := s.sendOver(client, s.nodes[0], path, "key", 800*time.Millisecond)
+				Expect(got.status).To(BeElementOf(http.StatusBadGateway, http.StatusGatewayTimeout), "%s, %s: %+v", name, path, got)
+			}
+		}
+	},
+		Entry("by the node that got the request", false),
+		Entry("by a node that has it served by another one", true),
+	)
+})
