client: the beginning of a response that is too long is an error

Callers of the library saw: a response without an end, or of over 64 MiB, was returned as a whole Reply of 64 MiB.

Cause: readReply read up to a limit and did not look whether more came. It was found while looking for readers that take something else for the end of an answer; the node's own readers check their bounds.

Test: a gateway that answers without an end; before, the call succeeds, now it fails with an unknown outcome.

--- a/client/call.go
+++ b/client/call.go
@@ -91,10 +91,19 @@
 	return reply, gateway, err
 }
 
+// readWhole reads a body of at most maxResponseBytes. A longer one is an error: its beginning is no response.
+func readWhole(body io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
+	if err == nil && len(data) > maxResponseBytes {
+		err = eris.Errorf("the response is longer than %d bytes", maxResponseBytes)
+	}
+	return data, err
+}
+
 // readReply reads the response of a service, or returns the refusal of a gateway as an error. With
 // an error status, the body distinguishes the two: only a refusal holds a reason and an outcome.
 func readReply(res *http.Response) (Reply, error) {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	body, err := readWhole(res.Body)
 	if err != nil {
 		return Reply{}, &GatewayLostError{Outcome: crocusreel.OutcomeUnknown, Gateway: res.Request.URL.Host, Cause: err}
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -301,3 +301,26 @@
 		tokens++
 	}
 }
+
+// Guards against the beginning of a response without an end that is returned as a whole one.
+var _ = It("fails a call whose response has no end", func() {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	fake := newFakeGateways(1)
+	DeferCleanup(fake.close)
+	c, err := client.New(client.Options{Seeds: fake.addresses(), Key: "secret"})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	fake.handler = func(_ int, w http.ResponseWriter, _ *http.Request, _ string) {
+		for part := make([]byte, 1<<20); ; {
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+		}
+	}
+	_, err = c.Call(ctx, client.CallRequest{Method: http.MethodPost, Path: "/beds/1"})
+	Expect(err).To(HaveOccurred())
+	var lost *client.GatewayLostError
+	Expect(errors.As(err, &lost)).To(BeTrue())
+	Expect(lost.Outcome).To(Equal(crocusreel.OutcomeUnknown))
+})
--- a/client/complete.go
+++ b/client/complete.go
@@ -11,7 +11,7 @@
 	"github.com/crocusreel/crocusreel"
 )
 
-// maxResponseBytes limits the size of a response that is not streamed.
+// maxResponseBytes is the maximum size of a response that is not streamed.
 const maxResponseBytes = 64 << 20
 
 // maxHeaderBytes limits the size of the header of a response.
@@ -87,7 +87,7 @@
 func (s *Stream) readStoredResult(res *http.Response) error {
 	defer res.Body.Close()
 	gateway := res.Request.URL.Host
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	body, err := readWhole(res.Body)
 	if err != nil {
 		return &GatewayLostError{Outcome: crocusreel.OutcomeUnknown, Gateway: gateway, Cause: err}
 	}
