Random runs with nodes that leave while their endpoints are slow

Calls of 0.05 to 6 s and streams with gaps of 5 to 200 ms, with and without a size, at nodes that have seen none to eight of them, two nodes that leave up to 6 s apart, one told twice.

--- a/tests/node/slow_stop_test.go
+++ b/tests/node/slow_stop_test.go
@@ -1,6 +1,8 @@
 package node_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -55,6 +57,27 @@
 	return s.sendRequest(client, s.nodes[node], w.path, "body", header)
 }
 
+// sendSlowUntil sends requests of the work to the node every interval, for the given time, and returns them with the
+// times since began.
+func (s *site) sendSlowUntil(began time.Time, length, interval time.Duration, node int, w slowWork) []stopCall {
+	var open sync.WaitGroup
+	var mu sync.Mutex
+	var calls []stopCall
+	for time.Since(began) < length {
+		open.Go(func() {
+			c := stopCall{sentAt: time.Since(began)}
+			c.reply = s.sendSlow(node, w)
+			c.took = time.Since(began) - c.sentAt
+			mu.Lock()
+			defer mu.Unlock()
+			calls = append(calls, c)
+		})
+		time.Sleep(interval)
+	}
+	open.Wait()
+	return calls
+}
+
 var _ = Describe("A node that leaves while its endpoints are slow", func() {
 	// Guards against work that is passed on although it outlasts the node: streams that are cut off, and
 	// calls whose outcome is unknown although another node could have run them.
@@ -66,21 +89,7 @@
 		}
 		open.Wait()
 		s.nodes[0].Terminate()
-		var mu sync.Mutex
-		var calls []stopCall
-		began := time.Now()
-		for time.Since(began) < gracePeriod {
-			open.Go(func() {
-				c := stopCall{sentAt: time.Since(began)}
-				c.reply = s.sendSlow(0, w)
-				c.took = time.Since(began) - c.sentAt
-				mu.Lock()
-				defer mu.Unlock()
-				calls = append(calls, c)
-			})
-			time.Sleep(100 * time.Millisecond)
-		}
-		open.Wait()
+		calls := s.sendSlowUntil(time.Now(), gracePeriod, 100*time.Millisecond, 0, w)
 		expectNoneCut(calls, endpoints...)
 		expectPromptRefusals(calls)
 		served := 0
@@ -101,3 +110,55 @@
 		Entry("of a call that ends in time", slowWork{path: "/bookings/1", workTime: 500 * time.Millisecond, earlier: 6}),
 	)
 })
+
+var _ = Describe("a random run with nodes that leave while their endpoints are slow", func() {
+	for _, seed := range stopSeeds() {
+		// Guards against work that is passed on although it outlasts the node, with other work at the same
+		// time, nodes that leave one after the other and a signal that comes twice.
+		It(fmt.Sprintf("cuts off nothing with seed %d", seed), func() {
+			random := rand.New(rand.NewPCG(uint64(seed), 11))
+			between := func(from, to time.Duration) time.Duration { return from + time.Duration(random.Int64N(int64(to-from))) }
+			base := slowWork{workTime: between(50*time.Millisecond, 6*time.Second), interval: between(5*time.Millisecond, 200*time.Millisecond)}
+			var all []slowWork
+			for _, path := range []string{"/bookings/1", "/calls/1", "/drafts/1", "/notes/1"} {
+				w := base
+				w.path = path
+				if random.IntN(3) > 0 {
+					w.usage = "100,96"
+				}
+				all = append(all, w)
+			}
+			s, endpoints := newSlowSite(base)
+			var open sync.WaitGroup
+			for range random.IntN(9) {
+				for _, w := range all {
+					open.Go(func() { s.sendSlow(0, w) })
+				}
+			}
+			if random.IntN(2) == 0 {
+				open.Wait()
+			}
+			began := time.Now()
+			s.nodes[0].Terminate()
+			second, again := between(0, 6*time.Second), between(0, gracePeriod)
+			DeferCleanup(time.AfterFunc(again, s.nodes[0].Terminate).Stop)
+			DeferCleanup(time.AfterFunc(second, s.nodes[1].Terminate).Stop)
+			for node := range s.nodes {
+				for _, w := range all {
+					open.Go(func() {
+						defer GinkgoRecover()
+						calls := s.sendSlowUntil(began, second+gracePeriod, 200*time.Millisecond, node, w)
+						expectNoneCut(calls, endpoints...)
+						for _, c := range calls {
+							leavesAt := time.Duration(node) * second
+							if c.sentAt > leavesAt {
+								Expect(c.status).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable, 0), "%s sent %s after SIGTERM", w.path, c.sentAt-leavesAt)
+							}
+						}
+					})
+				}
+			}
+			open.Wait()
+		})
+	}
+})
