A size without bounds does not look short at a leaving node; raw endpoints of specs share one server

The longest run of a stream is the number of its events times their gap, which overflows for a size that a caller makes up: the sum was negative, and the stream was sent. Test: runtimes, a huge size.

--- a/client/exchange.go
+++ b/client/exchange.go
@@ -38,8 +38,8 @@
 // Unwrap returns the cause.
 func (e *GatewayLostError) Unwrap() error { return e.Cause }
 
-// send makes one HTTP exchange. Its request has no GetBody, so that net/http never resends it on its own. net/http treats a request with an Idempotency-Key header as safe to resend, and the
-// copy would carry the same Crocusreel-Attempt number, such as 1, although the original may have
+// send makes one HTTP exchange. Its request has no GetBody, so that net/http never resends it on its
+// own. net/http treats a request with an Idempotency-Key header as safe to resend, and the copy would carry the same Crocusreel-Attempt number, such as 1, although the original may have
 // run. A gateway could then answer not_run for work that did run.
 func (c *Client) send(ctx context.Context, method, url string, header http.Header, body []byte) (*http.Response, error) {
 	req, err := httponce.NewRequest(ctx, method, url, body)
--- a/relay/longest.go
+++ b/relay/longest.go
@@ -34,8 +34,7 @@
 		Gap:   max(time.Duration(perEvent)*ordinaryTimePerToken, route.GapTarget),
 	}
 	// Callers' estimates are right at the median and often far too low.
-	events := (s.MaxOutput + perEvent - 1) / perEvent
-	longest, known := l.Runtimes.LongestStream(kind, events, floor)
+	longest, known := l.Runtimes.LongestStream(kind, s.MaxOutput/perEvent+1, floor)
 	return drain.LongestRun{Time: longest, Known: known, Sized: true}
 }
 
--- a/runtimes/runtimes.go
+++ b/runtimes/runtimes.go
@@ -127,41 +127,50 @@
 	First, Gap time.Duration
 }
 
-// LongestRun returns the longest time that a run may take which begins now, at least floor. It returns
-// false if too little is known of its kind.
-func (t *Tracker) LongestRun(k Kind, floor time.Duration) (time.Duration, bool) {
+// maxBound bounds what a size without bounds may lead to.
+const maxBound = 24 * time.Hour
+
+// inspect calls f with what is known of a kind, if anything is.
+func (t *Tracker) inspect(k Kind, f func(h *history, now time.Duration)) {
 	if t == nil {
-		return 0, false
+		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := t.kinds[k]
-	if h == nil {
-		return 0, false
+	if h := t.kinds[k]; h != nil {
+		f(h, t.now())
 	}
-	now := t.now()
-	oldest := time.Duration(0)
-	for r := range h.inFlight {
-		oldest = max(oldest, now-r.beganAt)
-	}
-	return h.whole.longest(now, floor, oldest)
+}
+
+// LongestRun returns the longest time that a run may take which begins now, at least floor. It returns
+// false if too little is known of its kind.
+func (t *Tracker) LongestRun(k Kind, floor time.Duration) (longest time.Duration, known bool) {
+	t.inspect(k, func(h *history, now time.Duration) {
+		oldest := time.Duration(0)
+		for r := range h.inFlight {
+			oldest = max(oldest, now-r.beganAt)
+		}
+		longest, known = h.whole.longest(now, floor, oldest)
+	})
+	return longest, known
 }
 
 // LongestStream returns the longest time that a stream may take which begins now and has up to the given
 // number of events, at a pace that is never faster than floor. It returns false if too little is known of
 // its kind.
-func (t *Tracker) LongestStream(k Kind, events int, floor Pace) (time.Duration, bool) {
-	if t == nil {
-		return 0, false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	h := t.kinds[k]
-	if h == nil {
-		return 0, false
-	}
-	now := t.now()
-	var slowest Pace
+func (t *Tracker) LongestStream(k Kind, events int, floor Pace) (longest time.Duration, known bool) {
+	t.inspect(k, func(h *history, now time.Duration) {
+		slowest := h.slowestInFlight(now)
+		first, firstKnown := h.first.longest(now, floor.First, slowest.First)
+		gap, gapKnown := h.gap.longest(now, floor.Gap, slowest.Gap)
+		longest = time.Duration(min(float64(first)+float64(events)*float64(gap), float64(maxBound)))
+		known = firstKnown && gapKnown
+	})
+	return longest, known
+}
+
+// slowestInFlight returns the slowest pace of the streams in flight, as far as they have come.
+func (h *history) slowestInFlight(now time.Duration) (slowest Pace) {
 	for r := range h.inFlight {
 		first, begun := r.first()
 		if !begun {
@@ -172,10 +181,5 @@
 			slowest.Gap = max(slowest.Gap, gap)
 		}
 	}
-	first, ok := h.first.longest(now, floor.First, slowest.First)
-	if !ok {
-		return 0, false
-	}
-	gap, ok := h.gap.longest(now, floor.Gap, slowest.Gap)
-	return first + time.Duration(events)*gap, ok
+	return slowest
 }
--- a/runtimes/runtimes_test.go
+++ b/runtimes/runtimes_test.go
@@ -1,6 +1,7 @@
 package runtimes_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -111,6 +112,17 @@
 	g.Expect(whole).To(BeNumerically(">=", 13*time.Second))
 }
 
+// Guards against a size without bounds whose time overflows and looks short.
+func TestHugeSizeIsNotShort(t *testing.T) {
+	g := NewWithT(t)
+	c, all := newTracker()
+	for range 8 {
+		c.run(all, first, gap, events)
+	}
+	longest, _ := all.LongestStream(kind, math.MaxInt, floor)
+	g.Expect(longest).To(BeNumerically(">", time.Hour))
+}
+
 // Guards against memory that grows with the names of routes.
 func TestUnusedKindsAreForgotten(t *testing.T) {
 	g := NewWithT(t)
--- a/tests/node/endless_test.go
+++ b/tests/node/endless_test.go
@@ -1,7 +1,6 @@
 package node_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -43,32 +42,15 @@
 // caller closes.
 func startEndless() string {
 	GinkgoHelper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
 	var count atomic.Int32
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				answer := endless[int(count.Add(1))%len(endless)]
-				begin := strings.Replace(answer.begin, "HEAD", cutHead(r.Header.Get("Crocusreel-Attempt-Id")), 1)
-				_, err = io.WriteString(conn, begin)
-				for err == nil {
-					_, err = io.WriteString(conn, answer.again)
-				}
-			}()
+	return startRaw(func(conn *net.TCPConn, r *http.Request) {
+		answer := endless[int(count.Add(1))%len(endless)]
+		begin := strings.Replace(answer.begin, "HEAD", cutHead(r.Header.Get("Crocusreel-Attempt-Id")), 1)
+		_, err := io.WriteString(conn, begin)
+		for err == nil {
+			_, err = io.WriteString(conn, answer.again)
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // sendSlowly sends a call and reads its answer slowly, for as long as the call lasts.
--- a/tests/node/odd_answers_test.go
+++ b/tests/node/odd_answers_test.go
@@ -16,37 +16,42 @@
 	"github.com/crocusreel/crocusreel/internal/standin/early"
 )
 
-// startOdd starts an endpoint whose health checks are good and that gives each other request the answer of text,
-// having read its head only, and then ends the connection.
-func startOdd(text func(id string) string, end func(conn *net.TCPConn)) string {
+// startRaw starts an endpoint that reads the head of one request on each connection and leaves the answer to
+// a function. Its health checks are good.
+func startRaw(answer func(conn *net.TCPConn, r *http.Request)) string {
 	GinkgoHelper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(listener.Close)
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		switch {
+		case err != nil:
+		case r.URL.Path == "/healthz":
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nCrocusreel-Instance-Id: raw\r\nContent-Length: 0\r\n\r\n")
+		default:
+			answer(conn.(*net.TCPConn), r)
+		}
+	}
 	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				if r.URL.Path == "/healthz" {
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nCrocusreel-Instance-Id: odd\r\nContent-Length: 0\r\n\r\n")
-					return
-				}
-				_, _ = io.WriteString(conn, text(r.Header.Get("Crocusreel-Attempt-Id")))
-				end(conn.(*net.TCPConn))
-			}()
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+			go serve(conn)
 		}
 	}()
 	return listener.Addr().String()
 }
 
+// startOdd starts an endpoint that gives each request the answer of text, having read its head only, and then ends
+// the connection.
+func startOdd(text func(id string) string, end func(conn *net.TCPConn)) string {
+	GinkgoHelper()
+	return startRaw(func(conn *net.TCPConn, r *http.Request) {
+		_, _ = io.WriteString(conn, text(r.Header.Get("Crocusreel-Attempt-Id")))
+		end(conn)
+	})
+}
+
 // uploadBytes is the size of a request of which an endpoint reads the beginning only.
 const uploadBytes = 3 << 20
 
