Refusals of a leaving node are logged with what they were decided on

The line of a request that was not admitted lacked when it was read and the longest run that was expected, so that needless refusals could not be told from needed ones. Only log fields change.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,7 +55,7 @@
 	sink := &responseSink{w: w, rc: http.NewResponseController(w), gate: h.Gate}
 	ctx, tracked := h.Gate.Admit(r.Context())
 	if tracked == nil {
-		h.reject(sink, r, drain.Refuse("this node has stopped"))
+		h.reject(sink, r, nil, drain.Refuse("this node has stopped"))
 		return
 	}
 	defer tracked.End()
@@ -65,7 +65,7 @@
 	r.Body = io.NopCloser(metered)
 	req, refusal := h.admit(ctx, sink, r, tracked, received)
 	if refusal != nil {
-		h.reject(sink, r, refusal)
+		h.reject(sink, r, tracked, refusal)
 		return
 	}
 	tracked.Enter(drain.Waiting)
@@ -82,10 +82,10 @@
 	}
 }
 
-// reject refuses a request that was not admitted, and logs it.
-func (h *Handler) reject(s *responseSink, r *http.Request, refusal *crocusreel.Refusal) {
+// reject refuses a request that was not admitted, and logs it. tracked is nil if the request is not in flight.
+func (h *Handler) reject(s *responseSink, r *http.Request, tracked *drain.Request, refusal *crocusreel.Refusal) {
 	h.writeRefusal(s, refusal)
-	h.logOutcome(r, nil, relay.Result{Refusal: refusal, Status: statusOf(refusal)})
+	h.logRefused(r, tracked, refusal)
 }
 
 // admit checks a request and reads its body. It returns a refusal if the request cannot be served.
@@ -293,23 +293,29 @@
 	}
 }
 
-// logOutcome logs the outcome of a request. The fields allow an operator to get from the request ID
-// to the endpoint and the cause. req is nil if the request was not admitted.
+// logRefused logs the refusal of a request that was not admitted.
+func (h *Handler) logRefused(r *http.Request, tracked *drain.Request, refusal *crocusreel.Refusal) {
+	snapshot, ages := h.Config.Current()
+	fields := append([]zap.Field{
+		zap.String("path", r.URL.Path), zap.Int("status", statusOf(refusal)), zap.String("request", platform.AttemptID(r)),
+		zap.Int64("config_row", snapshot.Revision.Version), zap.Int64("store_era", snapshot.Revision.Era), zap.Duration("config_age", ages.Confirmed),
+	}, refusalFields(refusal)...)
+	h.Log.Info("request refused", append(fields, tracked.LogFields()...)...)
+}
+
+func refusalFields(r *crocusreel.Refusal) []zap.Field {
+	return []zap.Field{zap.String("reason", string(r.Reason)), zap.String("outcome", string(r.Outcome)), zap.String("message", r.Message)}
+}
+
+// logOutcome logs the outcome of a request that was admitted. The fields allow an operator to get from the request
+// ID to the endpoint and the cause.
 func (h *Handler) logOutcome(r *http.Request, req *relay.Request, v relay.Result) {
 	fields := []zap.Field{
 		zap.String("path", r.URL.Path),
 		zap.Int("status", v.Status),
 	}
 	if v.Refusal != nil {
-		fields = append(fields, zap.String("reason", string(v.Refusal.Reason)),
-			zap.String("outcome", string(v.Refusal.Outcome)), zap.String("message", v.Refusal.Message))
-	}
-	if req == nil {
-		snapshot, ages := h.Config.Current()
-		h.Log.Info("request refused", append(fields, zap.String("request", platform.AttemptID(r)), zap.Int64("config_row", snapshot.Revision.Version),
-			zap.Int64("store_era", snapshot.Revision.Era),
-			zap.Duration("config_age", ages.Confirmed))...)
-		return
+		fields = append(fields, refusalFields(v.Refusal)...)
 	}
 	fields = append(fields,
 		zap.String("request", req.ID),
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -299,6 +299,7 @@
 			Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
 			Expect(refused.body).To(And(ContainSubstring("shutting_down"), ContainSubstring("not_run")))
 		}
+		Expect(s.logs.FilterMessage("request refused").FilterField(zap.Bool("longest_run_known", false)).Len()).To(Equal(2))
 		Expect(s.engine.Runs()).To(BeEmpty())
 	})
 
