A node that runs out of descriptors goes on

Cause: the server of callers returned every error of Accept, also the lack of descriptors or memory, which passes; the process ended with it. The other listeners are served by net/http, which waits and goes on.

Change: such an error is counted (callers_not_accepted) and logged once a second, and the node accepts again after 5 to 200 ms. Connections that wait are accepted once others have closed.

Open: no descriptors are kept for the store, peers and endpoints, and connections beyond the limit wait instead of being refused.

--- a/node/caller_server.go
+++ b/node/caller_server.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"github.com/crocusreel/crocusreel/internal/metrics"
 	"github.com/crocusreel/crocusreel/peer"
 	"github.com/crocusreel/crocusreel/routing"
 )
@@ -24,6 +29,7 @@
 type callerServer struct {
 	handler  http.Handler
 	listener net.Listener
+	log      *zap.Logger
 
 	mu      sync.Mutex
 	current routing.Limits
@@ -34,8 +40,8 @@
 	stopped  chan struct{}
 }
 
-func newCallerServer(handler http.Handler, listener net.Listener) *callerServer {
-	l := &callerServer{handler: handler, listener: listener, stopped: make(chan struct{})}
+func newCallerServer(handler http.Handler, listener net.Listener, log *zap.Logger) *callerServer {
+	l := &callerServer{handler: handler, listener: listener, log: log, stopped: make(chan struct{})}
 	l.apply(routing.Limits{})
 	return l
 }
@@ -72,19 +78,50 @@
 	return value
 }
 
-// serve accepts connections until the listener fails or the server has been closed, and returns the
-// error of Accept.
+// Pauses after the system could not accept a connection: for a moment, it lacks descriptors or memory.
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = 200 * time.Millisecond
+	// acceptLogInterval is the shortest time between two lines on such failures.
+	acceptLogInterval = time.Second
+)
+
+// serve accepts connections until the listener fails for good or the server has been closed, and returns
+// the error of Accept.
 func (l *callerServer) serve() error {
+	pause := minAcceptPause
+	var loggedAt time.Time
 	for {
 		conn, err := l.listener.Accept()
-		if err != nil {
-			if l.isStopping() {
-				<-l.stopped
-			}
+		switch {
+		case err == nil:
+			pause = minAcceptPause
+			l.dispatch(conn)
+			continue
+		case l.isStopping():
+			<-l.stopped
+			return err
+		case !lacksResources(err):
 			return err
 		}
-		l.dispatch(conn)
+		metrics.Count("callers_not_accepted")
+		if time.Since(loggedAt) >= acceptLogInterval {
+			loggedAt = time.Now()
+			l.log.Warn("connections of callers cannot be accepted", zap.Error(err), zap.Duration("pause", pause))
+		}
+		time.Sleep(pause)
+		pause = min(2*pause, maxAcceptPause)
+	}
+}
+
+// lacksResources reports whether an error of Accept may pass.
+func lacksResources(err error) bool {
+	for _, temporary := range []error{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM} {
+		if errors.Is(err, temporary) {
+			return true
+		}
 	}
+	return false
 }
 
 func (l *callerServer) dispatch(conn net.Conn) {
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -207,7 +207,7 @@
 // NewConfigurable returns a node that is not running and to which configurations can be applied.
 func NewConfigurable(callers net.Listener, log *zap.Logger) *Node {
 	n := New(&platform.NodeSettings{IP: "127.0.0.1", MemoryMB: 134}, nil, log)
-	n.callerServer = newCallerServer(n.entry, callers)
+	n.callerServer = newCallerServer(n.entry, callers, n.log)
 	return n
 }
 
@@ -225,7 +225,7 @@
 
 // NewCallerServer returns a server for callers on the listener.
 func NewCallerServer(handler http.Handler, l net.Listener) CallerServer {
-	return CallerServer{newCallerServer(handler, l)}
+	return CallerServer{newCallerServer(handler, l, zap.NewNop())}
 }
 
 // Serve accepts connections until the server is closed.
--- a/node/node.go
+++ b/node/node.go
@@ -244,7 +244,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen on the caller address")
 	}
-	n.callerServer = newCallerServer(n.entry, callers)
+	n.callerServer = newCallerServer(n.entry, callers, n.log)
 	var group run.Group
 	group.Add(n.callerServer.serve, func(error) { n.callerServer.close() })
 	servers := []struct {
