A forwarded call whose answer has begun is broken off, not joined from two runs

Cause: after the loss of the serving node, work that may run again was sent again also if its answer had begun. Only streams whose events are read can drop what the caller has.

Change: an answer that has begun goes on with another run only if its events are read; any other is broken off. Test: relay, a fake forwarder that is lost after it has begun; before, the call was forwarded twice and ended as whole.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -81,7 +81,8 @@
 		}
 		j.Log.Warn("node lost that served a request", zap.String("request", j.r.ID), zap.String("node", got.Via),
 			zap.String("cause", cause), zap.Bool("begun", j.sink.Begun()))
-		if j.sink.Begun() && !j.repeatable() || !j.mayRetry(ctx, attemptResult{cause: cause}, j.r.Runs) {
+		// Only a stream of which each event is known can go on with another run.
+		if j.sink.Begun() && !sink.reads || !j.mayRetry(ctx, attemptResult{cause: cause}, j.r.Runs) {
 			return j.end(lostRefusal("the connection to node %s broke", got.Via), cause), true
 		}
 		if j.r.Route.Kind == routing.Streaming {
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -116,6 +116,17 @@
 		Expect(f.requests).To(HaveLen(2))
 	})
 
+	// Guards against an answer that is joined from two runs because the node that served a large one was lost.
+	It("does not send idempotent work again whose answer has begun", func() {
+		r, f, app := newRelay(lostElsewhere, servedElsewhere)
+		f.begins = true
+		out := &recordingSink{}
+		result := r.Serve(context.Background(), r.request(routing.Idempotent), out)
+		Expect(result.Broken).To(BeTrue())
+		Expect(f.requests).To(HaveLen(1))
+		Expect(app.Runs()).To(BeEmpty())
+	})
+
 	// Guards against work for a key that was revoked while the request waited at the node that took it.
 	It("forwards nothing that must not run any more", func() {
 		r, f, _ := newRelay()
