--- a/endpoint/h1/head_test.go
+++ b/endpoint/h1/head_test.go
@@ -62,9 +62,9 @@
 var _ = Describe("the head of an answer", func() {
 	const inner = "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 5\r\n\r\ninner"
 
-	// Guards against heads that are none in HTTP and become answers: skipped as informational, so that what
+	// Guards against malformed heads that become answers: skipped as informational, so that what
 	// follows in the body is read as a head, or read with another end of the body.
-	DescribeTable("that is none in HTTP is no answer", func(text string) {
+	DescribeTable("that is malformed is no answer", func(text string) {
 		status, body, err := receive(text)
 		Expect(err).To(HaveOccurred(), "%d %q", status, body)
 	},
--- a/internal/httphead/head.go
+++ b/internal/httphead/head.go
@@ -15,8 +15,8 @@
 	maxStatus = 599
 )
 
-// Check returns an error if the status or a field of the head is none in HTTP, or if the answer switches to
-// another protocol, which nobody asked for. The answer may then be framed otherwise than net/http has read it.
+// Check returns an error if the status or a field of the head is malformed, or if the answer switches to another
+// protocol without having been asked to. net/http may then have read another end of the body than was meant.
 func Check(resp *http.Response) error {
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols {
 		return eris.Errorf("status %q is not that of an answer", resp.Status)
--- a/internal/httponce/answer.go
+++ b/internal/httponce/answer.go
@@ -38,9 +38,9 @@
 
 var errEndedEarly = eris.New("the server ended its answer before the request was sent")
 
-// Check returns an error, and closes the body, if the head of the answer to a request of NewRequest is none in
-// HTTP. It makes the body fail at its end if the answer has no length and the request was not sent whole: the
-// connection may then have broken.
+// Check returns an error, and closes the body, if the head of the answer to a request of NewRequest is malformed.
+// It makes the body fail at its end if the answer has no length and the request was not sent whole: the connection
+// may then have broken.
 func Check(req *http.Request, resp *http.Response) error {
 	if err := httphead.Check(resp); err != nil {
 		_ = resp.Body.Close()
--- a/internal/httponce/answer_test.go
+++ b/internal/httponce/answer_test.go
@@ -33,8 +33,8 @@
 	return err
 }
 
-// Guards against heads that are none in HTTP and become answers, by which a request counts as run or refused.
-var _ = DescribeTable("a head that is none in HTTP is no answer", func(head string) {
+// Guards against malformed heads that become answers, by which a request counts as run or refused.
+var _ = DescribeTable("a malformed head is no answer", func(head string) {
 	Expect(exchange(head+"Content-Length: 5\r\n\r\nwhole", early.CloseRead)).To(HaveOccurred())
 },
 	Entry("status 000", "HTTP/1.1 000 x\r\n"),
--- a/tests/node/odd_answers_test.go
+++ b/tests/node/odd_answers_test.go
@@ -79,7 +79,7 @@
 	)
 })
 
-// oddHeads are heads that are none in HTTP, with what follows them.
+// oddHeads are malformed heads, with what follows them.
 var oddHeads = map[string]func(id string) string{
 	"status 000 with an answer in its body": func(id string) string {
 		return "HTTP/1.1 000 x\r\nCrocusreel-Attempt-Id: " + id + "\r\n\r\n" + cutHead(id) + "Content-Length: 4\r\n\r\nbody"
@@ -95,7 +95,7 @@
 	},
 }
 
-var _ = Describe("an answer whose head is none in HTTP", func() {
+var _ = Describe("an answer whose head is malformed", func() {
 	// Guards against such an answer that is delivered, in part or with a body that is not the endpoint's, and
 	// against a statement that the request has not run.
 	DescribeTable("is not delivered", func(forwarded bool) {
